Add the workspace, the base library and the library interfaces

Cause: the project starts empty. The libraries are developed side by side, so their public interfaces, the build, formatter, linter and test commands have to exist first.

Change: design page; CMake workspace with presets; clang-format and clang-tidy configuration; scripts for dependencies, format, lint, tests and protobuf generation; base library (errors, timers, backoff, endpoints, digests, metrics on Boost.Accumulators); interface headers of the other libraries.

Ruled out: the modernize-use-nullptr check of clang-tidy 14 reports defaulted three-way comparisons ("use nullptr" inside operator<=>), so it is left out.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Two commands on a fresh machine: `make demo` and `make check`.
+
+.PHONY: all deps build format format-check lint test check demo bench fuzz proto
+
+all: build
+
+deps:
+	./tools/scripts/install-deps
+
+build: deps
+	cmake --preset default > build-configure.log 2>&1 || (cat build-configure.log; exit 1)
+	@rm -f build-configure.log
+	cmake --build --preset default
+
+format:
+	./tools/scripts/format --write
+
+format-check: deps
+	./tools/scripts/format --check
+
+lint: build
+	./tools/scripts/lint
+
+test: build
+	./tools/scripts/run-tests
+
+check: format-check build lint test
+
+demo: build
+	./tools/scripts/demo
+
+bench: build
+	./bench/run
+
+proto:
+	./tools/scripts/generate-proto
--- /dev/null
+++ b/cmake/HornbeamTargets.cmake
@@ -0,0 +1,46 @@
+# Targets shared by all libraries of the workspace.
+
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(gRPC CONFIG REQUIRED)
+find_package(restinio REQUIRED)
+find_package(fmt REQUIRED)
+find_package(CURL REQUIRED)
+find_package(log4cxx REQUIRED)
+find_package(OpenSSL REQUIRED)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
+
+add_compile_definitions(ASIO_STANDALONE ASIO_NO_DEPRECATED)
+add_compile_options(-Wall -Wextra -Wpedantic -Werror=return-type -Werror=unused-result)
+
+# hornbeam_library(NAME SOURCES <src...> [DEPS <libs...>] [PRIVATE_DEPS <libs...>])
+# Declares the library Hornbeam::NAME with public headers in include/ and private ones in src/.
+function(hornbeam_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS;PRIVATE_DEPS" ${ARGN})
+  add_library(hornbeam_${name} STATIC ${ARG_SOURCES})
+  add_library(Hornbeam::${name} ALIAS hornbeam_${name})
+  target_include_directories(hornbeam_${name}
+    PUBLIC $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include> $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>
+    PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+  target_link_libraries(hornbeam_${name} PUBLIC ${ARG_DEPS} Threads::Threads PRIVATE ${ARG_PRIVATE_DEPS})
+  install(TARGETS hornbeam_${name} ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+  if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/include)
+    install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+  endif()
+endfunction()
+
+# hornbeam_test(NAME SOURCES <src...> [DEPS <libs...>] [TIMEOUT <seconds>])
+# Declares a CppUTest program and registers it with CTest.
+function(hornbeam_test name)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/support/tests/testmain.cpp)
+  target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS} PkgConfig::CPPUTEST Threads::Threads)
+  add_test(NAME ${name} COMMAND ${name} -v)
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 60)
+  endif()
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/libs/base/include/hornbeam/base/digest.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Hornbeam {
+
+/** A SHA-256 digest. */
+class Digest
+{
+public:
+    Digest() = default;
+
+    /** Returns the digest of @p bytes. */
+    static Digest of(std::string_view bytes);
+
+    /** Reads 32 raw bytes; any other length gives the zero digest. */
+    static Digest fromBytes(std::string_view bytes);
+
+    /** The 32 raw bytes. */
+    std::string bytes() const;
+
+    /** 64 lower-case hexadecimal digits. */
+    std::string hex() const;
+
+    /** The first 8 bytes as a number, for hash tables and tree positions. */
+    std::uint64_t prefix() const;
+
+    friend auto operator<=>(const Digest &, const Digest &) = default;
+
+private:
+    std::array<unsigned char, 32> m_bytes{};
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/base/include/hornbeam/base/executor.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <functional>
+
+namespace Hornbeam {
+
+/** Runs functions one after the other on a thread of the implementation's choice. */
+class Executor
+{
+public:
+    virtual ~Executor() = default;
+
+    /** Queues @p work; never runs it before post() returns. May be called from any thread. */
+    virtual void post(std::function<void()> work) = 0;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/base/include/hornbeam/base/randomid.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace Hornbeam {
+
+/** Returns 128 random bits of the operating system as 32 hexadecimal digits. */
+std::string randomId();
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/include/hornbeam/config/delta.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <hornbeam/config/snapshot.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Hornbeam {
+
+/** The difference that turns one snapshot into another. Immutable. */
+class Delta
+{
+public:
+    /** Computes the difference from @p base to @p target. */
+    static Delta between(const Snapshot &base, const Snapshot &target);
+
+    /** Decodes what encode() wrote. InvalidArgument for malformed bytes. */
+    static Result<Delta> decode(std::string_view bytes);
+
+    std::string encode() const;
+
+    ConfigVersion baseVersion() const
+    {
+        return m_baseVersion;
+    }
+
+    ConfigVersion targetVersion() const
+    {
+        return m_targetVersion;
+    }
+
+    const Digest &targetDigest() const
+    {
+        return m_targetDigest;
+    }
+
+    /**
+     * Applies the difference. Conflict when @p base has another version or content than the delta was computed from,
+     * InvalidArgument when the result is invalid or its digest differs from the announced one.
+     */
+    Result<SnapshotPtr> applyTo(const Snapshot &base) const;
+
+    /** Number of resources added, changed and removed. */
+    std::size_t changeCount() const;
+
+private:
+    Delta() = default;
+
+    ConfigVersion m_baseVersion = 0;
+    ConfigVersion m_targetVersion = 0;
+    Digest m_baseDigest;
+    Digest m_targetDigest;
+    SnapshotContent m_upserts;
+    std::vector<std::string> m_removedServices;
+    std::vector<std::string> m_removedRoutes;
+    std::vector<LeavingTarget> m_removedLeavingTargets;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/include/hornbeam/config/service.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace Hornbeam {
+
+/** A service that targets announce themselves for and that routes lead to. */
+struct Service
+{
+    std::string name; ///< Unique; 1..128 characters of [a-z0-9-].
+    std::uint32_t slotsPerTarget = 0; ///< Concurrent requests per target; 0 uses what the target announces. 0..10000.
+    std::chrono::milliseconds attemptTimeout{2000}; ///< Time to the first byte of a response, per attempt. 10..600000.
+    std::uint64_t maxRequestBytes = 64ULL << 20; ///< Bound of a request body.
+
+    friend auto operator<=>(const Service &, const Service &) = default;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/include/hornbeam/config/snapshot.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <hornbeam/base/digest.h>
+#include <hornbeam/base/error.h>
+#include <hornbeam/config/leavingtarget.h>
+#include <hornbeam/config/route.h>
+#include <hornbeam/config/service.h>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace Hornbeam {
+
+class Snapshot;
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+using ConfigVersion = std::uint64_t;
+
+/** The resources of a configuration; the input of Snapshot::make(). */
+struct SnapshotContent
+{
+    std::vector<Service> services;
+    std::vector<Route> routes;
+    std::vector<LeavingTarget> leavingTargets;
+
+    friend bool operator==(const SnapshotContent &, const SnapshotContent &) = default;
+};
+
+/** One complete, validated configuration version. Immutable and safe to read from any thread. */
+class Snapshot
+{
+public:
+    /**
+     * Sorts and validates @p content (names, ranges, every route's service present, no duplicates).
+     * Returns InvalidArgument with the first problem; nothing is ever applied in part.
+     */
+    static Result<SnapshotPtr> make(ConfigVersion version, SnapshotContent content);
+
+    /** Version 0 without resources, which a node has before it learns any configuration. */
+    static SnapshotPtr empty();
+
+    /** Decodes what encode() wrote and validates it like make(). */
+    static Result<SnapshotPtr> decode(std::string_view bytes);
+
+    /** Serialises version and content. */
+    std::string encode() const;
+
+    ConfigVersion version() const
+    {
+        return m_version;
+    }
+
+    /** Digest of the sorted content without the version; equal content has an equal digest. */
+    const Digest &contentDigest() const
+    {
+        return m_contentDigest;
+    }
+
+    /** Services sorted by name. */
+    const std::vector<Service> &services() const
+    {
+        return m_content.services;
+    }
+
+    /** Routes sorted by name. */
+    const std::vector<Route> &routes() const
+    {
+        return m_content.routes;
+    }
+
+    /** Leaving targets sorted by address. */
+    const std::vector<LeavingTarget> &leavingTargets() const
+    {
+        return m_content.leavingTargets;
+    }
+
+    const SnapshotContent &content() const
+    {
+        return m_content;
+    }
+
+    /** Returns the service of that name, or null. */
+    const Service *findService(std::string_view name) const;
+
+    /** Returns the most specific route for a request, or null. @p path has no query. */
+    const Route *matchRoute(std::string_view host, std::string_view method, std::string_view path) const;
+
+    bool isLeaving(const Endpoint &target) const;
+
+private:
+    Snapshot(ConfigVersion version, SnapshotContent content);
+
+    ConfigVersion m_version;
+    SnapshotContent m_content;
+    Digest m_contentDigest;
+    std::vector<std::uint32_t> m_routesBySpecificity; ///< Indexes into the routes, longest prefix first.
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/membership/include/hornbeam/membership/target.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <hornbeam/base/endpoint.h>
+#include <hornbeam/config/label.h>
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Hornbeam {
+
+enum class TargetState {
+    Serving,
+    Leaving, ///< Finishes its requests and takes no new ones.
+};
+
+/** A target as its node announces it to the other nodes. */
+struct Target
+{
+    Endpoint address;
+    std::string service;
+    std::string zone;
+    std::vector<Label> labels; ///< Sorted.
+    std::uint32_t slots = 1; ///< Requests it runs at the same time. 1..10000.
+    TargetState state = TargetState::Serving;
+    std::uint64_t instance = 0; ///< Differs between two starts of a target at the same address.
+
+    friend auto operator<=>(const Target &, const Target &) = default;
+};
+
+} // namespace Hornbeam
