--- a/libs/config/include/hornbeam/config/route.h
+++ b/libs/config/include/hornbeam/config/route.h
@@ -26,11 +26,11 @@
 struct Route
 {
     std::string name; ///< Unique; 1..128 characters of [a-z0-9-].
-    std::string host; ///< Host header to match, without port; empty matches all.
+    std::string host = {}; ///< Host header to match, without port; empty matches all.
     std::string pathPrefix = "/"; ///< Starts with '/'; matches whole path segments.
-    std::vector<std::string> methods; ///< Sorted, upper case; empty matches all.
-    std::string service; ///< Name of an existing service.
-    std::vector<Label> requiredLabels; ///< Sorted; only targets with all of them serve the route.
+    std::vector<std::string> methods = {}; ///< Sorted, upper case; empty matches all.
+    std::string service = {}; ///< Name of an existing service.
+    std::vector<Label> requiredLabels = {}; ///< Sorted; only targets with all of them serve the route.
     bool idempotent = true; ///< False: runs at most once, see RequestIdentitySource.
     RequestIdentitySource identity = RequestIdentitySource::Header;
     Priority priority = Priority::Normal;
--- a/libs/config/include/hornbeam/config/snapshot.h
+++ b/libs/config/include/hornbeam/config/snapshot.h
@@ -20,9 +20,9 @@
 /** The resources of a configuration; the input of Snapshot::make(). */
 struct SnapshotContent
 {
-    std::vector<Service> services;
-    std::vector<Route> routes;
-    std::vector<LeavingTarget> leavingTargets;
+    std::vector<Service> services = {};
+    std::vector<Route> routes = {};
+    std::vector<LeavingTarget> leavingTargets = {};
 
     friend bool operator==(const SnapshotContent &, const SnapshotContent &) = default;
 };
@@ -83,7 +83,10 @@
     /** Returns the service of that name, or null. */
     const Service *findService(std::string_view name) const;
 
-    /** Returns the most specific route for a request, or null. @p path has no query. */
+    /**
+     * Returns the most specific route for a request, or null. @p host has no port and may be in any case; @p path has
+     * no query. The longest prefix wins; among equal prefixes, a route for a host comes first, then one for methods.
+     */
     const Route *matchRoute(std::string_view host, std::string_view method, std::string_view path) const;
 
     bool isLeaving(const Endpoint &target) const;
--- /dev/null
+++ b/libs/config/include/hornbeam/config/snapshotvalidator.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <hornbeam/config/snapshot.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Hornbeam {
+
+enum class ResourceKind {
+    Service,
+    Route,
+    LeavingTarget,
+};
+
+/** Returns "service", "route" or "leavingTarget". */
+const char *resourceKindName(ResourceKind kind);
+
+/** A reason why a resource, or the whole configuration, is not valid. */
+struct ResourceProblem
+{
+    ResourceKind kind = ResourceKind::Service;
+    std::string name; ///< Name of the service or route, or address of the target.
+    std::string field; ///< JSON name of the field, for example "timeoutMs" or "methods[1]".
+    std::string text; ///< What is wrong, for people.
+
+    /** For example: route "swap": timeoutMs: must be 10..3600000. */
+    std::string toString() const;
+
+    friend bool operator==(const ResourceProblem &, const ResourceProblem &) = default;
+};
+
+/** Checks the rules that every configuration version obeys. */
+class SnapshotValidator
+{
+public:
+    /** Bound of the uncompressed encoding of a configuration; Snapshot::make() checks it. */
+    static constexpr std::size_t maxEncodedBytes = 8U << 20;
+
+    static std::vector<ResourceProblem> check(const Service &service);
+
+    /** Checks the route by itself; whether its service exists is checked with the whole content. */
+    static std::vector<ResourceProblem> check(const Route &route);
+
+    static std::vector<ResourceProblem> check(const LeavingTarget &target);
+
+    /** Checks sorted content as a whole: each resource, duplicates, ambiguous routes and missing services. */
+    static std::vector<ResourceProblem> check(const SnapshotContent &content);
+
+    /** Sorts resources, methods and labels the way check() and the encoding expect. */
+    static void sort(SnapshotContent &content);
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/src/delta.cpp
@@ -0,0 +1,230 @@
+#include <hornbeam/config/delta.h>
+
+#include <hornbeam/config/snapshotvalidator.h>
+
+#include "compression.h"
+#include "wire.h"
+
+#include <config.pb.h>
+
+#include <algorithm>
+
+namespace Hornbeam {
+
+namespace {
+
+// A delta that replaces everything holds the new content and the removed names, which the old content bounds.
+constexpr std::size_t maxDeltaBytes = 2 * SnapshotValidator::maxEncodedBytes + 256;
+
+const std::string &keyOf(const Service &service)
+{
+    return service.name;
+}
+
+const std::string &keyOf(const Route &route)
+{
+    return route.name;
+}
+
+const Endpoint &keyOf(const LeavingTarget &target)
+{
+    return target.address;
+}
+
+template <typename T>
+bool keyLess(const T &a, const T &b)
+{
+    return keyOf(a) < keyOf(b);
+}
+
+/** Calls @p upsert for each resource that is new or changed in @p target and @p remove for each one that is missing. */
+template <typename T, typename Upsert, typename Remove>
+void compare(const std::vector<T> &base, const std::vector<T> &target, Upsert upsert, Remove remove)
+{
+    auto old = base.begin();
+    for (const auto &resource : target) {
+        for (; old != base.end() && keyLess(*old, resource); ++old) {
+            remove(*old);
+        }
+        if (old != base.end() && keyOf(*old) == keyOf(resource)) {
+            if (*old != resource) {
+                upsert(resource);
+            }
+            ++old;
+        } else {
+            upsert(resource);
+        }
+    }
+    std::for_each(old, base.end(), remove);
+}
+
+/** Replaces and adds the sorted @p upserts in the sorted @p resources. */
+template <typename T>
+std::vector<T> withUpserts(const std::vector<T> &resources, const std::vector<T> &upserts)
+{
+    std::vector<T> merged;
+    merged.reserve(resources.size() + upserts.size());
+    // set_union takes the element of the first range when both have it.
+    std::set_union(upserts.begin(),
+                   upserts.end(),
+                   resources.begin(),
+                   resources.end(),
+                   std::back_inserter(merged),
+                   [](const T &a, const T &b) { return keyLess(a, b); });
+    return merged;
+}
+
+/** Removes the resources with the sorted @p keys. False when one of them is absent. */
+template <typename T, typename Key>
+bool removeKeys(std::vector<T> &resources, const std::vector<Key> &keys)
+{
+    const auto before = resources.size();
+    std::erase_if(resources,
+                  [&](const T &resource) { return std::binary_search(keys.begin(), keys.end(), keyOf(resource)); });
+    return before - resources.size() == keys.size();
+}
+
+bool hasDuplicates(const SnapshotContent &content)
+{
+    const auto repeated = [](const auto &resources) {
+        const auto sameKey = [](const auto &a, const auto &b) {
+            return keyOf(a) == keyOf(b);
+        };
+        return std::adjacent_find(resources.begin(), resources.end(), sameKey) != resources.end();
+    };
+    return repeated(content.services) || repeated(content.routes) || repeated(content.leavingTargets);
+}
+
+std::vector<std::string> sortedStrings(const google::protobuf::RepeatedPtrField<std::string> &strings)
+{
+    std::vector<std::string> sorted(strings.begin(), strings.end());
+    std::sort(sorted.begin(), sorted.end());
+    return sorted;
+}
+
+tl::unexpected<Error> malformed(const char *text)
+{
+    return makeError(ErrorCode::InvalidArgument, text);
+}
+
+} // namespace
+
+Delta Delta::between(const Snapshot &base, const Snapshot &target)
+{
+    Delta delta;
+    delta.m_baseVersion = base.version();
+    delta.m_targetVersion = target.version();
+    delta.m_baseDigest = base.contentDigest();
+    delta.m_targetDigest = target.contentDigest();
+    compare(
+        base.services(),
+        target.services(),
+        [&](const Service &service) { delta.m_upserts.services.push_back(service); },
+        [&](const Service &service) { delta.m_removedServices.push_back(service.name); });
+    compare(
+        base.routes(),
+        target.routes(),
+        [&](const Route &route) { delta.m_upserts.routes.push_back(route); },
+        [&](const Route &route) { delta.m_removedRoutes.push_back(route.name); });
+    compare(
+        base.leavingTargets(),
+        target.leavingTargets(),
+        [&](const LeavingTarget &leaving) { delta.m_upserts.leavingTargets.push_back(leaving); },
+        [&](const LeavingTarget &leaving) { delta.m_removedLeavingTargets.push_back(leaving); });
+    return delta;
+}
+
+Result<Delta> Delta::decode(std::string_view bytes)
+{
+    const auto unpacked = unpackBytes(bytes, maxDeltaBytes);
+    if (!unpacked) {
+        return tl::unexpected(unpacked.error());
+    }
+    Wire::Delta message;
+    if (!parseWire(message, *unpacked)) {
+        return malformed("the encoded delta is malformed");
+    }
+    const auto digestSize = Digest().bytes().size();
+    if (message.base_digest().size() != digestSize || message.target_digest().size() != digestSize) {
+        return malformed("a digest of the encoded delta is malformed");
+    }
+    if (message.target_version() <= message.base_version()) {
+        return malformed("the delta does not lead to a higher version");
+    }
+    Delta delta;
+    delta.m_baseVersion = message.base_version();
+    delta.m_targetVersion = message.target_version();
+    delta.m_baseDigest = Digest::fromBytes(message.base_digest());
+    delta.m_targetDigest = Digest::fromBytes(message.target_digest());
+    const auto appended = appendFromWire(message.upserts(), delta.m_upserts);
+    if (!appended) {
+        return tl::unexpected(appended.error());
+    }
+    SnapshotValidator::sort(delta.m_upserts);
+    if (hasDuplicates(delta.m_upserts)) {
+        return malformed("the delta has a resource twice");
+    }
+    delta.m_removedServices = sortedStrings(message.removed_services());
+    delta.m_removedRoutes = sortedStrings(message.removed_routes());
+    for (const auto &text : message.removed_leaving_targets()) {
+        auto address = Endpoint::parse(text);
+        if (!address) {
+            return tl::unexpected(address.error());
+        }
+        delta.m_removedLeavingTargets.push_back(LeavingTarget{.address = *std::move(address)});
+    }
+    std::sort(delta.m_removedLeavingTargets.begin(), delta.m_removedLeavingTargets.end());
+    return delta;
+}
+
+std::string Delta::encode() const
+{
+    Wire::Delta message;
+    message.set_base_version(m_baseVersion);
+    message.set_target_version(m_targetVersion);
+    message.set_base_digest(m_baseDigest.bytes());
+    message.set_target_digest(m_targetDigest.bytes());
+    toWire(m_upserts, *message.mutable_upserts());
+    message.mutable_removed_services()->Assign(m_removedServices.begin(), m_removedServices.end());
+    message.mutable_removed_routes()->Assign(m_removedRoutes.begin(), m_removedRoutes.end());
+    for (const auto &target : m_removedLeavingTargets) {
+        message.add_removed_leaving_targets(target.address.toString());
+    }
+    return packBytes(message.SerializeAsString());
+}
+
+Result<SnapshotPtr> Delta::applyTo(const Snapshot &base) const
+{
+    if (base.version() != m_baseVersion || base.contentDigest() != m_baseDigest) {
+        return makeError(ErrorCode::Conflict,
+                         "the delta starts from version " + std::to_string(m_baseVersion) + ", not from version "
+                             + std::to_string(base.version()) + " or its content");
+    }
+    SnapshotContent content = base.content();
+    std::vector<Endpoint> removedAddresses;
+    removedAddresses.reserve(m_removedLeavingTargets.size());
+    for (const auto &target : m_removedLeavingTargets) {
+        removedAddresses.push_back(target.address);
+    }
+    const bool removed = removeKeys(content.services, m_removedServices) && removeKeys(content.routes, m_removedRoutes)
+        && removeKeys(content.leavingTargets, removedAddresses);
+    if (!removed) {
+        return malformed("the delta removes a resource that its base lacks");
+    }
+    content.services = withUpserts(content.services, m_upserts.services);
+    content.routes = withUpserts(content.routes, m_upserts.routes);
+    content.leavingTargets = withUpserts(content.leavingTargets, m_upserts.leavingTargets);
+    auto target = Snapshot::make(m_targetVersion, std::move(content));
+    if (target && (*target)->contentDigest() != m_targetDigest) {
+        return malformed("the result of the delta has another digest than announced");
+    }
+    return target;
+}
+
+std::size_t Delta::changeCount() const
+{
+    return m_upserts.services.size() + m_upserts.routes.size() + m_upserts.leavingTargets.size()
+        + m_removedServices.size() + m_removedRoutes.size() + m_removedLeavingTargets.size();
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/src/snapshot.cpp
@@ -0,0 +1,176 @@
+#include <hornbeam/config/snapshot.h>
+
+#include <hornbeam/config/snapshotvalidator.h>
+
+#include "compression.h"
+#include "wire.h"
+
+#include <config.pb.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Hornbeam {
+
+namespace {
+
+// Bound of the encoded version number and field headers around the content.
+constexpr std::size_t maxEnvelopeBytes = 64;
+
+char lowerCase(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/** Compares a host in any case with one in lower case. */
+bool hostEquals(std::string_view host, std::string_view lowerCaseHost)
+{
+    return std::equal(host.begin(), host.end(), lowerCaseHost.begin(), lowerCaseHost.end(), [](char a, char b) {
+        return lowerCase(a) == b;
+    });
+}
+
+bool matches(const Route &route, std::string_view host, std::string_view method)
+{
+    if (!route.host.empty() && !hostEquals(host, route.host)) {
+        return false;
+    }
+    return route.methods.empty()
+        || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+}
+
+/** Longest prefix first; among equal prefixes, a route for a host or for methods comes before a general one. */
+bool isMoreSpecific(const Route &a, const Route &b)
+{
+    const auto rank = [](const Route &route) {
+        return std::tuple(route.host.empty(), route.methods.empty(), std::string_view(route.name));
+    };
+    if (a.pathPrefix.size() != b.pathPrefix.size()) {
+        return a.pathPrefix.size() > b.pathPrefix.size();
+    }
+    if (a.pathPrefix != b.pathPrefix) {
+        return a.pathPrefix < b.pathPrefix;
+    }
+    return rank(a) < rank(b);
+}
+
+/** Returns the next shorter prefix of @p path that ends before a '/', then "/", then an empty view. */
+std::string_view shorterPrefix(std::string_view path)
+{
+    if (path.size() <= 1) {
+        return {};
+    }
+    const auto slash = path.rfind('/');
+    return path.substr(0, std::max<std::size_t>(slash, 1));
+}
+
+} // namespace
+
+Snapshot::Snapshot(ConfigVersion version, SnapshotContent content)
+    : m_version(version)
+    , m_content(std::move(content))
+{
+    m_routesBySpecificity.resize(m_content.routes.size());
+    for (std::uint32_t i = 0; i < m_routesBySpecificity.size(); ++i) {
+        m_routesBySpecificity[i] = i;
+    }
+    std::sort(m_routesBySpecificity.begin(), m_routesBySpecificity.end(), [this](std::uint32_t a, std::uint32_t b) {
+        return isMoreSpecific(m_content.routes[a], m_content.routes[b]);
+    });
+}
+
+Result<SnapshotPtr> Snapshot::make(ConfigVersion version, SnapshotContent content)
+{
+    SnapshotValidator::sort(content);
+    const auto problems = SnapshotValidator::check(content);
+    if (!problems.empty()) {
+        return makeError(ErrorCode::InvalidArgument, problems.front().toString());
+    }
+    const auto encoded = encodeContent(content);
+    if (encoded.size() > SnapshotValidator::maxEncodedBytes) {
+        return makeError(ErrorCode::InvalidArgument,
+                         "the configuration has " + std::to_string(encoded.size()) + " bytes; the bound is "
+                             + std::to_string(SnapshotValidator::maxEncodedBytes));
+    }
+    const std::shared_ptr<Snapshot> snapshot(new Snapshot(version, std::move(content)));
+    snapshot->m_contentDigest = Digest::of(encoded);
+    return snapshot;
+}
+
+SnapshotPtr Snapshot::empty()
+{
+    auto snapshot = make(0, {});
+    assert(snapshot.has_value());
+    return *std::move(snapshot);
+}
+
+Result<SnapshotPtr> Snapshot::decode(std::string_view bytes)
+{
+    const auto unpacked = unpackBytes(bytes, SnapshotValidator::maxEncodedBytes + maxEnvelopeBytes);
+    if (!unpacked) {
+        return tl::unexpected(unpacked.error());
+    }
+    Wire::Snapshot message;
+    if (!parseWire(message, *unpacked)) {
+        return makeError(ErrorCode::InvalidArgument, "the encoded snapshot is malformed");
+    }
+    SnapshotContent content;
+    const auto appended = appendFromWire(message.content(), content);
+    if (!appended) {
+        return tl::unexpected(appended.error());
+    }
+    return make(message.version(), std::move(content));
+}
+
+std::string Snapshot::encode() const
+{
+    Wire::Snapshot message;
+    message.set_version(m_version);
+    toWire(m_content, *message.mutable_content());
+    return packBytes(message.SerializeAsString());
+}
+
+const Service *Snapshot::findService(std::string_view name) const
+{
+    const auto &services = m_content.services;
+    const auto byName = [](const Service &service, std::string_view wanted) {
+        return service.name < wanted;
+    };
+    const auto it = std::lower_bound(services.begin(), services.end(), name, byName);
+    return it != services.end() && it->name == name ? &*it : nullptr;
+}
+
+const Route *Snapshot::matchRoute(std::string_view host, std::string_view method, std::string_view path) const
+{
+    if (m_routesBySpecificity.empty() || path.empty() || path.front() != '/') {
+        return nullptr;
+    }
+    const auto &routes = m_content.routes;
+    const auto longest = routes[m_routesBySpecificity.front()].pathPrefix.size();
+    auto it = m_routesBySpecificity.begin();
+    for (auto prefix = path; !prefix.empty(); prefix = shorterPrefix(prefix)) {
+        // Paths with more segments than any prefix are cut first, so that a long path costs no look-ups.
+        if (prefix.size() > longest) {
+            continue;
+        }
+        it = std::lower_bound(
+            it, m_routesBySpecificity.end(), prefix, [&](std::uint32_t index, std::string_view wanted) {
+                const auto &candidate = routes[index].pathPrefix;
+                return candidate.size() != wanted.size() ? candidate.size() > wanted.size() : candidate < wanted;
+            });
+        for (; it != m_routesBySpecificity.end() && routes[*it].pathPrefix == prefix; ++it) {
+            if (matches(routes[*it], host, method)) {
+                return &routes[*it];
+            }
+        }
+    }
+    return nullptr;
+}
+
+bool Snapshot::isLeaving(const Endpoint &target) const
+{
+    return std::binary_search(
+        m_content.leavingTargets.begin(), m_content.leavingTargets.end(), LeavingTarget{.address = target});
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/src/snapshotvalidator.cpp
@@ -0,0 +1,321 @@
+#include <hornbeam/config/snapshotvalidator.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr std::size_t maxNameLength = 128;
+constexpr std::size_t maxHostLength = 253;
+constexpr std::size_t maxPathLength = 1024;
+constexpr std::size_t maxMethods = 16;
+constexpr std::size_t maxMethodLength = 32;
+constexpr std::size_t maxLabels = 16;
+constexpr std::size_t maxLabelNameLength = 64;
+constexpr std::size_t maxLabelValueLength = 128;
+constexpr std::uint32_t maxSlots = 10000;
+constexpr std::uint64_t maxRequestBytesBound = 1ULL << 40;
+constexpr std::chrono::milliseconds minTimeout{10};
+constexpr std::chrono::milliseconds maxAttemptTimeout{600000};
+constexpr std::chrono::milliseconds maxRouteTimeout{3600000};
+
+bool isLowerAlnum(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+}
+
+bool isAlnum(char c)
+{
+    return isLowerAlnum(c) || (c >= 'A' && c <= 'Z');
+}
+
+bool isGraphic(char c)
+{
+    return c > ' ' && c < '\x7f';
+}
+
+template <typename Predicate>
+bool consistsOf(std::string_view text, std::size_t maxLength, Predicate allowed)
+{
+    return text.size() <= maxLength && std::all_of(text.begin(), text.end(), allowed);
+}
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && consistsOf(text, maxNameLength, [](char c) { return isLowerAlnum(c) || c == '-'; });
+}
+
+bool isHost(std::string_view text)
+{
+    return consistsOf(text, maxHostLength, [](char c) { return isLowerAlnum(c) || c == '-' || c == '.'; });
+}
+
+bool isMethod(std::string_view text)
+{
+    return !text.empty()
+        && consistsOf(text, maxMethodLength, [](char c) { return (c >= 'A' && c <= 'Z') || c == '-'; });
+}
+
+bool isLabelName(std::string_view text)
+{
+    const auto allowed = [](char c) {
+        return isAlnum(c) || c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && consistsOf(text, maxLabelNameLength, allowed);
+}
+
+// A prefix is compared with the path of a request byte by byte, so it has to be in the one normalised form.
+bool isNormalisedPath(std::string_view path)
+{
+    const auto allowed = [](char c) {
+        return isGraphic(c) && c != '?' && c != '#';
+    };
+    if (path.empty() || path.front() != '/' || !consistsOf(path, maxPathLength, allowed)) {
+        return false;
+    }
+    if (path == "/") {
+        return true;
+    }
+    for (std::size_t begin = 1; begin <= path.size();) {
+        const auto end = std::min(path.find('/', begin), path.size());
+        const auto segment = path.substr(begin, end - begin);
+        if (segment.empty() || segment == "." || segment == "..") {
+            return false;
+        }
+        begin = end + 1;
+    }
+    return true;
+}
+
+/** Collects the problems of one resource. */
+class Collector
+{
+public:
+    Collector(ResourceKind kind, std::string name)
+        : m_kind(kind)
+        , m_name(std::move(name))
+    {
+    }
+
+    void require(bool condition, std::string field, std::string text)
+    {
+        if (!condition) {
+            m_problems.push_back({.kind = m_kind, .name = m_name, .field = std::move(field), .text = std::move(text)});
+        }
+    }
+
+    std::vector<ResourceProblem> take()
+    {
+        return std::move(m_problems);
+    }
+
+private:
+    ResourceKind m_kind;
+    std::string m_name;
+    std::vector<ResourceProblem> m_problems;
+};
+
+void append(std::vector<ResourceProblem> &problems, std::vector<ResourceProblem> more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(problems));
+}
+
+std::string indexed(const char *field, std::size_t i)
+{
+    return std::string(field) + "[" + std::to_string(i) + "]";
+}
+
+void checkMethods(const Route &route, Collector &collector)
+{
+    collector.require(route.methods.size() <= maxMethods, "methods", "has more than 16 elements");
+    for (std::size_t i = 0; i < route.methods.size(); ++i) {
+        collector.require(isMethod(route.methods[i]), indexed("methods", i), "must be 1..32 characters of [A-Z-]");
+        const auto first = std::find(route.methods.begin(), route.methods.end(), route.methods[i]);
+        const auto position = static_cast<std::size_t>(first - route.methods.begin());
+        collector.require(position == i, indexed("methods", i), "is a duplicate");
+    }
+}
+
+void checkLabels(const Route &route, Collector &collector)
+{
+    collector.require(route.requiredLabels.size() <= maxLabels, "requiredLabels", "has more than 16 elements");
+    for (std::size_t i = 0; i < route.requiredLabels.size(); ++i) {
+        const auto &label = route.requiredLabels[i];
+        collector.require(isLabelName(label.name), "requiredLabels", "a name must be 1..64 of [A-Za-z0-9._-]");
+        const auto field = "requiredLabels." + label.name;
+        collector.require(
+            consistsOf(label.value, maxLabelValueLength, isGraphic), field, "must be 0..128 printable characters");
+        const bool first = std::none_of(route.requiredLabels.begin(),
+                                        route.requiredLabels.begin() + static_cast<std::ptrdiff_t>(i),
+                                        [&](const Label &other) { return other.name == label.name; });
+        collector.require(first, field, "is a duplicate");
+    }
+}
+
+template <typename T, typename KeyOf>
+void checkDuplicates(const std::vector<T> &sorted,
+                     ResourceKind kind,
+                     KeyOf keyOf,
+                     std::vector<ResourceProblem> &problems)
+{
+    for (std::size_t i = 1; i < sorted.size(); ++i) {
+        if (keyOf(sorted[i - 1]) == keyOf(sorted[i])) {
+            problems.push_back({.kind = kind, .name = keyOf(sorted[i]), .field = {}, .text = "is defined twice"});
+        }
+    }
+}
+
+bool shareMethod(const Route &a, const Route &b)
+{
+    if (a.methods.empty() || b.methods.empty()) {
+        return a.methods.empty() && b.methods.empty();
+    }
+    return std::any_of(a.methods.begin(), a.methods.end(), [&](const std::string &method) {
+        return std::find(b.methods.begin(), b.methods.end(), method) != b.methods.end();
+    });
+}
+
+// Two routes that match the same requests equally well leave the choice to chance, so they are refused.
+void checkAmbiguity(const std::vector<Route> &routes, std::vector<ResourceProblem> &problems)
+{
+    std::vector<const Route *> byMatch;
+    byMatch.reserve(routes.size());
+    for (const auto &route : routes) {
+        byMatch.push_back(&route);
+    }
+    const auto key = [](const Route *route) {
+        return std::tie(route->pathPrefix, route->host);
+    };
+    std::sort(byMatch.begin(), byMatch.end(), [&](const Route *a, const Route *b) {
+        return std::tuple(key(a), std::string_view(a->name)) < std::tuple(key(b), std::string_view(b->name));
+    });
+    for (std::size_t i = 0; i < byMatch.size(); ++i) {
+        for (std::size_t j = i + 1; j < byMatch.size() && key(byMatch[i]) == key(byMatch[j]); ++j) {
+            if (byMatch[i]->name != byMatch[j]->name && shareMethod(*byMatch[i], *byMatch[j])) {
+                problems.push_back({.kind = ResourceKind::Route,
+                                    .name = byMatch[j]->name,
+                                    .field = "pathPrefix",
+                                    .text = "matches the same requests as route \"" + byMatch[i]->name + "\""});
+                break;
+            }
+        }
+    }
+}
+
+void checkServicesPresent(const SnapshotContent &content, std::vector<ResourceProblem> &problems)
+{
+    const auto byName = [](const Service &service, std::string_view name) {
+        return service.name < name;
+    };
+    for (const auto &route : content.routes) {
+        const auto it = std::lower_bound(content.services.begin(), content.services.end(), route.service, byName);
+        if (it == content.services.end() || it->name != route.service) {
+            problems.push_back({.kind = ResourceKind::Route,
+                                .name = route.name,
+                                .field = "service",
+                                .text = "there is no service \"" + route.service + "\""});
+        }
+    }
+}
+
+} // namespace
+
+const char *resourceKindName(ResourceKind kind)
+{
+    switch (kind) {
+    case ResourceKind::Service:
+        return "service";
+    case ResourceKind::Route:
+        return "route";
+    case ResourceKind::LeavingTarget:
+        return "leavingTarget";
+    }
+    return "service";
+}
+
+std::string ResourceProblem::toString() const
+{
+    std::string result = std::string(resourceKindName(kind)) + " \"" + name + "\": ";
+    if (!field.empty()) {
+        result += field + ": ";
+    }
+    return result + text;
+}
+
+std::vector<ResourceProblem> SnapshotValidator::check(const Service &service)
+{
+    Collector collector(ResourceKind::Service, service.name);
+    collector.require(isName(service.name), "name", "must be 1..128 characters of [a-z0-9-]");
+    collector.require(service.slotsPerTarget <= maxSlots, "slotsPerTarget", "must be 0..10000");
+    collector.require(service.attemptTimeout >= minTimeout && service.attemptTimeout <= maxAttemptTimeout,
+                      "attemptTimeoutMs",
+                      "must be 10..600000");
+    collector.require(service.maxRequestBytes <= maxRequestBytesBound, "maxRequestBytes", "must be 0..1099511627776");
+    return collector.take();
+}
+
+std::vector<ResourceProblem> SnapshotValidator::check(const Route &route)
+{
+    Collector collector(ResourceKind::Route, route.name);
+    collector.require(isName(route.name), "name", "must be 1..128 characters of [a-z0-9-]");
+    collector.require(isHost(route.host), "host", "must be 0..253 characters of [a-z0-9.-]");
+    collector.require(isNormalisedPath(route.pathPrefix),
+                      "pathPrefix",
+                      "must start with '/', have no empty, \".\" or \"..\" segment and at most 1024 characters");
+    collector.require(isName(route.service), "service", "must be 1..128 characters of [a-z0-9-]");
+    collector.require(
+        route.timeout >= minTimeout && route.timeout <= maxRouteTimeout, "timeoutMs", "must be 10..3600000");
+    checkMethods(route, collector);
+    checkLabels(route, collector);
+    return collector.take();
+}
+
+std::vector<ResourceProblem> SnapshotValidator::check(const LeavingTarget &target)
+{
+    const auto text = target.address.toString();
+    Collector collector(ResourceKind::LeavingTarget, text);
+    const auto parsed = Endpoint::parse(text);
+    collector.require(parsed.has_value() && *parsed == target.address, "address", "must be an IP address and a port");
+    return collector.take();
+}
+
+std::vector<ResourceProblem> SnapshotValidator::check(const SnapshotContent &content)
+{
+    std::vector<ResourceProblem> problems;
+    for (const auto &service : content.services) {
+        append(problems, check(service));
+    }
+    for (const auto &route : content.routes) {
+        append(problems, check(route));
+    }
+    for (const auto &target : content.leavingTargets) {
+        append(problems, check(target));
+    }
+    const auto nameOf = [](const auto &resource) {
+        return resource.name;
+    };
+    const auto addressOf = [](const LeavingTarget &target) {
+        return target.address.toString();
+    };
+    checkDuplicates(content.services, ResourceKind::Service, nameOf, problems);
+    checkDuplicates(content.routes, ResourceKind::Route, nameOf, problems);
+    checkDuplicates(content.leavingTargets, ResourceKind::LeavingTarget, addressOf, problems);
+    checkAmbiguity(content.routes, problems);
+    checkServicesPresent(content, problems);
+    return problems;
+}
+
+void SnapshotValidator::sort(SnapshotContent &content)
+{
+    for (auto &route : content.routes) {
+        std::sort(route.methods.begin(), route.methods.end());
+        std::sort(route.requiredLabels.begin(), route.requiredLabels.end());
+    }
+    std::sort(content.services.begin(), content.services.end());
+    std::sort(content.routes.begin(), content.routes.end());
+    std::sort(content.leavingTargets.begin(), content.leavingTargets.end());
+}
+
+} // namespace Hornbeam
