--- /dev/null
+++ b/libs/settings/tests/settingstest.cpp
@@ -0,0 +1,87 @@
+#include <hornbeam/settings/settings.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace Hornbeam;
+
+namespace {
+
+const std::string validSettings = R"({
+    "node": {"zone": "tampere", "region": "fi-south"},
+    "traffic": {"listen": "127.0.0.1:8080"},
+    "admin": {"listen": "127.0.0.1:8081"},
+    "peer": {"listen": "127.0.0.1:8082", "seeds": ["127.0.0.2:8082"]},
+    "store": {"endpoints": ["127.0.0.1:2379"]}
+})";
+
+std::string replaced(const std::string &from, const std::string &to)
+{
+    auto text = validSettings;
+    const auto position = text.find(from);
+    CHECK(position != std::string::npos);
+    return text.replace(position, from.size(), to);
+}
+
+bool reports(const std::string &json, const std::string &path)
+{
+    const auto settings = Settings::parse(json);
+    if (settings) {
+        return false;
+    }
+    const auto &problems = settings.error();
+    return std::any_of(problems.begin(), problems.end(), [&](const auto &it) { return it.jsonPath == path; });
+}
+
+} // namespace
+
+TEST_GROUP(Settings){};
+
+TEST(Settings, acceptsValidSettingsWithDefaults)
+{
+    const auto settings = Settings::parse(validSettings);
+    CHECK(settings.has_value());
+    STRCMP_EQUAL("127.0.0.1:8082", settings->peer.advertise.toString().c_str());
+    CHECK_EQUAL(2, settings->traffic.threads);
+}
+
+// Guards against a misspelt key that silently leaves its default in force.
+TEST(Settings, refusesUnknownKeys)
+{
+    CHECK(reports(replaced("\"zone\"", "\"zones\": 1, \"zone\""), "$.node.zones"));
+}
+
+TEST(Settings, refusesMissingKeys)
+{
+    CHECK(reports(replaced("\"zone\": \"tampere\", ", ""), "$.node.zone"));
+    CHECK(reports("{}", "$.traffic"));
+}
+
+TEST(Settings, refusesWrongTypes)
+{
+    CHECK(reports(replaced("\"tampere\"", "5"), "$.node.zone"));
+    CHECK(reports(replaced("\"127.0.0.2:8082\"", "\"seed-host:8082\""), "$.peer.seeds[0]"));
+    CHECK(reports("[]", "$"));
+}
+
+// Guards against a zone name that would change the meaning of a store key or a metric label.
+TEST(Settings, refusesNamesWithOtherCharacters)
+{
+    CHECK(reports(replaced("\"tampere\"", "\"tampere/1\""), "$.node.zone"));
+}
+
+// Guards against numbers that wrap around when they are narrowed.
+TEST(Settings, refusesValuesOutOfRange)
+{
+    CHECK(reports(replaced("\"127.0.0.1:8080\"", "\"127.0.0.1:8080\", \"threads\": 0"), "$.traffic.threads"));
+    CHECK(reports(replaced("\"127.0.0.1:8080\"", "\"127.0.0.1:8080\", \"threads\": 18446744073709551615"),
+                  "$.traffic.threads"));
+}
+
+TEST(Settings, reportsAllProblemsAtOnce)
+{
+    const auto settings = Settings::parse("{}");
+    CHECK_FALSE(settings.has_value());
+    CHECK(settings.error().size() >= 5);
+}
