--- /dev/null
+++ b/libs/store/include/hornbeam/store/storemodel.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <hornbeam/base/error.h>
+#include <hornbeam/base/timerservice.h>
+#include <hornbeam/store/keyvaluestore.h>
+#include <hornbeam/store/transaction.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hornbeam {
+
+/** Bounds of a StoreModel, by default those of the platform's store. */
+struct StoreModelOptions
+{
+    std::size_t maxValueBytes = 1U << 20; ///< Largest value.
+    std::size_t maxOperations = 128; ///< Operations or comparisons in one transaction, not counting nested ones.
+    std::size_t maxHistory = 100000; ///< Changes kept for watches with a start revision and for stale reads.
+};
+
+/**
+ * The behaviour of the platform's store without transport and threads: keys with revisions, transactions and leases.
+ * Semantics follow the etcd v3 API: all comparisons of a transaction, nested ones included, see the state before it;
+ * the writes of a transaction share one revision. Deterministic; not thread-safe.
+ */
+class StoreModel
+{
+public:
+    explicit StoreModel(StoreModelOptions options = {});
+
+    /** The revision of the last change; 1 for an empty store. */
+    std::int64_t revision() const
+    {
+        return m_revision;
+    }
+
+    /** Reads keys as they were @p staleness revisions ago, at most as far back as the history goes. */
+    RangeResult range(const RangeRequest &request, std::int64_t staleness = 0) const;
+
+    /**
+     * Runs a transaction. InvalidArgument for an oversized transaction or one that writes a key twice; NotFound for a
+     * lease that does not exist. A failed transaction changes nothing.
+     */
+    Result<TransactionResult> commit(const Transaction &transaction);
+
+    /** Grants a lease of at least one second. */
+    LeaseGrant grantLease(std::chrono::seconds timeToLive, TimePoint now);
+
+    /** Extends a lease by its time to live. NotFound when it does not exist. */
+    Result<LeaseGrant> keepLeaseAlive(LeaseId lease, TimePoint now);
+
+    /** Removes a lease and the keys attached to it. NotFound when it does not exist. */
+    Result<bool> revokeLease(LeaseId lease);
+
+    /** Removes the leases whose time has passed, with their keys. */
+    void expireLeases(TimePoint now);
+
+    /** When the next lease expires, if there is one. */
+    std::optional<TimePoint> nextExpiry() const;
+
+    /**
+     * Returns the changes under @p prefix with a revision of at least @p startRevision, in order. A deletion has an
+     * empty value, createRevision 0 and its own revision in modRevision. Conflict when the history no longer reaches
+     * back to @p startRevision.
+     */
+    Result<std::vector<KeyValue>> changesSince(const std::string &prefix, std::int64_t startRevision) const;
+
+private:
+    struct Change
+    {
+        KeyValue entry;
+        std::optional<KeyValue> previous;
+    };
+
+    struct Lease
+    {
+        std::chrono::seconds timeToLive{0};
+        TimePoint expiry;
+        std::set<std::string> keys;
+    };
+
+    Result<std::set<std::string>> validate(const Transaction &transaction) const;
+    Result<std::set<std::string>> validateBranch(const std::vector<Operation> &operations) const;
+    bool holds(const Compare &compare) const;
+    bool hasLease(LeaseId lease) const;
+    void chooseBranches(const Transaction &transaction, std::vector<bool> &choices) const;
+    bool leasesExist(const Transaction &transaction, const std::vector<bool> &choices, std::size_t &next) const;
+    TransactionResult run(const Transaction &transaction, const std::vector<bool> &choices, std::size_t &next);
+    OperationResult run(const Operation &operation, const std::vector<bool> &choices, std::size_t &next);
+    void put(const std::string &key, const std::string &value, LeaseId lease);
+    void remove(const std::string &key);
+    void detach(const KeyValue &entry);
+    void record(KeyValue entry, std::optional<KeyValue> previous);
+    void endWrite();
+    void stampRevision(TransactionResult &result) const;
+
+    StoreModelOptions m_options;
+    std::int64_t m_revision = 1;
+    bool m_changed = false; ///< The running transaction changed a key, so its revision is used up.
+    std::map<std::string, KeyValue> m_entries;
+    std::deque<Change> m_history;
+    std::int64_t m_firstHistoryRevision = 1; ///< The history is complete from this revision on.
+    std::map<LeaseId, Lease> m_leases;
+    LeaseId m_nextLease = 1;
+};
+
+} // namespace Hornbeam
