Add intents, plans and their confirmation in the store

Cause: operators need to change the configuration through a plan that takes effect only when confirmed, exactly once, and never merges with another operator's change.

Ruled out: one value for the whole configuration (the store's bound is 1 MB, and every change would rewrite it); comparing the revision of every new piece in the transaction that accepts a version (a transaction has at most 128 comparisons). Instead, the collection of garbage keeps every piece that is newer than the head, which covers a confirm in progress.

Change: Intent, Plan, ConfigHead, ConfigRepository and PlanService. Pieces end where hashes of the resources' names say so. The head, the difference and the plan's confirmed version are written by one transaction. A confirm reads the head and the plan together after each lost answer and repeats the same transaction while the head is unchanged. The base of a plan is the applied version when the store shows an older one, with a notice in the plan.

The store is in memory in these tests; the platform's store stand-in is exercised by other tests.

--- /dev/null
+++ b/libs/config/include/hornbeam/config/confighead.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <hornbeam/base/digest.h>
+#include <hornbeam/base/error.h>
+#include <hornbeam/config/snapshot.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Hornbeam {
+
+/** The accepted version as the store records it. A compare-and-swap of this one value accepts a configuration. */
+struct ConfigHead
+{
+    ConfigVersion version = 0;
+    std::string planId; ///< Plan that led to the version; empty for version 0.
+    Digest contentDigest; ///< Digest of the whole content.
+    std::vector<Digest> pieceDigests; ///< Pieces of the content, in order.
+    std::int64_t modRevision = 0; ///< Store revision of the last change; 0 when the store has no head. Not encoded.
+
+    /** Version 0 with the digest of an empty content, for a store without a head. */
+    static ConfigHead none();
+
+    /** Decodes the value of the head key. InvalidArgument for malformed bytes. */
+    static Result<ConfigHead> decode(std::string_view bytes, std::int64_t modRevision);
+
+    std::string encode() const;
+
+    /** Whether @p snapshot is the accepted version. */
+    bool describes(const Snapshot &snapshot) const
+    {
+        return snapshot.version() == version && snapshot.contentDigest() == contentDigest;
+    }
+
+    friend bool operator==(const ConfigHead &, const ConfigHead &) = default;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/include/hornbeam/config/intent.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <hornbeam/config/jsonreader.h>
+#include <hornbeam/config/snapshot.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Hornbeam {
+
+/** Adds a service or replaces the one of the same name. */
+struct SetService
+{
+    Service service;
+
+    friend bool operator==(const SetService &, const SetService &) = default;
+};
+
+/** Removes a service, which no route may lead to afterwards. */
+struct RemoveService
+{
+    std::string name;
+
+    friend bool operator==(const RemoveService &, const RemoveService &) = default;
+};
+
+/** Adds a route or replaces the one of the same name. */
+struct SetRoute
+{
+    Route route;
+
+    friend bool operator==(const SetRoute &, const SetRoute &) = default;
+};
+
+struct RemoveRoute
+{
+    std::string name;
+
+    friend bool operator==(const RemoveRoute &, const RemoveRoute &) = default;
+};
+
+struct MarkLeaving
+{
+    Endpoint target;
+
+    friend bool operator==(const MarkLeaving &, const MarkLeaving &) = default;
+};
+
+struct ClearLeaving
+{
+    Endpoint target;
+
+    friend bool operator==(const ClearLeaving &, const ClearLeaving &) = default;
+};
+
+using IntentOperation = std::variant<SetService, RemoveService, SetRoute, RemoveRoute, MarkLeaving, ClearLeaving>;
+
+/** The content that an intent leads to, or the reasons why it leads to none. */
+struct IntentEffect
+{
+    SnapshotContent content; ///< Sorted and valid when there are no refusals.
+    JsonProblems refusals; ///< Paths are those of the intent.
+};
+
+/**
+ * A change that an operator asks for, as a list of operations that take effect together or not at all.
+ * JSON: {"operations": [{"op": "setRoute", "route": {...}}, {"op": "markLeaving", "target": "192.0.2.1:80"}, ...]}.
+ */
+class Intent
+{
+public:
+    /** An intent without operations, which parse() refuses; the value before one is read. */
+    Intent() = default;
+
+    static constexpr std::size_t maxOperations = 20000;
+
+    /** Parses an intent; returns all problems when there is one. */
+    static tl::expected<Intent, JsonProblems> parse(std::string_view json);
+
+    /** Like parse() for a document that was parsed before; @p path is its path. */
+    static tl::expected<Intent, JsonProblems> fromJson(const nlohmann::json &value, const std::string &path);
+
+    nlohmann::json toJson() const;
+
+    const std::vector<IntentOperation> &operations() const
+    {
+        return m_operations;
+    }
+
+    /** Computes the effect on sorted content. Removing or clearing what does not exist is refused. */
+    IntentEffect applyTo(const SnapshotContent &base) const;
+
+    friend bool operator==(const Intent &, const Intent &) = default;
+
+private:
+    std::vector<IntentOperation> m_operations;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/src/configjson.cpp
@@ -0,0 +1,272 @@
+#include <hornbeam/config/configjson.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Hornbeam {
+
+namespace {
+
+using nlohmann::json;
+
+const char *priorityName(Priority priority)
+{
+    switch (priority) {
+    case Priority::High:
+        return "high";
+    case Priority::Normal:
+        return "normal";
+    case Priority::Low:
+        return "low";
+    }
+    return "normal";
+}
+
+const char *identityName(RequestIdentitySource source)
+{
+    return source == RequestIdentitySource::Content ? "content" : "header";
+}
+
+const char *changeName(ConfigChange::Kind kind)
+{
+    switch (kind) {
+    case ConfigChange::Kind::Added:
+        return "added";
+    case ConfigChange::Kind::Changed:
+        return "changed";
+    case ConfigChange::Kind::Removed:
+        return "removed";
+    }
+    return "changed";
+}
+
+/** Returns the value whose name is @p text; reports the known names otherwise. */
+template <typename T, typename NameOf>
+T readEnum(JsonReader &reader, const char *key, const std::string &text, std::vector<T> values, NameOf nameOf)
+{
+    std::string known;
+    for (const auto value : values) {
+        if (text == nameOf(value)) {
+            return value;
+        }
+        known += std::string(known.empty() ? "\"" : ", \"") + nameOf(value) + "\"";
+    }
+    reader.report(key, "must be one of " + known);
+    return values.front();
+}
+
+std::chrono::milliseconds readMilliseconds(JsonReader &reader, const char *key, std::chrono::milliseconds missing)
+{
+    // The range that fits the encoding; the validator checks the narrower one of the field.
+    const auto value = reader.optionalUnsigned(key, {.minimum = 0, .maximum = UINT32_MAX});
+    return value ? std::chrono::milliseconds(*value) : missing;
+}
+
+void reportProblems(const std::vector<ResourceProblem> &found, const JsonReader &reader, JsonProblems &problems)
+{
+    for (const auto &problem : found) {
+        problems.push_back({.path = reader.path() + "." + problem.field, .text = problem.text});
+    }
+}
+
+std::optional<Resource> readResource(ResourceKind kind, const json *value, const std::string &path, JsonProblems &out)
+{
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    switch (kind) {
+    case ResourceKind::Service:
+        return readService(*value, path, out);
+    case ResourceKind::Route:
+        return readRoute(*value, path, out);
+    case ResourceKind::LeavingTarget:
+        break;
+    }
+    JsonReader reader(*value, path, out);
+    LeavingTarget target{.address = readEndpoint(reader.string("address"), reader.pathOf("address"), out)};
+    reader.finish();
+    return target;
+}
+
+json resourceJson(const Resource &resource)
+{
+    return std::visit([](const auto &value) { return toJson(value); }, resource);
+}
+
+} // namespace
+
+json toJson(const Service &service)
+{
+    return {{"name", service.name},
+            {"slotsPerTarget", service.slotsPerTarget},
+            {"attemptTimeoutMs", service.attemptTimeout.count()},
+            {"maxRequestBytes", service.maxRequestBytes}};
+}
+
+json toJson(const Route &route)
+{
+    json labels = json::object();
+    for (const auto &label : route.requiredLabels) {
+        labels[label.name] = label.value;
+    }
+    return {{"name", route.name},
+            {"host", route.host},
+            {"pathPrefix", route.pathPrefix},
+            {"methods", route.methods},
+            {"service", route.service},
+            {"requiredLabels", std::move(labels)},
+            {"idempotent", route.idempotent},
+            {"identity", identityName(route.identity)},
+            {"priority", priorityName(route.priority)},
+            {"timeoutMs", route.timeout.count()}};
+}
+
+json toJson(const LeavingTarget &target)
+{
+    return {{"address", target.address.toString()}};
+}
+
+json toJson(const ConfigChange &change)
+{
+    json result = {
+        {"kind", changeName(change.kind)}, {"resource", resourceKindName(change.resource)}, {"name", change.name}};
+    if (change.before) {
+        result["before"] = resourceJson(*change.before);
+    }
+    if (change.after) {
+        result["after"] = resourceJson(*change.after);
+    }
+    return result;
+}
+
+json toJson(const JsonProblems &problems)
+{
+    json result = json::array();
+    for (const auto &problem : problems) {
+        result.push_back({{"path", problem.path}, {"reason", problem.text}});
+    }
+    return result;
+}
+
+json toJson(const Snapshot &snapshot)
+{
+    json result = {{"version", snapshot.version()},
+                   {"digest", snapshot.contentDigest().hex()},
+                   {"services", json::array()},
+                   {"routes", json::array()},
+                   {"leavingTargets", json::array()}};
+    for (const auto &service : snapshot.services()) {
+        result["services"].push_back(toJson(service));
+    }
+    for (const auto &route : snapshot.routes()) {
+        result["routes"].push_back(toJson(route));
+    }
+    for (const auto &target : snapshot.leavingTargets()) {
+        result["leavingTargets"].push_back(toJson(target));
+    }
+    return result;
+}
+
+Service readService(const json &value, const std::string &path, JsonProblems &problems)
+{
+    const auto problemsBefore = problems.size();
+    JsonReader reader(value, path, problems);
+    Service service;
+    service.name = reader.string("name");
+    const auto slots = reader.optionalUnsigned("slotsPerTarget", {.minimum = 0, .maximum = UINT32_MAX});
+    service.slotsPerTarget = static_cast<std::uint32_t>(slots.value_or(service.slotsPerTarget));
+    service.attemptTimeout = readMilliseconds(reader, "attemptTimeoutMs", service.attemptTimeout);
+    service.maxRequestBytes = reader.optionalUnsigned("maxRequestBytes", {}).value_or(service.maxRequestBytes);
+    reader.finish();
+    if (problems.size() == problemsBefore) {
+        reportProblems(SnapshotValidator::check(service), reader, problems);
+    }
+    return service;
+}
+
+Route readRoute(const json &value, const std::string &path, JsonProblems &problems)
+{
+    const auto problemsBefore = problems.size();
+    JsonReader reader(value, path, problems);
+    Route route;
+    route.name = reader.string("name");
+    route.host = reader.optionalString("host").value_or(route.host);
+    route.pathPrefix = reader.optionalString("pathPrefix").value_or(route.pathPrefix);
+    route.methods = reader.optionalStrings("methods");
+    route.service = reader.string("service");
+    if (const auto *labels = reader.optionalObject("requiredLabels")) {
+        route.requiredLabels = readLabels(*labels, reader.pathOf("requiredLabels"), problems);
+    }
+    route.idempotent = reader.optionalBool("idempotent").value_or(route.idempotent);
+    if (const auto identity = reader.optionalString("identity")) {
+        route.identity =
+            readEnum<RequestIdentitySource>(reader,
+                                            "identity",
+                                            *identity,
+                                            {RequestIdentitySource::Header, RequestIdentitySource::Content},
+                                            identityName);
+    }
+    if (const auto priority = reader.optionalString("priority")) {
+        route.priority = readEnum<Priority>(
+            reader, "priority", *priority, {Priority::High, Priority::Normal, Priority::Low}, priorityName);
+    }
+    route.timeout = readMilliseconds(reader, "timeoutMs", route.timeout);
+    reader.finish();
+    if (problems.size() == problemsBefore) {
+        reportProblems(SnapshotValidator::check(route), reader, problems);
+    }
+    std::sort(route.methods.begin(), route.methods.end());
+    return route;
+}
+
+Endpoint readEndpoint(const std::string &text, const std::string &path, JsonProblems &problems)
+{
+    auto endpoint = Endpoint::parse(text);
+    if (!endpoint || endpoint->toString() != text) {
+        problems.push_back({.path = path, .text = "must be an IP address and a port, for example 192.0.2.1:80"});
+        return {};
+    }
+    return *std::move(endpoint);
+}
+
+ConfigChange readChange(const json &value, const std::string &path, JsonProblems &problems)
+{
+    using Kind = ConfigChange::Kind;
+    JsonReader reader(value, path, problems);
+    ConfigChange change;
+    change.kind =
+        readEnum<Kind>(reader, "kind", reader.string("kind"), {Kind::Added, Kind::Changed, Kind::Removed}, changeName);
+    change.resource = readEnum<ResourceKind>(reader,
+                                             "resource",
+                                             reader.string("resource"),
+                                             {ResourceKind::Service, ResourceKind::Route, ResourceKind::LeavingTarget},
+                                             resourceKindName);
+    change.name = reader.string("name");
+    const auto *before = change.kind == Kind::Added ? nullptr : reader.object("before");
+    const auto *after = change.kind == Kind::Removed ? nullptr : reader.object("after");
+    change.before = readResource(change.resource, before, reader.pathOf("before"), problems);
+    change.after = readResource(change.resource, after, reader.pathOf("after"), problems);
+    reader.finish();
+    return change;
+}
+
+std::vector<Label> readLabels(const json &value, const std::string &path, JsonProblems &problems)
+{
+    const JsonReader reader(value, path, problems);
+    std::vector<Label> labels;
+    if (!value.is_object()) {
+        return labels;
+    }
+    for (const auto &[name, text] : value.items()) {
+        if (!text.is_string()) {
+            problems.push_back({.path = reader.pathOf(name), .text = "must be a string"});
+            continue;
+        }
+        labels.push_back({.name = name, .value = text.get<std::string>()});
+    }
+    std::sort(labels.begin(), labels.end());
+    return labels;
+}
+
+} // namespace Hornbeam
--- a/libs/config/src/delta.cpp
+++ b/libs/config/src/delta.cpp
@@ -3,6 +3,7 @@
 #include <hornbeam/config/snapshotvalidator.h>
 
 #include "compression.h"
+#include "contentdiff.h"
 #include "wire.h"
 
 #include <config.pb.h>
@@ -16,48 +17,6 @@
 // A delta that replaces everything holds the new content and the removed names, which the old content bounds.
 constexpr std::size_t maxDeltaBytes = 2 * SnapshotValidator::maxEncodedBytes + 256;
 
-const std::string &keyOf(const Service &service)
-{
-    return service.name;
-}
-
-const std::string &keyOf(const Route &route)
-{
-    return route.name;
-}
-
-const Endpoint &keyOf(const LeavingTarget &target)
-{
-    return target.address;
-}
-
-template <typename T>
-bool keyLess(const T &a, const T &b)
-{
-    return keyOf(a) < keyOf(b);
-}
-
-/** Calls @p upsert for each resource that is new or changed in @p target and @p remove for each one that is missing. */
-template <typename T, typename Upsert, typename Remove>
-void compare(const std::vector<T> &base, const std::vector<T> &target, Upsert upsert, Remove remove)
-{
-    auto old = base.begin();
-    for (const auto &resource : target) {
-        for (; old != base.end() && keyLess(*old, resource); ++old) {
-            remove(*old);
-        }
-        if (old != base.end() && keyOf(*old) == keyOf(resource)) {
-            if (*old != resource) {
-                upsert(resource);
-            }
-            ++old;
-        } else {
-            upsert(resource);
-        }
-    }
-    std::for_each(old, base.end(), remove);
-}
-
 /** Replaces and adds the sorted @p upserts in the sorted @p resources. */
 template <typename T>
 std::vector<T> withUpserts(const std::vector<T> &resources, const std::vector<T> &upserts)
@@ -116,21 +75,28 @@
     delta.m_targetVersion = target.version();
     delta.m_baseDigest = base.contentDigest();
     delta.m_targetDigest = target.contentDigest();
-    compare(
-        base.services(),
-        target.services(),
-        [&](const Service &service) { delta.m_upserts.services.push_back(service); },
-        [&](const Service &service) { delta.m_removedServices.push_back(service.name); });
-    compare(
-        base.routes(),
-        target.routes(),
-        [&](const Route &route) { delta.m_upserts.routes.push_back(route); },
-        [&](const Route &route) { delta.m_removedRoutes.push_back(route.name); });
-    compare(
-        base.leavingTargets(),
-        target.leavingTargets(),
-        [&](const LeavingTarget &leaving) { delta.m_upserts.leavingTargets.push_back(leaving); },
-        [&](const LeavingTarget &leaving) { delta.m_removedLeavingTargets.push_back(leaving); });
+    compareSorted(base.services(), target.services(), [&](const Service *before, const Service *after) {
+        if (after != nullptr) {
+            delta.m_upserts.services.push_back(*after);
+        } else {
+            delta.m_removedServices.push_back(before->name);
+        }
+    });
+    compareSorted(base.routes(), target.routes(), [&](const Route *before, const Route *after) {
+        if (after != nullptr) {
+            delta.m_upserts.routes.push_back(*after);
+        } else {
+            delta.m_removedRoutes.push_back(before->name);
+        }
+    });
+    compareSorted(
+        base.leavingTargets(), target.leavingTargets(), [&](const LeavingTarget *before, const LeavingTarget *after) {
+            if (after != nullptr) {
+                delta.m_upserts.leavingTargets.push_back(*after);
+            } else {
+                delta.m_removedLeavingTargets.push_back(*before);
+            }
+        });
     return delta;
 }
 
--- /dev/null
+++ b/libs/config/tests/planfixture.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <hornbeam/base/faketimerservice.h>
+#include <hornbeam/config/planservice.h>
+#include <hornbeam/store/inmemorystore.h>
+#include <hornbeam/store/manualexecutor.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+namespace Hornbeam {
+
+class FakeConfiguration : public AppliedConfiguration
+{
+public:
+    SnapshotPtr applied() const override
+    {
+        return snapshot;
+    }
+
+    ConfigVersion newestKnownVersion() const override
+    {
+        return std::max(known, snapshot->version());
+    }
+
+    SnapshotPtr snapshot = Snapshot::empty();
+    ConfigVersion known = 0;
+};
+
+class FakeFleet : public FleetView
+{
+public:
+    std::size_t nodeCount() const override
+    {
+        return 9;
+    }
+
+    std::size_t targetCount(const std::vector<std::string> &services,
+                            const std::vector<Endpoint> &addresses) const override
+    {
+        return 10 * services.size() + addresses.size();
+    }
+};
+
+/** One node: its own handle to the shared store, its applied configuration and its plan service. */
+class TestNode
+{
+public:
+    TestNode(ManualExecutor &sharedExecutor, const InMemoryStore &shared)
+        : executor(sharedExecutor)
+        , store(sharedExecutor, shared)
+        , repository(store)
+    {
+    }
+
+    Plan plan(const std::string &json)
+    {
+        const auto result = tryPlan(json);
+        CHECK_TEXT(result.has_value(), result ? "" : result.error().message().c_str());
+        return *result;
+    }
+
+    Result<Plan> tryPlan(const std::string &json)
+    {
+        auto intent = Intent::parse(json);
+        CHECK(intent.has_value());
+        Result<Plan> answer = makeError(ErrorCode::Internal, "no answer");
+        service.create(*std::move(intent), [&](Result<Plan> result) { answer = std::move(result); });
+        executor.run();
+        return answer;
+    }
+
+    Result<Plan> read(const std::string &id)
+    {
+        Result<Plan> answer = makeError(ErrorCode::Internal, "no answer");
+        service.read(id, [&](Result<Plan> result) { answer = std::move(result); });
+        executor.run();
+        return answer;
+    }
+
+    ConfirmResult confirm(const std::string &id)
+    {
+        const auto answer = std::make_shared<std::optional<ConfirmResult>>();
+        startConfirm(id, answer);
+        executor.run();
+        CHECK(answer->has_value());
+        return **answer;
+    }
+
+    void startConfirm(const std::string &id, const std::shared_ptr<std::optional<ConfirmResult>> &answer)
+    {
+        service.confirm(id, [answer](ConfirmResult result) { *answer = std::move(result); });
+    }
+
+    /** Makes and confirms a plan and applies the result to this node. */
+    ConfigVersion change(const std::string &json)
+    {
+        const auto result = confirm(plan(json).id);
+        CHECK_TEXT(result.has_value(), result ? "" : result.error().error.message().c_str());
+        configuration.snapshot = result->snapshot;
+        return result->version;
+    }
+
+    Result<SnapshotPtr> load(const SnapshotPtr &known = nullptr)
+    {
+        Result<SnapshotPtr> answer = makeError(ErrorCode::Internal, "no answer");
+        repository.loadNewest(known, [&](Result<SnapshotPtr> result) { answer = std::move(result); });
+        executor.run();
+        return answer;
+    }
+
+    /** The version that the confirm led to, or 0 when it failed. */
+    ConfigVersion confirmedVersion(const std::string &id)
+    {
+        const auto result = confirm(id);
+        return result ? result->version : 0;
+    }
+
+    /** Why the confirm failed; nothing when it succeeded. */
+    std::optional<ErrorCode> confirmError(const std::string &id)
+    {
+        const auto result = confirm(id);
+        return result ? std::nullopt : std::optional(result.error().error.code());
+    }
+
+    SnapshotPtr loaded(const SnapshotPtr &known = nullptr)
+    {
+        const auto result = load(known);
+        CHECK_TEXT(result.has_value(), result ? "" : result.error().message().c_str());
+        return *result;
+    }
+
+    ManualExecutor &executor;
+    InMemoryStore store;
+    ConfigRepository repository;
+    FakeConfiguration configuration;
+    FakeFleet fleet;
+    PlanService service{store, configuration, fleet, {.planLifetime = std::chrono::seconds(3600)}};
+};
+
+inline std::string setService(const std::string &name)
+{
+    return R"({"operations":[{"op":"setService","service":{"name":")" + name + R"("}}]})";
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/tests/planservicetest.cpp
@@ -0,0 +1,298 @@
+#include <hornbeam/config/configjson.h>
+
+#include <nlohmann/json.hpp>
+
+// CppUTest redefines "new", so it comes after the standard library and nlohmann-json.
+#include "planfixture.h"
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Loses the answer to the first change of the head and becomes unreachable with it. */
+class StoreThatFallsSilent : public KeyValueStore
+{
+public:
+    explicit StoreThatFallsSilent(InMemoryStore &store)
+        : m_store(store)
+    {
+    }
+
+    void range(RangeRequest request, Callback<RangeResult> callback) override
+    {
+        m_store.range(std::move(request), std::move(callback));
+    }
+
+    void commit(Transaction transaction, Callback<TransactionResult> callback) override
+    {
+        if (m_silent) {
+            callback(makeError(ErrorCode::Unavailable, "unreachable"));
+            return;
+        }
+        m_silent = !transaction.success.empty() && transaction.success[0].kind == Operation::Kind::Put
+            && transaction.success[0].key == ConfigRepository::headKey();
+        m_store.commit(std::move(transaction), [lost = m_silent, callback](Result<TransactionResult> result) {
+            callback(lost ? makeError(ErrorCode::OutcomeUnknown, "lost") : std::move(result));
+        });
+    }
+
+    void grantLease(std::chrono::seconds timeToLive, Callback<LeaseGrant> callback) override
+    {
+        m_store.grantLease(timeToLive, std::move(callback));
+    }
+
+    void keepLeaseAlive(LeaseId lease, Callback<LeaseGrant> callback) override
+    {
+        m_store.keepLeaseAlive(lease, std::move(callback));
+    }
+
+    void revokeLease(LeaseId lease, Callback<bool> callback) override
+    {
+        m_store.revokeLease(lease, std::move(callback));
+    }
+
+    std::unique_ptr<Watch> watch(WatchRequest request, WatchListener &listener) override
+    {
+        return m_store.watch(std::move(request), listener);
+    }
+
+private:
+    InMemoryStore &m_store;
+    bool m_silent = false;
+};
+
+} // namespace
+
+TEST_GROUP(PlanService)
+{
+    ManualExecutor executor;
+    FakeTimerService timers;
+    InMemoryStore shared{executor, timers, {.requestTimeout = 100ms}};
+    TestNode first{executor, shared};
+    TestNode second{executor, shared};
+
+    std::size_t countKeys(const std::string &prefix)
+    {
+        std::size_t n = 0;
+        shared.range({.key = prefix, .prefix = true, .limit = 0, .keysOnly = true},
+                     [&](const Result<RangeResult> &result) { n = result->entries.size(); });
+        executor.run();
+        return n;
+    }
+};
+
+TEST(PlanService, plansWithoutEffectUntilConfirmed)
+{
+    const auto plan = first.plan(R"({"operations":[{"op":"setService","service":{"name":"rota"}},
+        {"op":"setRoute","route":{"name":"r","service":"rota"}},{"op":"markLeaving","target":"127.0.0.1:80"}]})");
+    CHECK_EQUAL(0, plan.baseVersion);
+    CHECK_EQUAL(1, plan.targetVersion);
+    CHECK_EQUAL(3, plan.changes.size());
+    CHECK_EQUAL(9, plan.impact.proxies);
+    CHECK_EQUAL(11, plan.impact.targets);
+    CHECK_EQUAL(0, first.loaded()->version());
+    CHECK(*second.read(plan.id) == plan);
+
+    const auto confirmed = second.confirm(plan.id);
+    CHECK(confirmed.has_value());
+    CHECK_EQUAL(1, confirmed->version);
+    const auto loaded = first.loaded();
+    CHECK(loaded->contentDigest() == plan.targetDigest);
+    CHECK((*confirmed->delta->applyTo(*Snapshot::empty()))->contentDigest() == plan.targetDigest);
+    CHECK_EQUAL(1, *first.read(plan.id)->confirmedVersion);
+}
+
+// Guards against a merge of two operators' plans: the later one is told and changes nothing.
+TEST(PlanService, laterOfTwoOperatorsGetsTheCurrentDifference)
+{
+    const auto mine = first.plan(setService("mine"));
+    const auto other = second.plan(setService("other"));
+    CHECK(second.confirm(other.id).has_value());
+    const auto result = first.confirm(mine.id);
+    CHECK_FALSE(result.has_value());
+    CHECK(result.error().error.code() == ErrorCode::Conflict);
+    CHECK_EQUAL(1, result.error().conflict->currentVersion);
+    CHECK_EQUAL(1, result.error().conflict->changes.size());
+    STRCMP_EQUAL("mine", result.error().conflict->changes[0].name.c_str());
+    const auto loaded = first.loaded();
+    CHECK(loaded->findService("mine") == nullptr);
+    CHECK(loaded->findService("other") != nullptr);
+}
+
+// Guards against both operators winning when their confirms run at the same moment.
+TEST(PlanService, exactlyOneOfTwoRacingOperatorsWins)
+{
+    const auto mine = first.plan(setService("mine"));
+    const auto other = second.plan(setService("other"));
+    const auto mineResult = std::make_shared<std::optional<ConfirmResult>>();
+    const auto otherResult = std::make_shared<std::optional<ConfirmResult>>();
+    first.startConfirm(mine.id, mineResult);
+    second.startConfirm(other.id, otherResult);
+    executor.run();
+    CHECK((*mineResult)->has_value() != (*otherResult)->has_value());
+    const auto &loser = (*mineResult)->has_value() ? **otherResult : **mineResult;
+    CHECK(loser.error().error.code() == ErrorCode::Conflict);
+    CHECK_EQUAL(1, first.loaded()->version());
+    CHECK_EQUAL(1, first.loaded()->services().size());
+}
+
+// Guards against a second version when the same plan is confirmed again, at once on two nodes, or much later.
+TEST(PlanService, confirmsAPlanOnce)
+{
+    const auto plan = first.plan(setService("a"));
+    const auto one = std::make_shared<std::optional<ConfirmResult>>();
+    const auto two = std::make_shared<std::optional<ConfirmResult>>();
+    first.startConfirm(plan.id, one);
+    second.startConfirm(plan.id, two);
+    executor.run();
+    CHECK_EQUAL(1, (**one)->version);
+    CHECK_EQUAL(1, (**two)->version);
+    first.configuration.snapshot = first.loaded();
+    CHECK_EQUAL(2, first.change(setService("b")));
+    CHECK_EQUAL(1, second.confirmedVersion(plan.id));
+    CHECK_EQUAL(2, first.loaded()->version());
+}
+
+// Guards against a second effect, or a false refusal, when the store's answer to the swap is lost.
+TEST(PlanService, findsItsOwnConfirmAfterALostAnswer)
+{
+    const auto plan = first.plan(setService("a"));
+    first.store.setFaults({.loseAnswersPrefix = ConfigRepository::headKey()});
+    const auto result = first.confirm(plan.id);
+    CHECK(result.has_value());
+    CHECK_EQUAL(1, result->version);
+    CHECK(result->snapshot != nullptr);
+    CHECK_EQUAL(1, second.confirmedVersion(plan.id));
+    CHECK_EQUAL(1, first.loaded()->version());
+}
+
+TEST(PlanService, repeatsAConfirmWhoseRequestWasLost)
+{
+    const auto plan = first.plan(setService("a"));
+    const auto result = std::make_shared<std::optional<ConfirmResult>>();
+    first.startConfirm(plan.id, result);
+    // The state and the pieces are answered; the swap is lost.
+    first.store.setFaults({.loseRequests = 2});
+    executor.run();
+    CHECK(result->has_value());
+    CHECK((*result)->has_value());
+    CHECK_EQUAL(1, (**result)->version);
+}
+
+// Guards against reporting "no effect" although the swap has taken effect or still may.
+TEST(PlanService, reportsUnknownOutcomeWhenTheStoreStaysSilent)
+{
+    const auto plan = first.plan(setService("a"));
+    StoreThatFallsSilent silent(shared);
+    PlanService service(silent, first.configuration, first.fleet);
+    std::optional<ConfirmResult> result;
+    service.confirm(plan.id, [&](ConfirmResult answer) { result = std::move(answer); });
+    executor.run();
+    CHECK_FALSE(result->has_value());
+    CHECK(result->error().error.code() == ErrorCode::OutcomeUnknown);
+    CHECK_EQUAL(1, first.confirmedVersion(plan.id));
+}
+
+TEST(PlanService, reportsAnOutageAndContinuesAfterIt)
+{
+    const auto plan = first.plan(setService("a"));
+    first.store.setFaults({.unavailable = true});
+    CHECK(first.confirmError(plan.id) == ErrorCode::Unavailable);
+    CHECK(first.tryPlan(setService("b")).error().code() == ErrorCode::Unavailable);
+    CHECK(first.read(plan.id).error().code() == ErrorCode::Unavailable);
+    first.store.setFaults({});
+    CHECK_EQUAL(0, first.loaded()->version());
+    CHECK_EQUAL(1, first.confirmedVersion(plan.id));
+}
+
+TEST(PlanService, expiresPlans)
+{
+    const auto plan = first.plan(setService("a"));
+    const auto confirmed = first.plan(setService("b"));
+    CHECK_EQUAL(1, first.confirmedVersion(confirmed.id));
+    timers.advance(3601s);
+    CHECK(first.confirmError(plan.id) == ErrorCode::NotFound);
+    CHECK(first.read(plan.id).error().code() == ErrorCode::NotFound);
+    CHECK_EQUAL(0, countKeys("/hornbeamring/plans/"));
+    // The head still names the plan that led to it.
+    CHECK_EQUAL(1, first.confirmedVersion(confirmed.id));
+    CHECK(first.confirmError("../config/version/head") == ErrorCode::NotFound);
+}
+
+TEST(PlanService, refusedPlanCannotBeConfirmed)
+{
+    const auto plan = first.plan(R"({"operations":[{"op":"setRoute","route":{"name":"r","service":"none"}}]})");
+    CHECK_EQUAL(1, plan.refusals.size());
+    STRCMP_EQUAL("$.operations[0]", plan.refusals[0].path.c_str());
+    CHECK(first.confirmError(plan.id) == ErrorCode::InvalidArgument);
+    CHECK_EQUAL(0, first.loaded()->version());
+    CHECK_EQUAL(1, first.change(setService("a")));
+    const auto again = first.plan(setService("a"));
+    STRCMP_EQUAL("change nothing", again.refusals[0].text.c_str());
+}
+
+// Guards against a plan that silently takes the fleet back to what an old backup or a stale read shows.
+TEST(PlanService, doesNotPlanOnABaseOlderThanTheAppliedOne)
+{
+    first.change(setService("a"));
+    first.change(setService("b"));
+    first.store.setFaults({.staleReads = 3});
+    const auto plan = first.plan(setService("c"));
+    first.store.setFaults({});
+    CHECK_EQUAL(2, plan.baseVersion);
+    CHECK_EQUAL(3, plan.targetVersion);
+    CHECK_EQUAL(1, plan.notices.size());
+    STRCMP_CONTAINS("the base is version 2, which this node has applied", plan.notices[0].c_str());
+    CHECK_EQUAL(3, first.confirmedVersion(plan.id));
+    CHECK_EQUAL(3, first.loaded()->services().size());
+}
+
+// Guards against the reuse of a version number after the store was restored from a backup.
+TEST(PlanService, continuesAboveTheAppliedVersionAfterARestore)
+{
+    first.change(setService("a"));
+    auto content = first.configuration.snapshot->content();
+    content.services.push_back({.name = "lost-in-backup"});
+    first.configuration.snapshot = *Snapshot::make(40, content);
+    const auto plan = first.plan(setService("c"));
+    CHECK_EQUAL(1, plan.notices.size());
+    CHECK_EQUAL(41, plan.targetVersion);
+    // A node that has only what the store has does not know the plan's base.
+    second.configuration.snapshot = second.loaded();
+    CHECK(second.confirmError(plan.id) == ErrorCode::Conflict);
+    CHECK_EQUAL(41, first.confirmedVersion(plan.id));
+    const auto loaded = first.loaded();
+    CHECK_EQUAL(41, loaded->version());
+    CHECK_EQUAL(3, loaded->services().size());
+}
+
+TEST(PlanService, waitsForAVersionThatOnlyAPeerHas)
+{
+    first.change(setService("a"));
+    const auto plan = first.plan(setService("b"));
+    first.configuration.known = 5;
+    CHECK(first.tryPlan(setService("c")).error().code() == ErrorCode::Unavailable);
+    CHECK(first.confirmError(plan.id) == ErrorCode::Unavailable);
+    first.configuration.known = 1;
+    CHECK_EQUAL(2, first.confirmedVersion(plan.id));
+}
+
+// Guards the store's bounds: neither an intent nor a plan of several values may exceed one of them.
+TEST(PlanService, confirmsALargePlan)
+{
+    nlohmann::json operations = nlohmann::json::array();
+    operations.push_back({{"op", "setService"}, {"service", {{"name", "s"}}}});
+    for (int i = 0; i < 10000; ++i) {
+        // Digests do not compress, so that the plan needs more than one value.
+        const auto name = Digest::of(std::to_string(i)).hex();
+        const Route route{.name = name, .pathPrefix = "/" + name + Digest::of(name).hex(), .service = "s"};
+        operations.push_back({{"op", "setRoute"}, {"route", toJson(route)}});
+    }
+    const auto plan = first.plan(nlohmann::json{{"operations", operations}}.dump());
+    CHECK(plan.refusals.empty());
+    CHECK(countKeys("/hornbeamring/plans/") > 1);
+    CHECK(*second.read(plan.id) == plan);
+    CHECK_EQUAL(1, second.confirmedVersion(plan.id));
+    CHECK_EQUAL(10000, first.loaded()->routes().size());
+}
