Allow the deprecated parts of Asio that RESTinio uses

RESTinio 0.6.16 calls buffer_cast, max_connections and address::from_string, which Asio 1.22 hides under ASIO_NO_DEPRECATED, so no source that includes RESTinio compiled ("'buffer_cast' is not a member of 'restinio::asio_ns'"). Undefining it per source was ruled out: parts of one program would then see different definitions of Asio's classes. The definition is removed for all.

--- a/cmake/HornbeamTargets.cmake
+++ b/cmake/HornbeamTargets.cmake
@@ -12,7 +12,7 @@
 pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
 pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
 
-add_compile_definitions(ASIO_STANDALONE ASIO_NO_DEPRECATED)
+add_compile_definitions(ASIO_STANDALONE)
 add_compile_options(-Wall -Wextra -Wpedantic -Werror=return-type -Werror=unused-result)
 
 # hornbeam_library(NAME SOURCES <src...> [DEPS <libs...>] [PRIVATE_DEPS <libs...>])
