Add the target stand-in

Tests and benchmarks need a target that streams, sheds, crashes, truncates and announces itself. targetstandin is one process with a small HTTP/1.1 server on Asio; it counts executions per Idempotency-Key or X-Request-Id (GET /stats).

The behaviour comes from the path or, for routes whose path is fixed, from the header X-Target-Behaviour.

--- /dev/null
+++ b/tools/targetstandin/src/targetconnection.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <asio/awaitable.hpp>
+#include <asio/ip/tcp.hpp>
+
+namespace Hornbeam {
+
+class TargetServer;
+
+/** Answers the requests of one connection until it ends. */
+asio::awaitable<void> serveTargetConnection(TargetServer &server, asio::ip::tcp::socket socket);
+
+} // namespace Hornbeam
