Add the store client for the etcd v3 JSON gateway

Cause: the daemons reach the platform's store over its published protocol.

Change: EtcdStore runs all transfers on libcurl's multi interface and one I/O thread, and posts answers to an executor. EtcdProtocol encodes and decodes the messages for both sides. Calls, failures, latency and bytes are counted. After a failed transfer the store uses the next endpoint and new connections, because pooled connections may be as silent as the failed one.

Ruled out: libcurl's repetition of a POST when a pooled connection closes. The store may have run the first copy, and the second one would report a failed comparison. A status of 500 and above is OutcomeUnknown for a write, because etcd reports its own write timeouts that way.

--- /dev/null
+++ b/libs/store/include/hornbeam/store/etcdprotocol.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <hornbeam/base/error.h>
+#include <hornbeam/store/keyvaluestore.h>
+#include <hornbeam/store/transaction.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/**
+ * The messages of the etcd v3 JSON gateway: base64 keys and values, 64-bit integers as strings, default values left
+ * out. Decoders return InvalidArgument for text that is not such a message.
+ */
+namespace Hornbeam::EtcdProtocol {
+
+inline constexpr const char *rangePath = "/v3/kv/range";
+inline constexpr const char *transactionPath = "/v3/kv/txn";
+inline constexpr const char *leaseGrantPath = "/v3/lease/grant";
+inline constexpr const char *leaseKeepAlivePath = "/v3/lease/keepalive";
+inline constexpr const char *leaseRevokePath = "/v3/lease/revoke";
+inline constexpr const char *watchPath = "/v3/watch";
+
+/** One message of a watch stream. */
+struct WatchMessage
+{
+    std::int64_t revision = 0; ///< Revision of the store when it sent the message.
+    bool created = false; ///< The watch has started.
+    bool cancelled = false; ///< The store ended the watch.
+    std::int64_t compactRevision = 0; ///< Set when the start revision is no longer available.
+    std::string cancelReason;
+    std::vector<KeyValue> changes; ///< As WatchListener::changed() receives them.
+};
+
+std::string encodeRangeRequest(const RangeRequest &request);
+std::string encodeTransaction(const Transaction &transaction);
+std::string encodeLeaseGrantRequest(std::chrono::seconds timeToLive);
+std::string encodeLeaseRequest(LeaseId lease);
+std::string encodeWatchRequest(const WatchRequest &request);
+
+Result<RangeRequest> decodeRangeRequest(std::string_view text);
+Result<Transaction> decodeTransaction(std::string_view text);
+Result<std::chrono::seconds> decodeLeaseGrantRequest(std::string_view text);
+Result<LeaseId> decodeLeaseRequest(std::string_view text);
+Result<WatchRequest> decodeWatchRequest(std::string_view text);
+
+std::string encodeRangeResult(const RangeResult &result);
+
+/** Encodes the result of @p transaction, which tells the kinds of the operations. */
+std::string encodeTransactionResult(const Transaction &transaction, const TransactionResult &result);
+std::string encodeLeaseGrant(const LeaseGrant &grant, std::int64_t revision);
+
+/** Encodes one message of the keep-alive stream; a time to live of 0 reports an expired lease. */
+std::string encodeKeepAlive(const LeaseGrant &grant, std::int64_t revision);
+std::string encodeLeaseRevoked(std::int64_t revision);
+std::string encodeWatchMessage(const WatchMessage &message);
+
+Result<RangeResult> decodeRangeResult(std::string_view text);
+Result<TransactionResult> decodeTransactionResult(std::string_view text);
+Result<LeaseGrant> decodeLeaseGrant(std::string_view text);
+
+/** Decodes the first message of a keep-alive stream. NotFound for an expired lease. */
+Result<LeaseGrant> decodeKeepAlive(std::string_view text);
+Result<WatchMessage> decodeWatchMessage(std::string_view text);
+
+/** The gateway's error body, with the gRPC code that stands for @p error. */
+std::string encodeError(const Error &error);
+
+/** The HTTP status that the gateway sends for @p error. */
+int httpStatus(const Error &error);
+
+/**
+ * Maps an HTTP status other than 200 and the gateway's error body to an error. A status of 500 and above becomes
+ * OutcomeUnknown for a write, because etcd reports its own timeouts of writes that may still take effect that way.
+ */
+Error decodeError(int status, std::string_view body, bool write);
+
+} // namespace Hornbeam::EtcdProtocol
--- /dev/null
+++ b/libs/store/src/transfer.cpp
@@ -0,0 +1,160 @@
+#include "transfer.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr std::string_view chunkedHeader = "transfer-encoding: chunked";
+
+/** Bytes of chunked framing around @p bytes: the length in hexadecimal and two line ends. */
+std::size_t chunkFraming(std::size_t bytes)
+{
+    std::size_t digits = 1;
+    while (bytes >>= 4) {
+        ++digits;
+    }
+    return digits + 4;
+}
+
+bool startsWithIgnoringCase(std::string_view text, std::string_view lowerCasePrefix)
+{
+    const auto equal = [](char left, char right) {
+        return std::tolower(static_cast<unsigned char>(left)) == right;
+    };
+    return text.size() >= lowerCasePrefix.size()
+        && std::equal(lowerCasePrefix.begin(), lowerCasePrefix.end(), text.begin(), [&equal](char right, char left) {
+               return equal(left, right);
+           });
+}
+
+} // namespace
+
+Transfer::Transfer(TransferOptions options)
+    : m_options(std::move(options))
+    , m_handle(curl_easy_init())
+    , m_started(std::chrono::steady_clock::now())
+    , m_lastActivity(m_started)
+{
+    // Shorter requests: libcurl's default Accept and Expect headers carry nothing that the gateway needs.
+    for (const char *header : {"Content-Type: application/json", "Accept:", "Expect:"}) {
+        m_headers = curl_slist_append(m_headers, header);
+    }
+    curl_easy_setopt(m_handle, CURLOPT_URL, m_options.url.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_headers);
+    curl_easy_setopt(m_handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_options.body.size()));
+    curl_easy_setopt(m_handle, CURLOPT_READFUNCTION, &Transfer::readBody);
+    curl_easy_setopt(m_handle, CURLOPT_READDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_SEEKFUNCTION, &Transfer::seekBody);
+    curl_easy_setopt(m_handle, CURLOPT_SEEKDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &Transfer::writeBody);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &Transfer::writeHeader);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_options.connectTimeout.count()));
+    curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(m_options.timeout.count()));
+    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, m_options.freshConnection ? 1L : 0L);
+    curl_easy_setopt(m_handle, CURLOPT_MAXAGE_CONN, static_cast<long>(m_options.maxIdleAge.count()));
+    curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
+    if (!m_options.localAddress.empty()) {
+        curl_easy_setopt(m_handle, CURLOPT_INTERFACE, ("host!" + m_options.localAddress).c_str());
+    }
+}
+
+Transfer::~Transfer()
+{
+    curl_easy_cleanup(m_handle);
+    curl_slist_free_all(m_headers);
+}
+
+void Transfer::setBodySink(BodySink sink)
+{
+    m_sink = std::move(sink);
+}
+
+TransferResult Transfer::finish(CURLcode code)
+{
+    m_sink = nullptr;
+    curl_off_t preTransferTime = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_PRETRANSFER_TIME_T, &preTransferTime);
+    return {.code = code,
+            .status = status(),
+            .sent = preTransferTime > 0 || bytesSent() > 0,
+            .body = std::move(m_response)};
+}
+
+int Transfer::status() const
+{
+    long status = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+}
+
+std::uint64_t Transfer::bytesSent() const
+{
+    long header = 0;
+    curl_off_t body = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_REQUEST_SIZE, &header);
+    curl_easy_getinfo(m_handle, CURLINFO_SIZE_UPLOAD_T, &body);
+    return static_cast<std::uint64_t>(header) + static_cast<std::uint64_t>(body);
+}
+
+std::size_t Transfer::readBody(char *buffer, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const auto &body = transfer->m_options.body;
+    const auto length = std::min(size * count, body.size() - transfer->m_bodyOffset);
+    std::copy_n(body.begin() + static_cast<std::ptrdiff_t>(transfer->m_bodyOffset), length, buffer);
+    transfer->m_bodyOffset += length;
+    return length;
+}
+
+// libcurl rewinds the body to send a request again when a pooled connection closes before the response. The store may
+// have run the first copy by then, so a rewind fails unless the request is repeatable.
+int Transfer::seekBody(void *self, curl_off_t offset, int origin)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    if (!transfer->m_options.repeatable || origin != SEEK_SET) {
+        return CURL_SEEKFUNC_FAIL;
+    }
+    transfer->m_bodyOffset = static_cast<std::size_t>(offset);
+    return CURL_SEEKFUNC_OK;
+}
+
+std::size_t Transfer::writeBody(char *bytes, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::size_t length = size * count;
+    transfer->received(length + (transfer->m_chunked ? chunkFraming(length) : 0));
+    if (transfer->m_sink) {
+        transfer->m_sink({bytes, length});
+    } else {
+        transfer->m_response.append(bytes, length);
+    }
+    return length;
+}
+
+std::size_t Transfer::writeHeader(char *bytes, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::string_view line(bytes, size * count);
+    transfer->received(line.size());
+    transfer->m_chunked = transfer->m_chunked || startsWithIgnoringCase(line, chunkedHeader);
+    return line.size();
+}
+
+void Transfer::received(std::size_t bytes)
+{
+    m_bytesReceived += bytes;
+    m_lastActivity = std::chrono::steady_clock::now();
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/store/src/transfer.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <hornbeam/base/timerservice.h>
+
+#include <curl/curl.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Hornbeam {
+
+/** How one HTTP transfer ended. */
+struct TransferResult
+{
+    CURLcode code = CURLE_OK;
+    int status = 0; ///< HTTP status; 0 without a response.
+    bool sent = false; ///< Some part of the request may have reached the store.
+    std::string body;
+};
+
+struct TransferOptions
+{
+    std::string url;
+    std::string body;
+    std::string localAddress;
+    std::chrono::milliseconds connectTimeout{0};
+    std::chrono::milliseconds timeout{0}; ///< Bound of the whole transfer; 0 for none.
+    bool freshConnection = false; ///< Do not reuse a pooled connection.
+    std::chrono::seconds maxIdleAge{0}; ///< Do not reuse a connection that has been idle for longer.
+    bool repeatable = false; ///< The request may be sent again on a new connection when a pooled one turns out closed.
+};
+
+/** One HTTP POST on a libcurl easy handle. Used on the I/O thread only. */
+class Transfer
+{
+public:
+    /** Receives body bytes as they arrive, instead of TransferResult::body. */
+    using BodySink = std::function<void(std::string_view)>;
+
+    explicit Transfer(TransferOptions options);
+    ~Transfer();
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+
+    CURL *handle() const
+    {
+        return m_handle;
+    }
+
+    void setBodySink(BodySink sink);
+
+    /** Ends the transfer; the body sink is not called afterwards. */
+    TransferResult finish(CURLcode code);
+
+    /** HTTP status so far; 0 before the response header. */
+    int status() const;
+
+    /** Bytes of the request on the wire so far, HTTP header included. */
+    std::uint64_t bytesSent() const;
+
+    /** Bytes of the response on the wire so far, HTTP header and chunk framing included. */
+    std::uint64_t bytesReceived() const
+    {
+        return m_bytesReceived;
+    }
+
+    /** When bytes of the response last arrived, or the start of the transfer. */
+    TimePoint lastActivity() const
+    {
+        return m_lastActivity;
+    }
+
+    TimePoint started() const
+    {
+        return m_started;
+    }
+
+private:
+    static std::size_t readBody(char *buffer, std::size_t size, std::size_t count, void *self);
+    static int seekBody(void *self, curl_off_t offset, int origin);
+    static std::size_t writeBody(char *bytes, std::size_t size, std::size_t count, void *self);
+    static std::size_t writeHeader(char *bytes, std::size_t size, std::size_t count, void *self);
+
+    void received(std::size_t bytes);
+
+    TransferOptions m_options;
+    CURL *m_handle;
+    curl_slist *m_headers = nullptr;
+    std::size_t m_bodyOffset = 0;
+    std::string m_response;
+    BodySink m_sink;
+    bool m_chunked = false;
+    std::uint64_t m_bytesReceived = 0;
+    TimePoint m_started;
+    TimePoint m_lastActivity;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/store/tests/etcdstoretest.cpp
@@ -0,0 +1,255 @@
+#include "scriptedserver.h"
+
+#include <hornbeam/base/asioruntime.h>
+#include <hornbeam/base/metrics.h>
+#include <hornbeam/store/etcdprotocol.h>
+#include <hornbeam/store/etcdstore.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto testBound = 10s;
+
+class CountingListener : public WatchListener
+{
+public:
+    void changed(const std::vector<KeyValue> &entries) override
+    {
+        changes.insert(changes.end(), entries.begin(), entries.end());
+    }
+
+    void ended(const Error &error) override
+    {
+        end = error;
+    }
+
+    std::vector<KeyValue> changes;
+    std::optional<Error> end;
+};
+
+Transaction putOnly()
+{
+    return {.compares = {}, .success = {Operation::put("/a", "1")}, .failure = {}};
+}
+
+std::string chunk(const std::string &text)
+{
+    char length[16];
+    std::snprintf(length, sizeof length, "%zx\r\n", text.size());
+    return length + text + "\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(EtcdStore)
+{
+    asio::io_context context;
+    AsioExecutor executor{context};
+    MetricsRegistry metrics;
+    CountingListener listener;
+    std::unique_ptr<EtcdStore> store;
+
+    void connect(const Endpoint &endpoint)
+    {
+        connect({.endpoints = {endpoint}, .requestTimeout = 300ms, .watchIdleTimeout = 500ms});
+    }
+
+    void connect(EtcdStoreOptions options)
+    {
+        store = std::move(*EtcdStore::make(std::move(options), executor, metrics));
+    }
+
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + testBound;
+        context.restart();
+        const auto work = asio::make_work_guard(context);
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(10ms);
+        }
+        CHECK(condition());
+    }
+
+    Result<TransactionResult> commit()
+    {
+        std::optional<Result<TransactionResult>> answer;
+        store->commit(putOnly(), [&](Result<TransactionResult> result) { answer = std::move(result); });
+        runUntil([&] { return answer.has_value(); });
+        return answer ? *answer : makeError(ErrorCode::Internal, "no answer");
+    }
+
+    Result<RangeResult> range()
+    {
+        std::optional<Result<RangeResult>> answer;
+        store->range({.key = "/a"}, [&](Result<RangeResult> result) { answer = std::move(result); });
+        runUntil([&] { return answer.has_value(); });
+        return answer ? *answer : makeError(ErrorCode::Internal, "no answer");
+    }
+
+    std::uint64_t counter(const char *name)
+    {
+        return metrics.counter(name, "").value();
+    }
+
+    void teardown() override
+    {
+        store.reset();
+    }
+};
+
+// Guards against a message that etcd's gateway would not accept: keys are base64, integers are strings.
+TEST(EtcdStore, speaksTheGatewayProtocol)
+{
+    ScriptedRequest seen;
+    ScriptedServer server([&](const ScriptedRequest &request) {
+        seen = request;
+        return ScriptedReply{okResponse(R"({"header":{"revision":"7"},"kvs":[{"key":"L2E=","value":"MQ==",)"
+                                        R"("create_revision":"3","mod_revision":"5","lease":"9"}],"count":"1"})")};
+    });
+    connect(server.endpoint());
+    const auto result = range();
+    STRCMP_EQUAL("/v3/kv/range", seen.path.c_str());
+    STRCMP_EQUAL(R"({"key":"L2E="})", seen.body.c_str());
+    CHECK_EQUAL(7, result->revision);
+    const KeyValue expected{.key = "/a", .value = "1", .createRevision = 3, .modRevision = 5, .lease = 9};
+    CHECK(expected == result->entries.at(0));
+}
+
+// Guards against a refused connection that is reported as a write of unknown outcome, which would block a retry.
+TEST(EtcdStore, reportsARefusedConnectionAsUnavailable)
+{
+    Endpoint unused;
+    {
+        const ScriptedServer server([](const ScriptedRequest &) { return ScriptedReply{}; });
+        unused = server.endpoint();
+    }
+    connect(unused);
+    CHECK(ErrorCode::Unavailable == commit().error().code());
+}
+
+// Guards against a lost write that is reported as not done: the server has the request but never answers.
+TEST(EtcdStore, reportsASilentConnectionAsUnknownForWritesOnly)
+{
+    ScriptedServer server([](const ScriptedRequest &) { return ScriptedReply{}; });
+    connect(server.endpoint());
+    CHECK(ErrorCode::OutcomeUnknown == commit().error().code());
+    CHECK(ErrorCode::Unavailable == range().error().code());
+}
+
+// Guards against libcurl's repetition of a request when a pooled connection closes: the store may have run the first
+// copy, and the second one would then report a failed comparison.
+TEST(EtcdStore, neverSendsAWriteTwice)
+{
+    std::atomic<int> writes = 0;
+    ScriptedServer server([&](const ScriptedRequest &request) {
+        if (request.path == EtcdProtocol::transactionPath) {
+            ++writes;
+            return ScriptedReply{.bytes = {}, .close = true};
+        }
+        return ScriptedReply{okResponse("{}")};
+    });
+    connect(server.endpoint());
+    // The first failure would force new connections for some seconds, so a successful call comes first.
+    CHECK(range().has_value());
+    CHECK(ErrorCode::OutcomeUnknown == commit().error().code());
+    CHECK_EQUAL(1, writes.load());
+}
+
+TEST(EtcdStore, mapsTheRateLimitToOverloaded)
+{
+    ScriptedServer server([](const ScriptedRequest &) {
+        return ScriptedReply{"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"};
+    });
+    connect(server.endpoint());
+    CHECK(ErrorCode::Overloaded == commit().error().code());
+}
+
+// Guards against reporting etcd's own timeout of a write as a write that was not done.
+TEST(EtcdStore, mapsAServerErrorOfAWriteToUnknown)
+{
+    ScriptedServer server([](const ScriptedRequest &) {
+        return ScriptedReply{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"};
+    });
+    connect(server.endpoint());
+    CHECK(ErrorCode::OutcomeUnknown == commit().error().code());
+    CHECK(ErrorCode::Unavailable == range().error().code());
+}
+
+TEST(EtcdStore, boundsTheCallsInFlight)
+{
+    ScriptedServer server([](const ScriptedRequest &) { return ScriptedReply{}; });
+    connect({.endpoints = {server.endpoint()}, .requestTimeout = 300ms, .maxCallsInFlight = 1});
+    store->range({.key = "/a"}, [](const Result<RangeResult> &) {});
+    CHECK(ErrorCode::Overloaded == commit().error().code());
+}
+
+// Guards against byte counters that leave out framing: control bytes are measured with them.
+TEST(EtcdStore, countsTheBytesOnTheWire)
+{
+    ScriptedServer server([](const ScriptedRequest &) { return ScriptedReply{okResponse("{}")}; });
+    connect(server.endpoint());
+    CHECK(commit().has_value());
+    CHECK(range().has_value());
+    CHECK_EQUAL(server.bytesReceived(), counter("hornbeam_store_bytes_sent_total"));
+    CHECK_EQUAL(server.bytesSent(), counter("hornbeam_store_bytes_received_total"));
+    CHECK_EQUAL(1, metrics.counter("hornbeam_store_calls_total", "", {{"call", "range"}}).value());
+}
+
+// Guards against traffic from another address, which per-zone network partitions in tests rely on.
+TEST(EtcdStore, connectsFromItsLocalAddress)
+{
+    std::string peer;
+    ScriptedServer server([&](const ScriptedRequest &request) {
+        peer = request.peerAddress;
+        return ScriptedReply{okResponse("{}")};
+    });
+    connect({.endpoints = {server.endpoint()}, .localAddress = "127.0.0.77"});
+    CHECK(range().has_value());
+    STRCMP_EQUAL("127.0.0.77", peer.c_str());
+}
+
+TEST(EtcdStore, movesOnToTheNextEndpointAfterAFailure)
+{
+    ScriptedServer silent([](const ScriptedRequest &) { return ScriptedReply{}; });
+    ScriptedServer working([](const ScriptedRequest &) { return ScriptedReply{okResponse("{}")}; });
+    connect({.endpoints = {silent.endpoint(), working.endpoint()}, .requestTimeout = 200ms});
+    CHECK_FALSE(range().has_value());
+    CHECK(range().has_value());
+}
+
+// Guards against an old configuration that stays in effect because the watch's connection is silent.
+TEST(EtcdStore, endsASilentWatch)
+{
+    const std::string created = R"({"result":{"header":{"revision":"4"},"created":true}})";
+    const std::string event = R"({"result":{"header":{"revision":"5"},"events":[{"kv":{"key":"L2E=","value":"MQ==",)"
+                              R"("create_revision":"5","mod_revision":"5"}},{"type":"DELETE",)"
+                              R"("kv":{"key":"L2I=","mod_revision":"5"}}]}})";
+    ScriptedRequest seen;
+    ScriptedServer server([&](const ScriptedRequest &request) {
+        seen = request;
+        return ScriptedReply{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(created + "\n")
+                             + chunk(event + "\n")};
+    });
+    connect(server.endpoint());
+    const auto watch = store->watch({.prefix = "/", .startRevision = 5}, listener);
+    runUntil([&] { return listener.end.has_value(); });
+    CHECK(ErrorCode::Unavailable == listener.end->code());
+    STRCMP_EQUAL(R"({"create_request":{"key":"Lw==","progress_notify":true,"range_end":"MA==","start_revision":"5"}})",
+                 seen.body.c_str());
+    CHECK_EQUAL(2, listener.changes.size());
+    CHECK_EQUAL(0, listener.changes.at(1).createRevision);
+    CHECK_EQUAL(server.bytesSent(), counter("hornbeam_store_bytes_received_total"));
+    CHECK_EQUAL(server.bytesReceived(), counter("hornbeam_store_bytes_sent_total"));
+}
+
+TEST(EtcdStore, refusesOptionsOutOfRange)
+{
+    CHECK(ErrorCode::InvalidArgument == EtcdStore::make({}, executor, metrics).error().code());
+}
