Add the mesh of processes that the integration tests start

Mesh starts the store stand-in, the fault proxy, the nodes and their targets on loopback addresses of their own and routes nodes, store and targets through links of the fault proxy.

--- /dev/null
+++ b/tests/support/src/mesh.cpp
@@ -0,0 +1,427 @@
+#include <hornbeam/testsupport/mesh.h>
+#include <hornbeam/testsupport/waiting.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+
+namespace Hornbeam {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint16_t trafficPort = 8080;
+constexpr std::uint16_t adminPort = 8081;
+constexpr std::uint16_t peerPort = 8082;
+constexpr std::uint16_t targetPort = 9000;
+constexpr std::uint16_t storePort = 2379;
+constexpr std::uint16_t faultControlPort = 7900;
+
+/** Third part of the addresses of each kind of process. */
+constexpr int toolPart = 0;
+constexpr int nodePart = 1;
+constexpr int nodeLinkPart = 2;
+constexpr int targetPart = 3;
+constexpr int targetLinkPart = 4;
+
+constexpr std::chrono::milliseconds startTimeout{15000};
+constexpr std::chrono::milliseconds probeTimeout{500};
+
+bool succeeded(const Result<HttpResponse> &response)
+{
+    return response && response->status >= 200 && response->status < 300;
+}
+
+PlanResult toPlanResult(const Result<HttpResponse> &response)
+{
+    if (!response) {
+        return {.status = 0, .body = response.error().message()};
+    }
+    return {.status = response->status, .body = Json::parse(response->body, nullptr, false)};
+}
+
+std::uint64_t parseVersion(const std::string &text)
+{
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+} // namespace
+
+Mesh::Mesh(MeshOptions options)
+    : m_options(std::move(options))
+    , m_processes(std::make_unique<ProcessGroup>())
+{
+}
+
+Result<std::unique_ptr<Mesh>> Mesh::make(MeshOptions options)
+{
+    std::unique_ptr<Mesh> mesh(new Mesh(std::move(options)));
+    auto block = AddressBlock::reserve();
+    if (!block) {
+        return tl::unexpected(block.error());
+    }
+    mesh->m_block = *std::move(block);
+    const auto started = mesh->start();
+    if (!started) {
+        return tl::unexpected(started.error());
+    }
+    return mesh;
+}
+
+int Mesh::nodeCount() const
+{
+    return static_cast<int>(m_options.zones.size()) * m_options.nodesPerZone;
+}
+
+std::vector<int> Mesh::nodesIn(const std::string &zone) const
+{
+    auto nodes = allNodes();
+    std::erase_if(nodes, [&](int node) {
+        return m_options.zones[static_cast<std::size_t>(node) % m_options.zones.size()] != zone;
+    });
+    return nodes;
+}
+
+std::vector<int> Mesh::nodesOutside(const std::string &zone) const
+{
+    auto nodes = allNodes();
+    const auto inside = nodesIn(zone);
+    std::erase_if(nodes, [&](int node) { return std::find(inside.begin(), inside.end(), node) != inside.end(); });
+    return nodes;
+}
+
+std::vector<int> Mesh::allNodes() const
+{
+    std::vector<int> nodes;
+    for (int i = 0; i < nodeCount(); ++i) {
+        nodes.push_back(i);
+    }
+    return nodes;
+}
+
+std::string Mesh::nodeName(int node)
+{
+    return "node-" + std::to_string(node);
+}
+
+std::string Mesh::targetName(int target)
+{
+    return "target-" + std::to_string(target);
+}
+
+Result<pid_t> Mesh::startNode(int node)
+{
+    const auto path = m_processes->directory() / (nodeName(node) + ".json");
+    std::ofstream(path) << nodeSettings(node).dump(2);
+    return m_processes->start({.name = nodeName(node),
+                               .program = programPath("hornbeamd"),
+                               .arguments = {"--settings", path.string()},
+                               .readyLine = "hornbeamd is ready",
+                               .readyTimeout = startTimeout});
+}
+
+Result<pid_t> Mesh::startTarget(int target)
+{
+    std::vector<std::string> arguments = {"--listen",
+                                          targetListener(target).toString(),
+                                          "--advertise",
+                                          advertisedTarget(target).toString(),
+                                          "--admin",
+                                          admin(target % nodeCount()).toString(),
+                                          "--service",
+                                          m_options.service};
+    arguments.insert(arguments.end(), m_options.targetArguments.begin(), m_options.targetArguments.end());
+    return m_processes->start({.name = targetName(target),
+                               .program = programPath("targetstandin"),
+                               .arguments = std::move(arguments),
+                               .readyLine = "listening on",
+                               .readyTimeout = startTimeout});
+}
+
+std::string Mesh::nodeAddress(int node) const
+{
+    return m_block->address(nodePart, node + 1);
+}
+
+Endpoint Mesh::traffic(int node) const
+{
+    return {nodeAddress(node), trafficPort};
+}
+
+Endpoint Mesh::admin(int node) const
+{
+    return {nodeAddress(node), adminPort};
+}
+
+Endpoint Mesh::advertisedTarget(int target) const
+{
+    return m_block->endpoint(targetLinkPart, target + 1, targetPort);
+}
+
+Endpoint Mesh::targetListener(int target) const
+{
+    return m_block->endpoint(targetPart, target + 1, targetPort);
+}
+
+Endpoint Mesh::faultControl() const
+{
+    return m_block->endpoint(toolPart, 1, faultControlPort);
+}
+
+Endpoint Mesh::store() const
+{
+    return m_block->endpoint(toolPart, 2, storePort);
+}
+
+Json Mesh::nodeSettings(int node) const
+{
+    const auto zones = m_options.zones.size();
+    auto seeds = Json::array();
+    // The first node of each zone is a seed.
+    for (int seed = 0; seed < static_cast<int>(zones); ++seed) {
+        if (seed != node) {
+            seeds.push_back(m_block->endpoint(nodeLinkPart, seed + 1, peerPort).toString());
+        }
+    }
+    Json settings = {
+        {"node", {{"zone", m_options.zones[static_cast<std::size_t>(node) % zones]}, {"region", "fi-south"}}},
+        {"traffic", {{"listen", traffic(node).toString()}, {"threads", 1}}},
+        {"admin", {{"listen", admin(node).toString()}}},
+        {"peer",
+         {{"listen", Endpoint(nodeAddress(node), peerPort).toString()},
+          {"advertise", m_block->endpoint(nodeLinkPart, node + 1, peerPort).toString()},
+          {"seeds", seeds}}},
+        {"store", {{"endpoints", {m_block->endpoint(toolPart, 3, storePort).toString()}}}},
+        {"log", {{"level", "info"}}},
+    };
+    settings.merge_patch(m_options.settings);
+    return settings;
+}
+
+Result<HttpResponse> Mesh::call(int node, HttpRequest request) const
+{
+    request.url = "http://" + traffic(node).toString() + request.url;
+    return sendHttp(request);
+}
+
+Result<HttpResponse> Mesh::ask(int node, HttpRequest request) const
+{
+    request.url = "http://" + admin(node).toString() + request.url;
+    return sendHttp(request);
+}
+
+PlanResult Mesh::plan(int node, const Json &intent) const
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.url = "/v1/plans";
+    request.headers = {"Content-Type: application/json"};
+    request.body = intent.dump();
+    return toPlanResult(ask(node, std::move(request)));
+}
+
+PlanResult Mesh::confirm(int node, const std::string &planId) const
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.url = "/v1/plans/" + planId + "/confirm";
+    return toPlanResult(ask(node, std::move(request)));
+}
+
+Result<std::uint64_t> Mesh::apply(int node, const Json &intent) const
+{
+    const auto planned = plan(node, intent);
+    if (planned.status / 100 != 2 || !planned.body.contains("id")) {
+        return makeError(ErrorCode::InvalidArgument,
+                         "plan: status " + std::to_string(planned.status) + " " + planned.body.dump());
+    }
+    const auto confirmed = confirm(node, planned.body["id"].get<std::string>());
+    if (confirmed.status / 100 != 2 || !confirmed.body.contains("version")) {
+        return makeError(ErrorCode::Conflict,
+                         "confirm: status " + std::to_string(confirmed.status) + " " + confirmed.body.dump());
+    }
+    return confirmed.body["version"].get<std::uint64_t>();
+}
+
+std::uint64_t Mesh::servedVersion(int node, const std::string &path) const
+{
+    HttpRequest request;
+    request.url = path;
+    request.timeout = probeTimeout;
+    const auto response = call(node, std::move(request));
+    if (!succeeded(response)) {
+        return 0;
+    }
+    return parseVersion(response->header("x-hornbeam-version"));
+}
+
+bool Mesh::waitForVersion(std::uint64_t version,
+                          const std::vector<int> &nodes,
+                          std::chrono::milliseconds timeout,
+                          const std::string &path) const
+{
+    auto waiting = nodes;
+    return waitUntil(timeout, [&] {
+        std::erase_if(waiting, [&](int node) { return servedVersion(node, path) >= version; });
+        return waiting.empty();
+    });
+}
+
+bool Mesh::controlFaults(const Json &request) const
+{
+    HttpRequest control;
+    control.method = "POST";
+    control.url = "http://" + faultControl().toString() + "/control";
+    control.body = request.dump();
+    return succeeded(sendHttp(control));
+}
+
+bool Mesh::controlStore(const Json &request) const
+{
+    HttpRequest control;
+    control.method = "POST";
+    control.url = "http://" + store().toString() + "/control";
+    control.body = request.dump();
+    return succeeded(sendHttp(control));
+}
+
+bool Mesh::addRule(const Json &rule) const
+{
+    return controlFaults({{"rules", Json::array({rule})}});
+}
+
+bool Mesh::clearRules() const
+{
+    return controlFaults({{"clear", true}});
+}
+
+bool Mesh::cutOffZone(const std::string &zone, bool fromStoreAsWell) const
+{
+    const auto inside = nodesIn(zone);
+    const auto outside = nodesOutside(zone);
+    const auto rule = [&](const std::vector<int> &from, const std::vector<int> &to) {
+        auto links = Json::array();
+        for (const int node : to) {
+            links.push_back(nodeName(node));
+        }
+        return Json{{"kind", "blackHole"}, {"sources", addressesOf(from)}, {"links", links}};
+    };
+    auto rules = Json::array({rule(inside, outside), rule(outside, inside)});
+    if (fromStoreAsWell) {
+        rules.push_back({{"kind", "blackHole"}, {"sources", addressesOf(inside)}, {"links", {"store"}}});
+    }
+    return controlFaults({{"rules", rules}});
+}
+
+Json Mesh::targetStats(int target) const
+{
+    HttpRequest request;
+    request.url = "http://" + targetListener(target).toString() + "/stats";
+    const auto response = sendHttp(request);
+    return response ? Json::parse(response->body, nullptr, false) : Json();
+}
+
+std::uint64_t Mesh::executions(const std::string &key) const
+{
+    std::uint64_t total = 0;
+    for (int target = 0; target < nodeCount() * m_options.targetsPerNode; ++target) {
+        const auto stats = targetStats(target);
+        if (stats.is_object()) {
+            total += stats["executions"].value(key, std::uint64_t(0));
+        }
+    }
+    return total;
+}
+
+Result<bool> Mesh::start()
+{
+    const auto tools = startStoreAndProxy();
+    if (!tools) {
+        return tools;
+    }
+    for (int node = 0; node < nodeCount(); ++node) {
+        const auto started = startNode(node);
+        if (!started) {
+            return tl::unexpected(started.error());
+        }
+    }
+    for (int target = 0; target < nodeCount() * m_options.targetsPerNode; ++target) {
+        const auto started = startTarget(target);
+        if (!started) {
+            return tl::unexpected(started.error());
+        }
+    }
+    return true;
+}
+
+Result<bool> Mesh::startStoreAndProxy()
+{
+    std::vector<std::string> storeArguments = {"--listen", store().toString()};
+    storeArguments.insert(storeArguments.end(), m_options.storeArguments.begin(), m_options.storeArguments.end());
+    const auto storeStarted = m_processes->start({.name = "store",
+                                                  .program = programPath("storestandin"),
+                                                  .arguments = std::move(storeArguments),
+                                                  .readyLine = "listening on"});
+    if (!storeStarted) {
+        return tl::unexpected(storeStarted.error());
+    }
+    const auto proxyStarted = m_processes->start(
+        {.name = "faultproxy",
+         .program = programPath("faultproxy"),
+         .arguments = {"--listen-control", faultControl().toString(), "--seed", std::to_string(m_options.seed)},
+         .readyLine = "listening on"});
+    if (!proxyStarted) {
+        return tl::unexpected(proxyStarted.error());
+    }
+    if (!controlFaults({{"links", links()}})) {
+        return makeError(ErrorCode::Unavailable, "the fault proxy refused the links");
+    }
+    return true;
+}
+
+Json Mesh::links() const
+{
+    auto result = Json::array();
+    const auto add = [&](const std::string &name, const Endpoint &listen, const Endpoint &forward) {
+        result.push_back({{"name", name}, {"listen", listen.toString()}, {"forward", forward.toString()}});
+    };
+    add("store", m_block->endpoint(toolPart, 3, storePort), store());
+    for (int node = 0; node < nodeCount(); ++node) {
+        add(nodeName(node), m_block->endpoint(nodeLinkPart, node + 1, peerPort), {nodeAddress(node), peerPort});
+    }
+    for (int target = 0; target < nodeCount() * m_options.targetsPerNode; ++target) {
+        add(targetName(target), advertisedTarget(target), targetListener(target));
+    }
+    return result;
+}
+
+std::vector<std::string> Mesh::addressesOf(const std::vector<int> &nodes) const
+{
+    std::vector<std::string> addresses;
+    for (const int node : nodes) {
+        addresses.push_back(nodeAddress(node));
+    }
+    return addresses;
+}
+
+Json basicIntent(const std::string &service)
+{
+    const Json bookings = {
+        {"name", "bookings"}, {"pathPrefix", "/bookings"}, {"service", service}, {"idempotent", false}};
+    const Json reads = {{"name", "reads"}, {"pathPrefix", "/"}, {"service", service}, {"idempotent", true}};
+    return {{"operations",
+             {{{"op", "setService"}, {"service", {{"name", service}}}},
+              {{"op", "setRoute"}, {"route", reads}},
+              {{"op", "setRoute"}, {"route", bookings}}}}};
+}
+
+Json routeIntent(const std::string &service, const std::string &route)
+{
+    const Json value = {{"name", route}, {"pathPrefix", "/" + route}, {"service", service}, {"idempotent", true}};
+    return {{"operations", Json::array({{{"op", "setRoute"}, {"route", value}}})}};
+}
+
+} // namespace Hornbeam
--- a/tools/targetstandin/src/main.cpp
+++ b/tools/targetstandin/src/main.cpp
@@ -18,7 +18,7 @@
     asio::io_context context(1);
     TargetServer server(context, options);
     server.start();
-    Announcer announcer(options, server.address());
+    Announcer announcer(options, options.advertise.empty() ? server.address() : options.advertise);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const std::error_code &ec, int /*signal*/) {
         if (!ec) {
--- a/tools/targetstandin/src/targetoptions.cpp
+++ b/tools/targetstandin/src/targetoptions.cpp
@@ -11,6 +11,7 @@
     cxxopts::Options options("targetstandin", "A target for tests.");
     options.add_options()(
         "listen", "address to listen on", cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+    options.add_options()("advertise", "announced IP:PORT", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("admin", "admin API of the node on this host", cxxopts::value<std::string>());
     options.add_options()("service", "announced service", cxxopts::value<std::string>()->default_value("echo"));
     options.add_options()("slots", "announced slots", cxxopts::value<std::uint32_t>()->default_value("10"));
@@ -70,6 +71,7 @@
         if (parsed.count("admin") != 0) {
             options.admin = parsed["admin"].as<std::string>();
         }
+        options.advertise = parsed["advertise"].as<std::string>();
         options.service = parsed["service"].as<std::string>();
         options.slots = parsed["slots"].as<std::uint32_t>();
         options.shedAbove = parsed["shed-above"].as<std::uint32_t>();
--- a/tools/targetstandin/src/targetoptions.h
+++ b/tools/targetstandin/src/targetoptions.h
@@ -15,6 +15,7 @@
 {
     std::string listenAddress = "127.0.0.1";
     std::uint16_t listenPort = 0; ///< 0 lets the system choose.
+    std::string advertise; ///< Announced "IP:PORT", for example of a proxy in front; empty is the listening address.
     std::string admin; ///< "IP:PORT" of the node's admin API; empty announces nothing.
     std::string service = "echo";
     std::uint32_t slots = 10; ///< Announced only.
