Add group membership with failure detection

Cause: nodes must learn of each other, of the targets on each host and of failures without a lease per node in the store.

The membership table merges by incarnation and state, so all orders of the same updates give the same result. The failure detector probes one member a second, directly and through three others; a suspect has 4 s to refute. Fresh updates go to 3 random members at once and are repeated by at most 4 further messages; every 5 s on average the table digest is compared with a random member, sometimes with a distant or failed one. Replies go to the address that the message names. Crash reports (rumors) use the same channel.

Ruled out: taking a Failed entry of an exchanged table as final. After a healed partition it would remove healthy members until they refute, so such an entry only raises a suspicion. Repeating the table after a join was ruled out as well: each joining node would send 3 copies of all members.

A mutual accusation was found to exchange datagrams without end when the refutation is disabled; gossip is no longer answered by gossip.

Tests with the protection disabled: no refutation: failuredetectortest.cpp: Failure in TEST(FailureDetector, refutesASuspicion), mergesAHealedPartition, extendsSuspicionsByItsOwnPause, accusesNobodyAfterItsOwnPause no extension after a pause: Failure in extendsSuspicionsByItsOwnPause verdict on bunched ticks: Failure in accusesNobodyAfterItsOwnPause no indirect probes: Failure in probesThroughOtherMembers digests regarded as equal: Failure in repairsLostUpdatesByAntiEntropy no distant comparisons: Failure in mergesAHealedPartition rumors forgotten early: Failure in deliversARumorOnceToEachMember

Idle traffic of one of 30 nodes stays below 1,000 bytes/s, sent and received.

--- a/libs/membership/include/hornbeam/membership/member.h
+++ b/libs/membership/include/hornbeam/membership/member.h
@@ -27,7 +27,7 @@
     MemberState state = MemberState::Alive;
     std::uint64_t configVersion = 0; ///< Newest version that the member reported.
     bool storeWatcher = false; ///< Holds a lease to watch the store for its zone.
-    std::vector<Target> targets; ///< Targets on the member's host, sorted by address.
+    std::vector<Target> targets{}; ///< Targets on the member's host, sorted by address.
 
     friend bool operator==(const Member &, const Member &) = default;
 };
--- /dev/null
+++ b/libs/membership/include/hornbeam/membership/rumor.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <hornbeam/base/digest.h>
+#include <hornbeam/base/endpoint.h>
+
+#include <chrono>
+#include <compare>
+
+namespace Hornbeam {
+
+/** Reports to all nodes that a target crashed while it ran a request. */
+struct Rumor
+{
+    Digest request;
+    Endpoint target;
+    std::chrono::milliseconds timeToLive{0}; ///< Remaining time; 1..3600000.
+
+    friend auto operator<=>(const Rumor &, const Rumor &) = default;
+};
+
+} // namespace Hornbeam
--- a/libs/membership/include/hornbeam/membership/target.h
+++ b/libs/membership/include/hornbeam/membership/target.h
@@ -22,7 +22,7 @@
     Endpoint address;
     std::string service;
     std::string zone;
-    std::vector<Label> labels; ///< Sorted.
+    std::vector<Label> labels{}; ///< Sorted.
     std::uint32_t slots = 1; ///< Requests it runs at the same time. 1..10000.
     TargetState state = TargetState::Serving;
     std::uint64_t instance = 0; ///< Differs between two starts of a target at the same address.
--- /dev/null
+++ b/libs/membership/src/failuredetector.cpp
@@ -0,0 +1,545 @@
+#include <hornbeam/membership/failuredetector.h>
+
+#include <hornbeam/base/metrics.h>
+#include <hornbeam/membership/datagramtransport.h>
+
+#include "prober.h"
+#include "tablesync.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace Hornbeam {
+
+namespace {
+
+// Updates that arrive together share datagrams; seven hops of this delay are still far below the 3 s bound.
+constexpr auto flushDelay = std::chrono::milliseconds(5);
+constexpr int maxDatagramsPerFlush = 4; // Bounds a burst below the default receive buffer of a socket.
+constexpr auto sweepPeriod = std::chrono::milliseconds(250);
+
+// A sweep that is this late means that the process did not run; its timeouts prove nothing about other members.
+constexpr auto pauseThreshold = std::chrono::seconds(1);
+
+constexpr std::size_t leaveFanout = 8;
+constexpr auto leaveRepeatDelay = std::chrono::milliseconds(50);
+constexpr std::size_t maxIdBytes = 64;
+
+bool isLive(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect;
+}
+
+bool isValidName(const std::string &name)
+{
+    return !name.empty() && name.size() <= maxIdBytes;
+}
+
+} // namespace
+
+class FailureDetector::Impl
+{
+public:
+    Impl(FailureDetectorOptions options, FailureDetectorDependencies dependencies)
+        : m_options(std::move(options))
+        , m_transport(dependencies.transport)
+        , m_timers(dependencies.timers)
+        , m_table(dependencies.table)
+        , m_updates(m_options.retransmissions)
+        , m_rumors(m_timers, m_options.retransmissions)
+        , m_channel(m_options, m_transport, m_table, m_updates, m_rumors)
+        , m_prober(m_options, m_channel, m_timers, m_table, [this](MemberHash hash) { suspect(hash); })
+        , m_sync(m_options, m_channel, m_timers, m_table, m_rumors, [this] { notifyJoined(); })
+        , m_refutations(dependencies.metrics.counter("hornbeam_membership_refutations_total",
+                                                     "Times that this node refuted a suspicion against itself."))
+        , m_failures(dependencies.metrics.counter("hornbeam_membership_failures_total",
+                                                  "Members that this node declared failed."))
+        , m_invalidDatagrams(dependencies.metrics.counter("hornbeam_membership_invalid_datagrams_total",
+                                                          "Datagrams that were malformed or out of range."))
+        , m_pauses(dependencies.metrics.counter("hornbeam_membership_pauses_total",
+                                                "Times that this process did not run for longer than a second."))
+        , m_liveMembers(dependencies.metrics.gauge("hornbeam_membership_members",
+                                                   "Alive and suspect members, this node included."))
+    {
+        m_self.id = m_options.id;
+        m_self.zone = m_options.zone;
+        m_self.peerAddress = m_options.advertisedAddress;
+        m_self.incarnation = 1;
+    }
+
+    ~Impl()
+    {
+        m_transport.setReceiver({});
+    }
+
+    void start()
+    {
+        m_transport.setReceiver([this](std::string_view bytes) { receive(bytes); });
+        m_lastRun = m_timers.now();
+        m_sweepTimer = m_timers.every(sweepPeriod, [this] { sweep(); });
+        publishSelf();
+        m_prober.start();
+        m_sync.start();
+    }
+
+    void leave()
+    {
+        if (m_self.state == MemberState::Left) {
+            return;
+        }
+        m_prober.stop();
+        m_sync.stop();
+        m_suspicions.clear();
+        m_self.state = MemberState::Left;
+        ++m_self.incarnation;
+        m_channel.setIncarnation(m_self.incarnation);
+        sendLeave();
+        m_flushTimer = m_timers.once(leaveRepeatDelay, [this] { sendLeave(); });
+    }
+
+    bool joined() const
+    {
+        return m_sync.joined();
+    }
+
+    void setTargets(std::vector<Target> targets)
+    {
+        std::sort(targets.begin(), targets.end());
+        if (m_self.targets != targets) {
+            m_self.targets = std::move(targets);
+            changeSelf();
+        }
+    }
+
+    void setStoreWatcher(bool watcher)
+    {
+        if (m_self.storeWatcher != watcher) {
+            m_self.storeWatcher = watcher;
+            changeSelf();
+        }
+    }
+
+    void setConfig(std::uint64_t version, std::uint64_t digestPrefix)
+    {
+        m_self.configVersion = version;
+        m_channel.setConfig(version, digestPrefix);
+        m_table.noteConfigVersion(m_channel.selfHash(), version);
+    }
+
+    void spread(const Rumor &rumor)
+    {
+        if (m_rumors.add(rumor)) {
+            scheduleFlush();
+            notifyRumor(rumor);
+        }
+    }
+
+    std::vector<Rumor> rumors() const
+    {
+        return m_rumors.active();
+    }
+
+    std::vector<HeartbeatListener> heartbeatListeners;
+    std::vector<RumorListener> rumorListeners;
+    std::vector<JoinListener> joinListeners;
+
+private:
+    void receive(std::string_view bytes)
+    {
+        const auto datagram = decodeDatagram(bytes);
+        if (!datagram) {
+            m_invalidDatagrams.add();
+            return;
+        }
+        if (datagram->sender_id() == m_self.id) {
+            return;
+        }
+        if (m_self.state == MemberState::Left) {
+            answerAfterLeaving(*datagram);
+            return;
+        }
+        const bool tablePage = datagram->has_table_page();
+        for (const auto &update : datagram->updates()) {
+            applyUpdate(fromWire(update), tablePage);
+        }
+        for (const auto &rumor : datagram->rumors()) {
+            spread(fromWire(rumor));
+        }
+        noticeSender(*datagram);
+        dispatch(*datagram);
+    }
+
+    void dispatch(const Wire::Datagram &datagram)
+    {
+        switch (datagram.body_case()) {
+        case Wire::Datagram::kPing:
+            return m_prober.handlePing(datagram);
+        case Wire::Datagram::kPingRequest:
+            return m_prober.handlePingRequest(datagram);
+        case Wire::Datagram::kAck:
+            return m_prober.handleAck(datagram);
+        case Wire::Datagram::kTableDigest:
+            return m_sync.handleTableDigest(datagram);
+        case Wire::Datagram::kBucketDigests:
+            return m_sync.handleBucketDigests(datagram);
+        case Wire::Datagram::kTableRequest:
+            return m_sync.handleTableRequest(datagram);
+        case Wire::Datagram::kTablePage:
+            return m_sync.handleTablePage(datagram);
+        case Wire::Datagram::kGossip:
+        case Wire::Datagram::BODY_NOT_SET:
+            return;
+        }
+    }
+
+    void answerAfterLeaving(const Wire::Datagram &datagram)
+    {
+        // Only a ping is answered: the sender has missed the announcement. Answers to all could go back and forth.
+        if (datagram.has_ping()) {
+            auto answer = m_channel.makeDatagram();
+            answer.mutable_gossip();
+            appendUpdate(answer, toWire(m_self));
+            m_channel.sendPlain(endpointFromWire(datagram.sender_address()), answer);
+        }
+    }
+
+    void noticeSender(const Wire::Datagram &datagram)
+    {
+        const auto hash = memberHash(datagram.sender_id());
+        const auto sender = m_table.find(hash);
+        m_prober.messageReceived(hash);
+        if (!sender || sender->incarnation < datagram.incarnation()) {
+            m_sync.requestMember(endpointFromWire(datagram.sender_address()), hash);
+        } else if (sender->state == MemberState::Suspect || sender->state == MemberState::Failed) {
+            tellAccused(hash, *sender, datagram);
+        }
+        m_table.noteConfigVersion(hash, datagram.config_version());
+        const Heartbeat heartbeat{.id = datagram.sender_id(),
+                                  .peerAddress = endpointFromWire(datagram.sender_address()),
+                                  .configVersion = datagram.config_version(),
+                                  .configDigestPrefix = datagram.config_digest()};
+        for (const auto &listener : heartbeatListeners) {
+            listener(heartbeat);
+        }
+    }
+
+    void tellAccused(MemberHash hash, const Member &sender, const Wire::Datagram &datagram)
+    {
+        const auto suspicion = m_suspicions.find(hash);
+        if (suspicion != m_suspicions.end()) {
+            // The member is reachable; it gets the full time to refute.
+            suspicion->second = m_timers.now() + m_options.suspicionTimeout;
+        }
+        // The answer to a ping carries the accusation. An answer to gossip would let two members that accuse each other
+        // exchange datagrams without end.
+        if (!datagram.has_ping() && !datagram.has_gossip()) {
+            m_channel.sendOwnState(sender);
+        }
+    }
+
+    void applyUpdate(Member update, bool fromTable)
+    {
+        if (update.id == m_self.id) {
+            refute(update);
+            return;
+        }
+        const auto hash = memberHash(update.id);
+        const auto known = m_table.find(hash);
+        if (fromTable && update.state == MemberState::Failed && known && isLive(known->state)) {
+            // Another node's old verdict, for example from the far side of a healed partition, is only a reason to
+            // suspect; the member then has time to refute.
+            if (update.incarnation < known->incarnation || known->state == MemberState::Suspect) {
+                return;
+            }
+            update = *known;
+            update.state = MemberState::Suspect;
+        }
+        if (!m_table.merge(update)) {
+            return;
+        }
+        memberChanged(hash);
+        if (fromTable && update.state == MemberState::Suspect) {
+            m_channel.sendOwnState(update);
+        }
+        // A joining node does not repeat the whole table, which the other members know already.
+        if (!fromTable || m_sync.joined()) {
+            forward(hash);
+        }
+    }
+
+    void suspect(MemberHash hash)
+    {
+        const auto known = m_table.find(hash);
+        if (noticePause() || !known || known->state != MemberState::Alive) {
+            return;
+        }
+        Member update = *known;
+        update.state = MemberState::Suspect;
+        if (m_table.merge(update)) {
+            memberChanged(hash);
+            forward(hash);
+            m_channel.sendOwnState(update);
+        }
+    }
+
+    void memberChanged(MemberHash hash)
+    {
+        const auto member = m_table.find(hash);
+        m_suspicions.erase(hash);
+        m_tombstones.erase(hash);
+        if (member->state == MemberState::Suspect) {
+            m_suspicions[hash] = m_timers.now() + m_options.suspicionTimeout;
+        } else if (!isLive(member->state)) {
+            m_tombstones[hash] = m_timers.now() + m_options.tombstoneLifetime;
+        }
+        m_liveMembers.set(static_cast<std::int64_t>(m_table.liveMembers()->size()));
+    }
+
+    void forward(MemberHash hash)
+    {
+        m_updates.add(hash, toWire(*m_table.find(hash)));
+        scheduleFlush();
+    }
+
+    void refute(const Member &update)
+    {
+        const bool accused = update.incarnation == m_self.incarnation && update.state != MemberState::Alive;
+        if (update.incarnation > m_self.incarnation || accused) {
+            m_refutations.add();
+            m_self.incarnation = std::max(update.incarnation, m_self.incarnation);
+            changeSelf();
+        }
+    }
+
+    void changeSelf()
+    {
+        ++m_self.incarnation;
+        publishSelf();
+    }
+
+    void publishSelf()
+    {
+        m_channel.setIncarnation(m_self.incarnation);
+        if (m_table.merge(m_self)) {
+            memberChanged(m_channel.selfHash());
+            forward(m_channel.selfHash());
+        }
+    }
+
+    void sweep()
+    {
+        const auto now = m_timers.now();
+        noticePause();
+        m_lastRun = now;
+        failExpiredSuspects(now);
+        forgetTombstones(now);
+        m_prober.sweep();
+        m_sync.sweep();
+        m_rumors.sweep();
+    }
+
+    /** Returns true when this process did not run for some time. Other members then get that time in addition. */
+    bool noticePause()
+    {
+        const auto pause = m_timers.now() - m_lastRun;
+        if (pause <= pauseThreshold) {
+            return false;
+        }
+        m_lastRun = m_timers.now();
+        m_pauses.add();
+        m_prober.abandonProbe();
+        for (auto &[hash, deadline] : m_suspicions) {
+            deadline += pause;
+        }
+        return true;
+    }
+
+    void failExpiredSuspects(TimePoint now)
+    {
+        std::vector<MemberHash> expired;
+        for (const auto &[hash, deadline] : m_suspicions) {
+            if (deadline <= now) {
+                expired.push_back(hash);
+            }
+        }
+        for (const auto hash : expired) {
+            Member update = *m_table.find(hash);
+            update.state = MemberState::Failed;
+            m_failures.add();
+            m_table.merge(update);
+            memberChanged(hash);
+            forward(hash);
+        }
+    }
+
+    void forgetTombstones(TimePoint now)
+    {
+        std::erase_if(m_tombstones, [this, now](const auto &entry) {
+            if (entry.second > now) {
+                return false;
+            }
+            m_table.forget(entry.first);
+            return true;
+        });
+    }
+
+    void scheduleFlush()
+    {
+        if (!m_flushTimer && m_self.state != MemberState::Left) {
+            m_flushTimer = m_timers.once(flushDelay, [this] { flush(); });
+        }
+    }
+
+    void flush()
+    {
+        m_flushTimer.reset();
+        for (int n = 0; n < maxDatagramsPerFlush && (m_updates.hasFresh() || m_rumors.hasFresh()); ++n) {
+            auto datagram = m_channel.makeDatagram();
+            datagram.mutable_gossip();
+            m_rumors.takeFresh(datagram);
+            m_updates.takeFresh(datagram);
+            for (const auto &peer :
+                 m_channel.chooseMembers(m_options.eagerFanout, [](const Member &) { return true; })) {
+                m_channel.sendPlain(peer.member->peerAddress, datagram);
+            }
+        }
+        if (m_updates.hasFresh() || m_rumors.hasFresh()) {
+            scheduleFlush();
+        }
+    }
+
+    void sendLeave()
+    {
+        auto datagram = m_channel.makeDatagram();
+        datagram.mutable_gossip();
+        appendUpdate(datagram, toWire(m_self));
+        for (const auto &peer : m_channel.chooseMembers(leaveFanout, [](const Member &) { return true; })) {
+            m_channel.sendPlain(peer.member->peerAddress, datagram);
+        }
+    }
+
+    void notifyJoined()
+    {
+        for (const auto &listener : joinListeners) {
+            listener();
+        }
+    }
+
+    void notifyRumor(const Rumor &rumor)
+    {
+        for (const auto &listener : rumorListeners) {
+            listener(rumor);
+        }
+    }
+
+    const FailureDetectorOptions m_options;
+    DatagramTransport &m_transport;
+    TimerService &m_timers;
+    MembershipTable &m_table;
+    Member m_self;
+    UpdateQueue m_updates;
+    RumorBoard m_rumors;
+    MembershipChannel m_channel;
+    Prober m_prober;
+    TableSync m_sync;
+    std::map<MemberHash, TimePoint> m_suspicions; ///< When a suspect is declared failed.
+    std::map<MemberHash, TimePoint> m_tombstones; ///< When a failed or left member is forgotten.
+    TimePoint m_lastRun;
+    Counter &m_refutations;
+    Counter &m_failures;
+    Counter &m_invalidDatagrams;
+    Counter &m_pauses;
+    Gauge &m_liveMembers;
+    TimerHandle m_sweepTimer;
+    TimerHandle m_flushTimer;
+};
+
+Result<std::unique_ptr<FailureDetector>> FailureDetector::make(FailureDetectorOptions options,
+                                                               FailureDetectorDependencies dependencies)
+{
+    constexpr std::uint32_t maxFanout = 16;
+    constexpr std::uint32_t maxRetransmissions = 64;
+    if (!isValidName(options.id) || !isValidName(options.zone)) {
+        return makeError(ErrorCode::InvalidArgument, "the node's id and zone need 1..64 characters");
+    }
+    if (!Endpoint::parse(options.advertisedAddress.toString())) {
+        return makeError(ErrorCode::InvalidArgument, "the advertised address is not an IP address and port");
+    }
+    if (options.probeTimeout <= Duration::zero() || options.probeTimeout >= options.probePeriod) {
+        return makeError(ErrorCode::InvalidArgument, "the probe timeout is not between zero and the probe period");
+    }
+    if (options.suspicionTimeout <= Duration::zero() || options.antiEntropyPeriod <= Duration::zero()) {
+        return makeError(ErrorCode::InvalidArgument, "a period of the failure detector is not greater than zero");
+    }
+    if (options.indirectProbes > maxFanout || options.eagerFanout < 1 || options.eagerFanout > maxFanout
+        || options.retransmissions > maxRetransmissions || options.joinSpread < Duration::zero()) {
+        return makeError(ErrorCode::InvalidArgument, "a bound of the failure detector is out of range");
+    }
+    auto impl = std::make_unique<Impl>(std::move(options), dependencies);
+    return std::unique_ptr<FailureDetector>(new FailureDetector(std::move(impl)));
+}
+
+FailureDetector::FailureDetector(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+FailureDetector::~FailureDetector() = default;
+
+void FailureDetector::start()
+{
+    m_impl->start();
+}
+
+void FailureDetector::leave()
+{
+    m_impl->leave();
+}
+
+bool FailureDetector::joined() const
+{
+    return m_impl->joined();
+}
+
+void FailureDetector::setTargets(std::vector<Target> targets)
+{
+    m_impl->setTargets(std::move(targets));
+}
+
+void FailureDetector::setStoreWatcher(bool watcher)
+{
+    m_impl->setStoreWatcher(watcher);
+}
+
+void FailureDetector::setConfig(std::uint64_t version, std::uint64_t digestPrefix)
+{
+    m_impl->setConfig(version, digestPrefix);
+}
+
+void FailureDetector::spread(const Rumor &rumor)
+{
+    m_impl->spread(rumor);
+}
+
+std::vector<Rumor> FailureDetector::rumors() const
+{
+    return m_impl->rumors();
+}
+
+void FailureDetector::subscribeHeartbeats(HeartbeatListener listener)
+{
+    m_impl->heartbeatListeners.push_back(std::move(listener));
+}
+
+void FailureDetector::subscribeRumors(RumorListener listener)
+{
+    m_impl->rumorListeners.push_back(std::move(listener));
+}
+
+void FailureDetector::subscribeJoined(JoinListener listener)
+{
+    m_impl->joinListeners.push_back(std::move(listener));
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/membership/src/tablesync.cpp
@@ -0,0 +1,315 @@
+#include "tablesync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr auto pageTimeout = std::chrono::milliseconds(400);
+constexpr int maxPageAttempts = 4;
+constexpr auto budgetPeriod = std::chrono::seconds(1);
+
+// One comparison in this many is with a seed, another zone or a failed member, which merges healed partitions.
+constexpr std::uint64_t distantPeerOneIn = 4;
+
+// While members are failed, a partition is likely and the distant comparisons are more frequent.
+constexpr std::uint64_t distantPeerOneInWithFailures = 2;
+
+// Sequence of requests that are not part of a pull.
+constexpr std::uint32_t singleRequest = 0;
+
+} // namespace
+
+TableSync::TableSync(const FailureDetectorOptions &options,
+                     MembershipChannel &channel,
+                     TimerService &timers,
+                     const MembershipTable &table,
+                     const RumorBoard &rumors,
+                     JoinListener joined)
+    : m_options(options)
+    , m_channel(channel)
+    , m_timers(timers)
+    , m_table(table)
+    , m_rumors(rumors)
+    , m_joinListener(std::move(joined))
+    , m_joinBackoff(options.joinBackoff)
+    , m_budgetStart(timers.now())
+{
+}
+
+void TableSync::start()
+{
+    scheduleAntiEntropy();
+    if (otherSeeds().empty()) {
+        finishJoin();
+        return;
+    }
+    scheduleJoin(m_channel.randomDuration(Duration::zero(), m_options.joinSpread));
+}
+
+void TableSync::stop()
+{
+    m_antiEntropyTimer.reset();
+    m_joinTimer.reset();
+    m_pull.reset();
+}
+
+void TableSync::requestMember(const Endpoint &peer, MemberHash hash)
+{
+    auto datagram = m_channel.makeDatagram();
+    datagram.mutable_table_request()->set_sequence(singleRequest);
+    datagram.mutable_table_request()->set_first(hash);
+    datagram.mutable_table_request()->set_last(hash);
+    m_channel.sendPlain(peer, datagram);
+}
+
+void TableSync::handleTableDigest(const Wire::Datagram &datagram)
+{
+    if (datagram.table_digest().digest() == m_table.digest()) {
+        return;
+    }
+    auto answer = m_channel.makeDatagram();
+    answer.mutable_bucket_digests()->set_reply_wanted(true);
+    answer.mutable_bucket_digests()->mutable_buckets()->Add(m_table.bucketDigests().begin(),
+                                                            m_table.bucketDigests().end());
+    m_channel.sendPlain(endpointFromWire(datagram.sender_address()), answer);
+}
+
+void TableSync::handleBucketDigests(const Wire::Datagram &datagram)
+{
+    const auto peer = endpointFromWire(datagram.sender_address());
+    if (datagram.bucket_digests().reply_wanted()) {
+        auto answer = m_channel.makeDatagram();
+        answer.mutable_bucket_digests()->mutable_buckets()->Add(m_table.bucketDigests().begin(),
+                                                                m_table.bucketDigests().end());
+        m_channel.sendPlain(peer, answer);
+    }
+    constexpr int bucketShift = 56;
+    std::deque<Range> ranges;
+    for (std::size_t i = 0; i < MembershipTable::bucketCount; ++i) {
+        if (datagram.bucket_digests().buckets(static_cast<int>(i)) == m_table.bucketDigests().at(i)) {
+            continue;
+        }
+        const MemberHash first = static_cast<MemberHash>(i) << bucketShift;
+        const MemberHash last = first | ((MemberHash(1) << bucketShift) - 1);
+        if (!ranges.empty() && ranges.back().last + 1 == first) {
+            ranges.back().last = last;
+        } else {
+            ranges.push_back({.first = first, .last = last});
+        }
+    }
+    if (!ranges.empty() && !m_pull) {
+        startPull(peer, std::move(ranges), false);
+    }
+}
+
+void TableSync::handleTableRequest(const Wire::Datagram &datagram)
+{
+    if (m_servedPages >= m_options.maxPagesPerSecond) {
+        return;
+    }
+    ++m_servedPages;
+    const auto &request = datagram.table_request();
+    auto answer = m_channel.makeDatagram();
+    auto &page = *answer.mutable_table_page();
+    page.set_sequence(request.sequence());
+    page.set_next(request.last()); // Reserves the space; replaced or cleared below.
+    page.set_complete(true);
+    m_table.visitFrom(request.first(), [&](MemberHash hash, const MemberPtr &member) {
+        if (hash > request.last()) {
+            return false;
+        }
+        if (!appendUpdate(answer, toWire(*member))) {
+            page.set_next(hash);
+            page.set_complete(false);
+            return false;
+        }
+        return true;
+    });
+    if (page.complete()) {
+        page.clear_next();
+        m_rumors.appendAll(answer);
+    }
+    m_channel.sendPlain(endpointFromWire(datagram.sender_address()), answer);
+}
+
+void TableSync::handleTablePage(const Wire::Datagram &datagram)
+{
+    const auto &page = datagram.table_page();
+    if (!m_pull || page.sequence() != m_pull->sequence) {
+        return;
+    }
+    auto &range = m_pull->ranges.front();
+    if (page.complete()) {
+        m_pull->ranges.pop_front();
+    } else if (page.next() > range.first && page.next() <= range.last) {
+        range.first = page.next();
+    } else {
+        abandonPull();
+        return;
+    }
+    m_pull->attempts = 0;
+    if (m_pull->ranges.empty()) {
+        finishPull();
+        return;
+    }
+    requestNextPage();
+}
+
+void TableSync::sweep()
+{
+    const auto now = m_timers.now();
+    if (now - m_budgetStart >= budgetPeriod) {
+        m_budgetStart = now;
+        m_servedPages = 0;
+    }
+    if (!m_pull || now < m_pull->deadline) {
+        return;
+    }
+    if (m_pull->attempts >= maxPageAttempts) {
+        abandonPull();
+        return;
+    }
+    requestNextPage();
+}
+
+void TableSync::scheduleAntiEntropy()
+{
+    const auto period = m_options.antiEntropyPeriod;
+    m_antiEntropyTimer = m_timers.once(m_channel.randomDuration(period / 2, period + period / 2), [this] {
+        scheduleAntiEntropy();
+        compareWithPeer();
+    });
+}
+
+void TableSync::compareWithPeer()
+{
+    const auto peer = choosePeer();
+    if (!peer) {
+        return;
+    }
+    auto datagram = m_channel.makeDatagram();
+    datagram.mutable_table_digest()->set_digest(m_table.digest());
+    m_channel.send(*peer, 0, std::move(datagram));
+}
+
+std::optional<Endpoint> TableSync::choosePeer()
+{
+    const auto oneIn = failedMembers().empty() ? distantPeerOneIn : distantPeerOneInWithFailures;
+    if (m_channel.randomBelow(oneIn) == 0) {
+        if (auto distant = chooseDistantPeer()) {
+            return distant;
+        }
+    }
+    const auto chosen = m_channel.chooseMembers(1, [](const Member &) { return true; });
+    if (!chosen.empty()) {
+        return chosen.front().member->peerAddress;
+    }
+    return chooseDistantPeer();
+}
+
+std::optional<Endpoint> TableSync::chooseDistantPeer()
+{
+    std::vector<Endpoint> candidates;
+    if (const auto failed = failedMembers(); !failed.empty()) {
+        candidates.push_back(failed[m_channel.randomBelow(failed.size())].member->peerAddress);
+    }
+    if (const auto seeds = otherSeeds(); !seeds.empty()) {
+        candidates.push_back(seeds[m_channel.randomBelow(seeds.size())]);
+    }
+    const auto inOtherZone =
+        m_channel.chooseMembers(1, [this](const Member &member) { return member.zone != m_options.zone; });
+    if (!inOtherZone.empty()) {
+        candidates.push_back(inOtherZone.front().member->peerAddress);
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[m_channel.randomBelow(candidates.size())];
+}
+
+MemberList TableSync::failedMembers() const
+{
+    auto all = m_table.allMembers();
+    std::erase_if(all, [](const ListedMember &listed) { return listed.member->state != MemberState::Failed; });
+    return all;
+}
+
+std::vector<Endpoint> TableSync::otherSeeds() const
+{
+    auto seeds = m_options.seeds;
+    std::erase(seeds, m_options.advertisedAddress);
+    return seeds;
+}
+
+void TableSync::scheduleJoin(Duration delay)
+{
+    m_joinTimer = m_timers.once(delay, [this] { tryJoin(); });
+}
+
+void TableSync::tryJoin()
+{
+    if (m_joined) {
+        return;
+    }
+    const auto seeds = otherSeeds();
+    startPull(seeds[m_channel.randomBelow(seeds.size())], {Range{}}, true);
+}
+
+void TableSync::finishJoin()
+{
+    if (m_joined) {
+        return;
+    }
+    m_joined = true;
+    m_joinTimer.reset();
+    m_joinListener();
+}
+
+void TableSync::startPull(const Endpoint &peer, std::deque<Range> ranges, bool join)
+{
+    m_pull = Pull{.peer = peer, .ranges = std::move(ranges), .join = join};
+    requestNextPage();
+}
+
+void TableSync::requestNextPage()
+{
+    if (++m_sequence == singleRequest) {
+        ++m_sequence;
+    }
+    m_pull->sequence = m_sequence;
+    m_pull->deadline = m_timers.now() + pageTimeout;
+    ++m_pull->attempts;
+    auto datagram = m_channel.makeDatagram();
+    auto &request = *datagram.mutable_table_request();
+    request.set_sequence(m_sequence);
+    request.set_first(m_pull->ranges.front().first);
+    request.set_last(m_pull->ranges.front().last);
+    const auto self = m_table.find(m_channel.selfHash());
+    if (m_pull->join && self) {
+        appendUpdate(datagram, toWire(*self));
+    }
+    m_channel.sendPlain(m_pull->peer, datagram);
+}
+
+void TableSync::finishPull()
+{
+    const bool join = m_pull->join;
+    m_pull.reset();
+    if (join) {
+        finishJoin();
+    }
+}
+
+void TableSync::abandonPull()
+{
+    const bool join = m_pull->join;
+    m_pull.reset();
+    if (join) {
+        scheduleJoin(m_joinBackoff.next());
+    }
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/membership/src/targetregistry.cpp
@@ -0,0 +1,150 @@
+#include <hornbeam/membership/targetregistry.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr std::size_t maxNameBytes = 128;
+constexpr std::uint32_t maxSlots = 10000;
+constexpr auto maxTimeToLive = std::chrono::hours(1);
+
+// Numbers, addresses and field tags of an encoded target.
+constexpr std::size_t fixedBytesPerTarget = 48;
+constexpr std::size_t fixedBytesPerLabel = 6;
+
+std::size_t textBytes(const Target &target)
+{
+    std::size_t n = fixedBytesPerTarget + target.service.size() + target.zone.size();
+    for (const auto &label : target.labels) {
+        n += fixedBytesPerLabel + label.name.size() + label.value.size();
+    }
+    return n;
+}
+
+bool isValidName(const std::string &name)
+{
+    return !name.empty() && name.size() <= maxNameBytes;
+}
+
+bool hasValidLabels(const Target &target)
+{
+    return std::all_of(target.labels.begin(), target.labels.end(), [](const Label &label) {
+        return isValidName(label.name) && label.value.size() <= maxNameBytes;
+    });
+}
+
+} // namespace
+
+TargetRegistry::TargetRegistry(TimerService &timers, Listener listener)
+    : m_timers(timers)
+    , m_listener(std::move(listener))
+    // The wall clock makes the number differ from those of an earlier process of this node.
+    , m_lastInstance(
+          std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+              .count())
+{
+}
+
+TargetRegistry::~TargetRegistry() = default;
+
+Result<Target> TargetRegistry::announce(Target target, Duration timeToLive)
+{
+    std::sort(target.labels.begin(), target.labels.end());
+    if (auto valid = validate(target, timeToLive); !valid) {
+        return valid;
+    }
+    const auto it = m_entries.find(target.address);
+    const bool known = it != m_entries.end();
+    if (target.instance == 0) {
+        target.instance = known ? it->second.target.instance : nextInstance();
+    }
+    const bool changed = !known || it->second.target != target;
+    m_entries[target.address] = {.target = target, .expiry = m_timers.now() + timeToLive};
+    scheduleExpiry();
+    if (changed) {
+        m_listener(targets());
+    }
+    return target;
+}
+
+Result<Target> TargetRegistry::withdraw(const Endpoint &address)
+{
+    const auto it = m_entries.find(address);
+    if (it == m_entries.end()) {
+        return makeError(ErrorCode::NotFound, "no target is announced at " + address.toString());
+    }
+    auto target = it->second.target;
+    m_entries.erase(it);
+    scheduleExpiry();
+    m_listener(targets());
+    return target;
+}
+
+std::vector<Target> TargetRegistry::targets() const
+{
+    std::vector<Target> list;
+    for (const auto &[address, entry] : m_entries) {
+        list.push_back(entry.target);
+    }
+    return list;
+}
+
+Result<Target> TargetRegistry::validate(const Target &target, Duration timeToLive) const
+{
+    if (!Endpoint::parse(target.address.toString())) {
+        return makeError(ErrorCode::InvalidArgument, "the target's address is not an IP address and port");
+    }
+    if (!isValidName(target.service) || target.zone.size() > maxNameBytes || !hasValidLabels(target)) {
+        return makeError(ErrorCode::InvalidArgument, "a name of the target is empty or too long");
+    }
+    if (target.slots < 1 || target.slots > maxSlots) {
+        return makeError(ErrorCode::InvalidArgument, "the target's slots are not in 1..10000");
+    }
+    if (timeToLive < std::chrono::milliseconds(1) || timeToLive > maxTimeToLive) {
+        return makeError(ErrorCode::InvalidArgument, "the time to live is not in 1 ms..1 h");
+    }
+    std::size_t count = 1;
+    std::size_t bytes = textBytes(target);
+    for (const auto &[address, entry] : m_entries) {
+        if (address != target.address) {
+            ++count;
+            bytes += textBytes(entry.target);
+        }
+    }
+    if (count > maxTargets || bytes > maxTextBytes) {
+        return makeError(ErrorCode::Overloaded, "the targets of this node do not fit into one membership datagram");
+    }
+    return target;
+}
+
+std::uint64_t TargetRegistry::nextInstance()
+{
+    return ++m_lastInstance;
+}
+
+void TargetRegistry::expire()
+{
+    const auto now = m_timers.now();
+    const auto removed = std::erase_if(m_entries, [now](const auto &item) { return item.second.expiry <= now; });
+    scheduleExpiry();
+    if (removed > 0) {
+        m_listener(targets());
+    }
+}
+
+void TargetRegistry::scheduleExpiry()
+{
+    m_expiryTimer.reset();
+    const auto next = std::min_element(m_entries.begin(), m_entries.end(), [](const auto &a, const auto &b) {
+        return a.second.expiry < b.second.expiry;
+    });
+    if (next != m_entries.end()) {
+        m_expiryTimer = m_timers.once(next->second.expiry - m_timers.now(), [this] { expire(); });
+    }
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -0,0 +1,285 @@
+#include "memorynetwork.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+Target makeTarget(std::uint16_t port, TargetState state)
+{
+    return {.address = Endpoint("127.0.0.1", port), .service = "rota", .zone = "south", .state = state, .instance = 1};
+}
+
+Rumor makeRumor(std::chrono::milliseconds timeToLive)
+{
+    return {.request = Digest::of("request"), .target = Endpoint("127.0.0.1", 9000), .timeToLive = timeToLive};
+}
+
+} // namespace
+
+TEST_GROUP(FailureDetector)
+{
+    static constexpr std::size_t size = 30;
+    MemoryNetwork network;
+
+    MemoryNode &node(std::size_t i)
+    {
+        return *network.nodes.at(i);
+    }
+
+    void isolate(const MemoryNode &isolated)
+    {
+        const auto address = isolated.address;
+        network.drop = [address](const Endpoint &from, const Endpoint &to) {
+            return from == address || to == address;
+        };
+    }
+
+    void partitionZones()
+    {
+        network.drop = [](const Endpoint &from, const Endpoint &to) {
+            return from.port() % 2 != to.port() % 2;
+        };
+    }
+};
+
+TEST(FailureDetector, joinsAllMembers)
+{
+    network.makeCluster(size);
+    CHECK_EQUAL(size * size, network.aliveViews());
+    CHECK(node(7).detector->joined());
+}
+
+// Guards against a node that counts as joined although no seed has answered: its table is then empty.
+TEST(FailureDetector, staysUnjoinedUntilASeedAnswers)
+{
+    network.makeCluster(3);
+    network.drop = [](const Endpoint &, const Endpoint &) {
+        return true;
+    };
+    auto &late = network.add("late", "south", 1900);
+    int joins = 0;
+    late.detector->subscribeJoined([&joins] { ++joins; });
+    late.detector->start();
+    network.time.advance(10s);
+    CHECK_FALSE(late.detector->joined());
+    network.drop = {};
+    network.time.advance(10s);
+    CHECK(late.detector->joined());
+    CHECK_EQUAL(1, joins);
+}
+
+TEST(FailureDetector, declaresAnIsolatedMemberFailed)
+{
+    network.makeCluster(size);
+    isolate(node(4));
+    network.time.advance(15s);
+    for (std::size_t i = 0; i < size; ++i) {
+        if (i != 4) {
+            CHECK(node(i).stateOf(node(4)) == MemberState::Failed);
+        }
+    }
+}
+
+// Guards against a wrong verdict when only the direct path between two members is lost.
+TEST(FailureDetector, probesThroughOtherMembers)
+{
+    network.makeCluster(size);
+    const auto a = node(0).address;
+    const auto b = node(9).address;
+    network.drop = [a, b](const Endpoint &from, const Endpoint &to) {
+        return (from == a && to == b) || (from == b && to == a);
+    };
+    network.time.advance(60s);
+    CHECK(node(0).stateOf(node(9)) == MemberState::Alive);
+    CHECK_EQUAL(1, node(9).table.find(memberHash(node(9).id))->incarnation);
+}
+
+// Guards against the removal of a member that is only slow: it refutes with a higher incarnation.
+TEST(FailureDetector, refutesASuspicion)
+{
+    network.makeCluster(size);
+    node(4).timers.pause();
+    network.time.advance(3s);
+    node(4).timers.resume();
+    network.time.advance(12s);
+    CHECK_EQUAL(size * size, network.aliveViews());
+    CHECK(node(4).table.find(memberHash(node(4).id))->incarnation > 1);
+}
+
+// Guards against a process that accuses healthy members after it did not run itself for a while.
+TEST(FailureDetector, accusesNobodyAfterItsOwnPause)
+{
+    network.makeCluster(size);
+    for (const auto delay : {200ms, 450ms, 700ms, 950ms}) {
+        network.time.advance(delay);
+        node(4).timers.pause();
+        network.time.advance(8s);
+        node(4).timers.resume();
+        network.time.advance(20s);
+    }
+    CHECK_EQUAL(size * size, network.aliveViews());
+    for (std::size_t i = 0; i < size; ++i) {
+        if (i != 4) {
+            CHECK_EQUAL(1, node(i).table.find(memberHash(node(i).id))->incarnation);
+        }
+    }
+}
+
+// Guards against a verdict by a process that was paused while the suspect refuted.
+TEST(FailureDetector, extendsSuspicionsByItsOwnPause)
+{
+    network.makeCluster(size);
+    node(5).timers.pause();
+    while (node(4).stateOf(node(5)) != MemberState::Suspect) {
+        network.time.advance(10ms);
+    }
+    node(4).timers.pause();
+    node(5).timers.resume();
+    network.time.advance(4500ms);
+    node(4).timers.resume();
+    CHECK_EQUAL(0, node(4).metrics.counter("hornbeam_membership_failures_total", "").value());
+    network.time.advance(12s);
+    CHECK_EQUAL(size * size, network.aliveViews());
+}
+
+// Guards against a zone that stays cut off after the network works again.
+TEST(FailureDetector, mergesAHealedPartition)
+{
+    network.makeCluster(size);
+    partitionZones();
+    network.time.advance(90s);
+    CHECK_EQUAL(size * size / 2, network.aliveViews());
+    network.drop = {};
+    network.time.advance(15s);
+    CHECK_EQUAL(size * size, network.aliveViews());
+}
+
+// Guards against new work for a node that is shutting down: all members know within the bound of 3 s.
+TEST(FailureDetector, announcesAPlannedStop)
+{
+    network.makeCluster(size);
+    node(4).detector->leave();
+    network.time.advance(3s);
+    for (std::size_t i = 0; i < size; ++i) {
+        CHECK(node(i).stateOf(node(4)) == MemberState::Left || i == 4);
+    }
+}
+
+// Guards against new work for a leaving target: all members know well within the bound of 3 s.
+TEST(FailureDetector, spreadsTheTargetsOfAMember)
+{
+    network.makeCluster(size);
+    node(4).detector->setTargets({makeTarget(9000, TargetState::Leaving)});
+    network.time.advance(1500ms);
+    for (const auto &viewer : network.nodes) {
+        const auto member = viewer->table.find(memberHash(node(4).id));
+        CHECK_EQUAL(1, member->targets.size());
+        CHECK(member->targets.front().state == TargetState::Leaving);
+    }
+}
+
+// Guards against a change that is lost for good for a member that cannot reach the changed one, when the only datagram
+// that carries the change is lost.
+TEST(FailureDetector, repairsLostUpdatesByAntiEntropy)
+{
+    network.retransmissions = 0;
+    network.makeCluster(3);
+    const auto first = node(0).address;
+    const auto last = node(2).address;
+    network.drop = [first](const Endpoint &, const Endpoint &to) {
+        return to == first;
+    };
+    node(2).detector->setTargets({makeTarget(9000, TargetState::Serving)});
+    network.time.advance(50ms);
+    network.drop = [first, last](const Endpoint &from, const Endpoint &to) {
+        return (from == first && to == last) || (from == last && to == first);
+    };
+    CHECK_EQUAL(0, node(0).table.find(memberHash(node(2).id))->targets.size());
+    network.time.advance(30s);
+    CHECK_EQUAL(1, node(0).table.find(memberHash(node(2).id))->targets.size());
+}
+
+// Guards against a replaced process whose predecessor at the same address stays in the table.
+TEST(FailureDetector, replacesAMemberAtTheSameAddress)
+{
+    network.makeCluster(size);
+    auto old = std::move(network.nodes.at(4));
+    network.nodes.erase(network.nodes.begin() + 4);
+    network.add("replacement", "south", old->address.port()).detector->start();
+    network.time.advance(20s);
+    CHECK(node(0).stateOf(*old) == MemberState::Failed);
+    CHECK(node(0).stateOf(*network.nodes.back()) == MemberState::Alive);
+}
+
+TEST(FailureDetector, reportsTheVersionOfAPeerThatIsAhead)
+{
+    network.makeCluster(3);
+    std::uint64_t seen = 0;
+    node(0).detector->subscribeHeartbeats([&seen](const Heartbeat &beat) {
+        if (beat.id == "node-2" && beat.configDigestPrefix == 5) {
+            seen = beat.configVersion;
+        }
+    });
+    node(1).detector->setConfig(42, 5);
+    network.time.advance(3s);
+    CHECK_EQUAL(42, seen);
+    CHECK_EQUAL(42, node(0).table.find(memberHash(node(1).id))->configVersion);
+}
+
+// Guards against repeated deliveries of one crash report, which would count as several crashes.
+TEST(FailureDetector, deliversARumorOnceToEachMember)
+{
+    network.makeCluster(size);
+    std::vector<int> deliveries(size, 0);
+    for (std::size_t i = 0; i < size; ++i) {
+        node(i).detector->subscribeRumors([&deliveries, i](const Rumor &) { ++deliveries[i]; });
+    }
+    node(4).detector->spread(makeRumor(5s));
+    network.time.advance(30s);
+    for (const auto n : deliveries) {
+        CHECK_EQUAL(1, n);
+    }
+    CHECK(node(0).detector->rumors().empty());
+}
+
+// Guards against a node that joins after a crash report and lets the request through.
+TEST(FailureDetector, tellsRumorsToAJoiningMember)
+{
+    network.makeCluster(3);
+    node(0).detector->spread(makeRumor(60s));
+    network.time.advance(20s);
+    auto &late = network.add("late", "south", 1900);
+    late.detector->start();
+    network.time.advance(3s);
+    CHECK_EQUAL(1, late.detector->rumors().size());
+}
+
+// Guards against fragmentation, and against an idle cost above the budget of 1 KB/s.
+TEST(FailureDetector, keepsDatagramsAndIdleTrafficSmall)
+{
+    network.makeCluster(size);
+    network.time.advance(30s);
+    const auto before = node(4).transport.bytesSent + node(4).transport.bytesReceived;
+    constexpr std::size_t seconds = 60;
+    network.time.advance(std::chrono::seconds(seconds));
+    const auto bytes = node(4).transport.bytesSent + node(4).transport.bytesReceived - before;
+    CHECK(bytes / seconds < 1000);
+    for (const auto &member : network.nodes) {
+        CHECK(member->transport.largestDatagram <= 1200);
+    }
+}
+
+TEST(FailureDetector, refusesInvalidOptions)
+{
+    MemoryTransport transport(network, Endpoint("127.0.0.1", 1));
+    MembershipTable table;
+    MetricsRegistry metrics;
+    FailureDetectorOptions options{.id = "n", .zone = "z", .advertisedAddress = Endpoint("127.0.0.1", 1)};
+    options.probeTimeout = options.probePeriod;
+    const auto made = FailureDetector::make(
+        options, {.transport = transport, .timers = network.time, .table = table, .metrics = metrics});
+    CHECK(made.error().code() == ErrorCode::InvalidArgument);
+}
--- /dev/null
+++ b/libs/membership/tests/membershipcodectest.cpp
@@ -0,0 +1,78 @@
+#include "membershipcodec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+
+TEST_GROUP(MembershipCodec)
+{
+    Wire::Datagram datagram;
+
+    void setup() override
+    {
+        datagram.set_sender_id("a");
+        datagram.set_sender_address("127.0.0.1:1000");
+        datagram.mutable_gossip();
+    }
+
+    bool accepted()
+    {
+        return decodeDatagram(datagram.SerializeAsString()).has_value();
+    }
+};
+
+TEST(MembershipCodec, keepsAllFieldsOfAMember)
+{
+    const Member member{.id = "a",
+                        .zone = "turku",
+                        .peerAddress = Endpoint("::1", 7000),
+                        .incarnation = 9,
+                        .state = MemberState::Suspect,
+                        .configVersion = 4,
+                        .storeWatcher = true,
+                        .targets = {{.address = Endpoint("127.0.0.1", 80),
+                                     .service = "rota",
+                                     .zone = "helsinki",
+                                     .labels = {{.name = "track", .value = "canary"}},
+                                     .slots = 10,
+                                     .state = TargetState::Leaving,
+                                     .instance = 3}}};
+    CHECK(member == fromWire(toWire(member)));
+}
+
+// Guards against a corrupt incarnation, which no later change of the member could exceed.
+TEST(MembershipCodec, refusesAnExcessiveIncarnation)
+{
+    auto &update = *datagram.add_updates();
+    update = toWire(Member{.id = "b", .zone = "z", .peerAddress = Endpoint("127.0.0.1", 1), .incarnation = 1});
+    CHECK(accepted());
+    update.set_incarnation(maxIncarnation + 1);
+    CHECK_FALSE(accepted());
+}
+
+TEST(MembershipCodec, refusesMalformedDatagrams)
+{
+    CHECK(accepted());
+    CHECK_FALSE(decodeDatagram("").has_value());
+    CHECK_FALSE(decodeDatagram("\xff\xff\xff").has_value());
+    CHECK_FALSE(decodeDatagram(std::string(maxDatagramBytes + 1, 'x')).has_value());
+    datagram.mutable_bucket_digests()->add_buckets(1);
+    CHECK_FALSE(accepted());
+    datagram.mutable_gossip();
+    datagram.set_sender_address("host:1000");
+    CHECK_FALSE(accepted());
+}
+
+TEST(MembershipCodec, refusesInvalidRumors)
+{
+    auto &rumor = *datagram.add_rumors();
+    rumor.set_request_digest(std::string(32, 'd'));
+    rumor.set_target("127.0.0.1:80");
+    rumor.set_time_to_live_ms(1);
+    CHECK(accepted());
+    rumor.set_time_to_live_ms(0);
+    CHECK_FALSE(accepted());
+    rumor.set_time_to_live_ms(1);
+    rumor.set_request_digest("short");
+    CHECK_FALSE(accepted());
+}
--- /dev/null
+++ b/libs/membership/tests/targetregistrytest.cpp
@@ -0,0 +1,79 @@
+#include <hornbeam/base/faketimerservice.h>
+#include <hornbeam/membership/targetregistry.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+Target makeTarget(std::uint16_t port)
+{
+    return {.address = Endpoint("127.0.0.1", port), .service = "rota", .zone = "south"};
+}
+
+} // namespace
+
+TEST_GROUP(TargetRegistry)
+{
+    FakeTimerService timers;
+    int changes = 0;
+    std::vector<Target> last;
+    TargetRegistry registry{timers, [this](const std::vector<Target> &targets) {
+                                ++changes;
+                                last = targets;
+                            }};
+};
+
+// Guards against control traffic for every refresh of an unchanged target.
+TEST(TargetRegistry, reportsOnlyChanges)
+{
+    CHECK(registry.announce(makeTarget(80), 5s).has_value());
+    CHECK(registry.announce(makeTarget(80), 5s).has_value());
+    CHECK_EQUAL(1, changes);
+    auto leaving = makeTarget(80);
+    leaving.state = TargetState::Leaving;
+    CHECK(registry.announce(leaving, 5s).has_value());
+    CHECK_EQUAL(2, changes);
+    CHECK(last.front().state == TargetState::Leaving);
+}
+
+// Guards against new work for a target that died without withdrawing its announcement.
+TEST(TargetRegistry, removesTargetsThatAreNotRefreshed)
+{
+    CHECK(registry.announce(makeTarget(80), 5s).has_value());
+    CHECK(registry.announce(makeTarget(81), 8s).has_value());
+    timers.advance(4s);
+    CHECK(registry.announce(makeTarget(80), 5s).has_value());
+    timers.advance(4500ms);
+    CHECK_EQUAL(1, last.size());
+    CHECK_EQUAL(80, last.front().address.port());
+    timers.advance(1s);
+    CHECK(registry.targets().empty());
+}
+
+// Guards against a restarted target that is taken for its crashed predecessor.
+TEST(TargetRegistry, assignsAnInstancePerStart)
+{
+    const auto first = registry.announce(makeTarget(80), 5s)->instance;
+    CHECK_EQUAL(first, registry.announce(makeTarget(80), 5s)->instance);
+    CHECK(registry.withdraw(Endpoint("127.0.0.1", 80)).has_value());
+    CHECK(first != registry.announce(makeTarget(80), 5s)->instance);
+}
+
+// Guards against a member record that does not fit into a datagram and therefore never spreads.
+TEST(TargetRegistry, refusesWhatDoesNotFit)
+{
+    auto large = makeTarget(80);
+    for (int i = 0; i < 6; ++i) {
+        large.labels.push_back({.name = std::string(100, static_cast<char>('a' + i)), .value = "x"});
+    }
+    CHECK(registry.announce(large, 5s).error().code() == ErrorCode::Overloaded);
+    for (std::uint16_t port = 1; port <= TargetRegistry::maxTargets; ++port) {
+        CHECK(registry.announce(makeTarget(port), 5s).has_value());
+    }
+    CHECK(registry.announce(makeTarget(100), 5s).error().code() == ErrorCode::Overloaded);
+    CHECK(registry.announce(makeTarget(1), 0s).error().code() == ErrorCode::InvalidArgument);
+    CHECK(registry.withdraw(Endpoint("127.0.0.1", 100)).error().code() == ErrorCode::NotFound);
+}
