Add the admin server

Cause: operators, targets and monitoring need an HTTP interface on each node.

Ruled out: leaving the body limit to RESTinio alone. It closes the connection at its own limit without a response, so its limit is 1 MB above the one that the router answers with status 413.

Change: AdminServer on an external io_context; the interfaces OperatorApi, AnnouncementApi and StatusApi; strict parsing of announcements; GET /v1/targets for the tool's list of targets. Label rules of the configuration model are shared with announcements.

Conclusion: the daemon can implement the three interfaces.

--- /dev/null
+++ b/libs/admin/include/hornbeam/admin/adminserver.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <hornbeam/base/endpoint.h>
+#include <hornbeam/base/error.h>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+
+// NOLINTNEXTLINE(readability-identifier-naming): the name is that of the library.
+namespace asio {
+class io_context;
+}
+
+namespace Hornbeam {
+
+class AnnouncementApi;
+class OperatorApi;
+class StatusApi;
+
+struct AdminServerOptions
+{
+    Endpoint listen; ///< Port 0 lets the system choose.
+    std::size_t maxBodyBytes = 4U << 20; ///< Larger requests are refused with status 413. 1..67108864.
+    std::size_t maxConnections = 32; ///< Further connections wait in the listen backlog. 1..10000.
+    std::chrono::milliseconds requestTimeout{60000}; ///< Closes a connection whose request is not answered by then.
+};
+
+/** What the server serves. The referenced objects outlive the server and the requests that they still answer. */
+struct AdminDependencies
+{
+    OperatorApi &operators;
+    AnnouncementApi &announcements;
+    StatusApi &status;
+};
+
+/**
+ * Serves the operator API, announcements and status over HTTP/1.1 with JSON. Runs on the given io_context and calls its
+ * dependencies there; create and destroy it on the thread that runs the context, or while the context does not run.
+ *
+ *   POST /v1/plans               an intent; answers with the plan
+ *   GET /v1/plans/<id>           the plan
+ *   POST /v1/plans/<id>/confirm  {"version"}; 409 with "currentVersion", "changes" and "refusals" after a lost race
+ *   GET /v1/config               the configuration in effect on this node
+ *   GET /v1/rollout/<version>    {"version", "knownNodes", "nodesWithVersion", "complete", "behind"}
+ *   GET /v1/targets              {"targets"}, those of all nodes
+ *   PUT /v1/targets/<address>    an Announcement
+ *   DELETE /v1/targets/<address>
+ *   GET /metrics, /dump, /healthz
+ *
+ * Errors are {"error": {"code", "message", "path"}}, where the path is that of a JSON value if it concerns one; an
+ * invalid body also has "problems", the list of all of them. Status 504 means that the outcome is not known.
+ */
+class AdminServer
+{
+public:
+    /** Binds and listens. Unavailable when the address cannot be bound, InvalidArgument for options out of range. */
+    static Result<std::unique_ptr<AdminServer>> make(asio::io_context &context,
+                                                     AdminServerOptions options,
+                                                     AdminDependencies dependencies);
+
+    virtual ~AdminServer() = default;
+
+    /** The bound address, with the port chosen by the system if port 0 was asked for. */
+    virtual Endpoint localEndpoint() const = 0;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/admin/include/hornbeam/admin/announcementapi.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <hornbeam/admin/announcement.h>
+#include <hornbeam/base/error.h>
+
+#include <vector>
+
+namespace Hornbeam {
+
+/** What targets report about themselves. Called on the control thread. */
+class AnnouncementApi
+{
+public:
+    virtual ~AnnouncementApi() = default;
+
+    /** Adds, changes or refreshes a target on this node's host and returns it as it is known now. */
+    virtual Result<Target> announce(const Announcement &announcement) = 0;
+
+    /** Removes a target. NotFound when it is unknown. */
+    virtual Result<Target> withdraw(const Endpoint &address) = 0;
+
+    /** The targets of all nodes that this node knows. */
+    virtual std::vector<Target> knownTargets() const = 0;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/admin/include/hornbeam/admin/statusapi.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+namespace Hornbeam {
+
+struct HealthStatus
+{
+    bool ready = false; ///< The node serves callers.
+    std::string reason; ///< Why it does not; empty when ready.
+};
+
+/** What monitoring asks for. Called on the control thread. */
+class StatusApi
+{
+public:
+    virtual ~StatusApi() = default;
+
+    /** All metrics in the Prometheus text format. */
+    virtual std::string renderMetrics() const = 0;
+
+    /** The state of the process as a JSON object. */
+    virtual std::string dumpJson() const = 0;
+
+    virtual HealthStatus health() const = 0;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/admin/src/adminrouter.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "adminrequest.h"
+
+#include <hornbeam/admin/adminserver.h>
+
+#include <string>
+
+namespace Hornbeam {
+
+/** Leads requests to the interfaces and turns their results into responses. */
+class AdminRouter
+{
+public:
+    AdminRouter(AdminDependencies dependencies, std::size_t maxBodyBytes);
+
+    void handle(const AdminRequest &request, AdminResponder respond);
+
+private:
+    void handlePlans(const AdminRequest &request, const std::string &rest, AdminResponder respond);
+    void createPlan(const AdminRequest &request, AdminResponder respond);
+    void confirmPlan(const std::string &id, AdminResponder respond);
+    AdminResponse handleTargets(const AdminRequest &request, const std::string &rest);
+    AdminResponse announce(const AdminRequest &request, const Endpoint &address);
+    AdminResponse rollout(const std::string &version) const;
+    AdminResponse targets() const;
+    AdminResponse health() const;
+
+    AdminDependencies m_dependencies;
+    std::size_t m_maxBodyBytes;
+};
+
+} // namespace Hornbeam
--- a/libs/config/include/hornbeam/config/jsonreader.h
+++ b/libs/config/include/hornbeam/config/jsonreader.h
@@ -31,6 +31,13 @@
     std::uint64_t maximum = UINT64_MAX;
 };
 
+/** Inclusive bounds of a number. */
+struct NumberRange
+{
+    double minimum = 0;
+    double maximum = 0;
+};
+
 /** Parses a document; refuses malformed JSON, repeated keys and nesting deeper than 32 levels. */
 tl::expected<nlohmann::json, JsonProblem> parseJson(std::string_view text);
 
@@ -50,6 +57,9 @@
     std::optional<bool> optionalBool(const char *key);
     std::optional<std::uint64_t> optionalUnsigned(const char *key, UnsignedRange range);
 
+    /** Reads an integer or a fraction. */
+    std::optional<double> optionalNumber(const char *key, NumberRange range);
+
     /** Reports a missing member. */
     std::uint64_t unsignedNumber(const char *key, UnsignedRange range);
 
--- a/libs/config/include/hornbeam/config/snapshotvalidator.h
+++ b/libs/config/include/hornbeam/config/snapshotvalidator.h
@@ -17,6 +17,15 @@
 /** Returns "service", "route" or "leavingTarget". */
 const char *resourceKindName(ResourceKind kind);
 
+/** Whether @p text can name a service or a route: 1..128 characters of [a-z0-9-]. */
+bool isResourceName(std::string_view text);
+
+/** Whether @p text can name a label: 1..64 characters of [A-Za-z0-9._-]. */
+bool isLabelName(std::string_view text);
+
+/** Whether @p text can be the value of a label: 0..128 printable ASCII characters. */
+bool isLabelValue(std::string_view text);
+
 /** A reason why a resource, or the whole configuration, is not valid. */
 struct ResourceProblem
 {
--- a/libs/config/src/configjson.cpp
+++ b/libs/config/src/configjson.cpp
@@ -1,5 +1,7 @@
 #include <hornbeam/config/configjson.h>
 
+#include <hornbeam/config/snapshotvalidator.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -263,6 +265,12 @@
             problems.push_back({.path = reader.pathOf(name), .text = "must be a string"});
             continue;
         }
+        if (!isLabelName(name)) {
+            problems.push_back({.path = reader.pathOf(name), .text = "has a name that is not 1..64 of [A-Za-z0-9._-]"});
+        }
+        if (!isLabelValue(text.get_ref<const std::string &>())) {
+            problems.push_back({.path = reader.pathOf(name), .text = "must be 0..128 printable characters"});
+        }
         labels.push_back({.name = name, .value = text.get<std::string>()});
     }
     std::sort(labels.begin(), labels.end());
--- a/libs/config/src/jsonreader.cpp
+++ b/libs/config/src/jsonreader.cpp
@@ -134,6 +134,24 @@
     return n;
 }
 
+std::optional<double> JsonReader::optionalNumber(const char *key, NumberRange range)
+{
+    const auto *value = find(key);
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    if (!value->is_number()) {
+        report(key, "must be a number");
+        return std::nullopt;
+    }
+    const auto number = value->get<double>();
+    if (number < range.minimum || number > range.maximum) {
+        report(key, "is out of range");
+        return std::nullopt;
+    }
+    return number;
+}
+
 std::uint64_t JsonReader::unsignedNumber(const char *key, UnsignedRange range)
 {
     require(key, find(key));
--- a/libs/config/src/snapshotvalidator.cpp
+++ b/libs/config/src/snapshotvalidator.cpp
@@ -42,11 +42,6 @@
     return text.size() <= maxLength && std::all_of(text.begin(), text.end(), allowed);
 }
 
-bool isName(std::string_view text)
-{
-    return !text.empty() && consistsOf(text, maxNameLength, [](char c) { return isLowerAlnum(c) || c == '-'; });
-}
-
 bool isHost(std::string_view text)
 {
     return consistsOf(text, maxHostLength, [](char c) { return isLowerAlnum(c) || c == '-' || c == '.'; });
@@ -58,14 +53,6 @@
         && consistsOf(text, maxMethodLength, [](char c) { return (c >= 'A' && c <= 'Z') || c == '-'; });
 }
 
-bool isLabelName(std::string_view text)
-{
-    const auto allowed = [](char c) {
-        return isAlnum(c) || c == '-' || c == '_' || c == '.';
-    };
-    return !text.empty() && consistsOf(text, maxLabelNameLength, allowed);
-}
-
 // A prefix is compared with the path of a request byte by byte, so it has to be in the one normalised form.
 bool isNormalisedPath(std::string_view path)
 {
@@ -145,8 +132,7 @@
         const auto &label = route.requiredLabels[i];
         collector.require(isLabelName(label.name), "requiredLabels", "a name must be 1..64 of [A-Za-z0-9._-]");
         const auto field = "requiredLabels." + label.name;
-        collector.require(
-            consistsOf(label.value, maxLabelValueLength, isGraphic), field, "must be 0..128 printable characters");
+        collector.require(isLabelValue(label.value), field, "must be 0..128 printable characters");
         const bool first = std::none_of(route.requiredLabels.begin(),
                                         route.requiredLabels.begin() + static_cast<std::ptrdiff_t>(i),
                                         [&](const Label &other) { return other.name == label.name; });
@@ -222,6 +208,24 @@
 
 } // namespace
 
+bool isResourceName(std::string_view text)
+{
+    return !text.empty() && consistsOf(text, maxNameLength, [](char c) { return isLowerAlnum(c) || c == '-'; });
+}
+
+bool isLabelName(std::string_view text)
+{
+    const auto allowed = [](char c) {
+        return isAlnum(c) || c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && consistsOf(text, maxLabelNameLength, allowed);
+}
+
+bool isLabelValue(std::string_view text)
+{
+    return consistsOf(text, maxLabelValueLength, isGraphic);
+}
+
 const char *resourceKindName(ResourceKind kind)
 {
     switch (kind) {
@@ -247,7 +251,7 @@
 std::vector<ResourceProblem> SnapshotValidator::check(const Service &service)
 {
     Collector collector(ResourceKind::Service, service.name);
-    collector.require(isName(service.name), "name", "must be 1..128 characters of [a-z0-9-]");
+    collector.require(isResourceName(service.name), "name", "must be 1..128 characters of [a-z0-9-]");
     collector.require(service.slotsPerTarget <= maxSlots, "slotsPerTarget", "must be 0..10000");
     collector.require(service.attemptTimeout >= minTimeout && service.attemptTimeout <= maxAttemptTimeout,
                       "attemptTimeoutMs",
@@ -259,12 +263,12 @@
 std::vector<ResourceProblem> SnapshotValidator::check(const Route &route)
 {
     Collector collector(ResourceKind::Route, route.name);
-    collector.require(isName(route.name), "name", "must be 1..128 characters of [a-z0-9-]");
+    collector.require(isResourceName(route.name), "name", "must be 1..128 characters of [a-z0-9-]");
     collector.require(isHost(route.host), "host", "must be 0..253 characters of [a-z0-9.-]");
     collector.require(isNormalisedPath(route.pathPrefix),
                       "pathPrefix",
                       "must start with '/', have no empty, \".\" or \"..\" segment and at most 1024 characters");
-    collector.require(isName(route.service), "service", "must be 1..128 characters of [a-z0-9-]");
+    collector.require(isResourceName(route.service), "service", "must be 1..128 characters of [a-z0-9-]");
     collector.require(
         route.timeout >= minTimeout && route.timeout <= maxRouteTimeout, "timeoutMs", "must be 10..3600000");
     checkMethods(route, collector);
