Add the distribution of configuration versions

Cause: all nodes must have an accepted version within seconds without each of them watching the store.

A new version is pushed as a delta along a tree over the member hashes of the zone and, by the origin, to two members of each other zone. A push carries the range that the receiver is responsible for; a member that does not acknowledge within 150 ms is replaced by the next one of its branch. Store watchers wait 20-120 ms before they push, and not at all when a push of that version arrives. A node without configuration is not ready below the store's head, or the newest version of the peers heard in 2 s.

Ruled out: ranges that contain the sender. The first version of the tree test recursed without end between two members that were in each other's range; branches now leave out the sender. Suppressing all repeated pushes was ruled out too: a leaf of one tree may be an interior node of another.

--- /dev/null
+++ b/libs/dissemination/tests/memorypeers.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include <hornbeam/base/faketimerservice.h>
+#include <hornbeam/base/metrics.h>
+#include <hornbeam/dissemination/disseminator.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hornbeam {
+
+class MemoryPeers;
+
+/** Delivers requests between simulated nodes with 1 ms per direction. */
+class MemoryPeerClient : public PeerClient
+{
+public:
+    MemoryPeerClient(MemoryPeers &network, Endpoint self)
+        : m_network(network)
+        , m_self(std::move(self))
+    {
+    }
+
+    void push(const Endpoint &peer, PushRequest request, Duration timeout, Callback<PushReply> callback) override;
+    void fetch(const Endpoint &peer, FetchRequest request, Duration timeout, Callback<FetchReply> callback) override;
+
+private:
+    MemoryPeers &m_network;
+    Endpoint m_self;
+};
+
+/** A node of the simulated network. */
+struct MemoryPeer
+{
+    MemoryPeer(MemoryPeers &network, const std::string &nodeId, const std::string &nodeZone, std::uint16_t port);
+
+    ConfigVersion version() const
+    {
+        return config.current()->version();
+    }
+
+    std::string id;
+    std::string zone;
+    Endpoint address;
+    MetricsRegistry metrics;
+    MembershipTable table;
+    VersionedSnapshot config{metrics};
+    MemoryPeerClient client;
+    std::unique_ptr<Disseminator> disseminator;
+    int pushesReceived = 0;
+};
+
+/** Nodes that know each other, without failure detection: a node that does not answer stays in all tables. */
+class MemoryPeers
+{
+public:
+    MemoryPeer &add(const std::string &id, const std::string &zone, std::uint16_t port)
+    {
+        nodes.push_back(std::make_unique<MemoryPeer>(*this, id, zone, port));
+        auto &added = *nodes.back();
+        for (const auto &node : nodes) {
+            introduce(*node, added);
+            introduce(added, *node);
+        }
+        return added;
+    }
+
+    void makeCluster(std::uint16_t count, std::uint16_t zones)
+    {
+        for (std::uint16_t i = 0; i < count; ++i) {
+            add("node-" + std::to_string(i), "zone-" + std::to_string(i % zones), 1000 + i);
+        }
+        m_heartbeats = time.every(std::chrono::seconds(1), [this] { sendHeartbeats(); });
+    }
+
+    /** Whether a message between two nodes is lost. */
+    bool isLost(const Endpoint &from, const Endpoint &to) const
+    {
+        return silent.contains(from.port()) || silent.contains(to.port()) || (drop && drop(from, to));
+    }
+
+    void after(Duration delay, std::function<void()> work)
+    {
+        const auto id = ++m_lastEvent;
+        m_events[id] = time.once(delay, [this, id, work = std::move(work)] {
+            work();
+            m_events.erase(id);
+        });
+    }
+
+    MemoryPeer *find(const Endpoint &address) const
+    {
+        for (const auto &node : nodes) {
+            if (node->address == address) {
+                return node.get();
+            }
+        }
+        return nullptr;
+    }
+
+    std::size_t countWith(ConfigVersion version) const
+    {
+        std::size_t n = 0;
+        for (const auto &node : nodes) {
+            n += node->version() == version ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** A request that calls @p handle at the peer and @p answered at the sender, or a timeout. */
+    template <typename Reply>
+    void call(const Endpoint &from,
+              const Endpoint &to,
+              Duration timeout,
+              std::function<Reply(MemoryPeer &)> handle,
+              PeerClient::Callback<Reply> answered)
+    {
+        const auto done = std::make_shared<bool>(false);
+        const auto finish = [done, answered](Result<Reply> reply) {
+            if (!std::exchange(*done, true)) {
+                answered(std::move(reply));
+            }
+        };
+        after(timeout, [finish] { finish(makeError(ErrorCode::OutcomeUnknown, "timeout")); });
+        after(latency, [this, from, to, handle, finish] {
+            auto *peer = find(to);
+            if (!peer || isLost(from, to)) {
+                return;
+            }
+            const auto reply = handle(*peer);
+            after(latency, [this, from, to, finish, reply] {
+                if (!isLost(to, from)) {
+                    finish(reply);
+                }
+            });
+        });
+    }
+
+    static constexpr auto latency = std::chrono::milliseconds(1);
+
+    FakeTimerService time;
+    std::vector<std::unique_ptr<MemoryPeer>> nodes;
+    std::set<std::uint16_t> silent; ///< Ports of nodes that are lost or frozen.
+    std::function<bool(const Endpoint &, const Endpoint &)> drop;
+
+private:
+    static void introduce(MemoryPeer &viewer, const MemoryPeer &other)
+    {
+        Member member{.id = other.id, .zone = other.zone, .peerAddress = other.address, .incarnation = 1};
+        member.configVersion = other.version();
+        viewer.table.merge(member);
+    }
+
+    void sendHeartbeats()
+    {
+        for (const auto &sender : nodes) {
+            const auto &receiver = *nodes[m_random() % nodes.size()];
+            sendHeartbeat(*sender, receiver);
+            sendHeartbeat(receiver, *sender);
+        }
+    }
+
+    void sendHeartbeat(const MemoryPeer &sender, const MemoryPeer &receiver)
+    {
+        if (&sender == &receiver || isLost(sender.address, receiver.address)) {
+            return;
+        }
+        const Heartbeat beat{.id = sender.id,
+                             .peerAddress = sender.address,
+                             .configVersion = sender.version(),
+                             .configDigestPrefix = sender.config.current()->contentDigest().prefix()};
+        find(receiver.address)->table.noteConfigVersion(memberHash(sender.id), beat.configVersion);
+        find(receiver.address)->disseminator->heartbeatReceived(beat);
+    }
+
+    std::mt19937 m_random{5};
+    std::uint64_t m_lastEvent = 0;
+    std::map<std::uint64_t, TimerHandle> m_events;
+    TimerHandle m_heartbeats;
+};
+
+inline void MemoryPeerClient::push(const Endpoint &peer,
+                                   PushRequest request,
+                                   Duration timeout,
+                                   Callback<PushReply> callback)
+{
+    m_network.call<PushReply>(
+        m_self,
+        peer,
+        timeout,
+        [request](MemoryPeer &node) {
+            ++node.pushesReceived;
+            return node.disseminator->handlePush(request);
+        },
+        std::move(callback));
+}
+
+inline void MemoryPeerClient::fetch(const Endpoint &peer,
+                                    FetchRequest request,
+                                    Duration timeout,
+                                    Callback<FetchReply> callback)
+{
+    m_network.call<FetchReply>(
+        m_self,
+        peer,
+        timeout,
+        [request](MemoryPeer &node) { return node.disseminator->handleFetch(request); },
+        std::move(callback));
+}
+
+inline MemoryPeer::MemoryPeer(MemoryPeers &network,
+                              const std::string &nodeId,
+                              const std::string &nodeZone,
+                              std::uint16_t port)
+    : id(nodeId)
+    , zone(nodeZone)
+    , address("127.0.0.1", port)
+    , client(network, address)
+{
+    DisseminatorOptions options{.id = id, .zone = zone, .advertisedAddress = address};
+    options.seed = port;
+    disseminator = Disseminator::make(
+                       std::move(options),
+                       {.peers = client, .timers = network.time, .table = table, .config = config, .metrics = metrics})
+                       .value();
+}
+
+} // namespace Hornbeam
--- a/libs/membership/include/hornbeam/membership/member.h
+++ b/libs/membership/include/hornbeam/membership/member.h
@@ -21,8 +21,8 @@
 struct Member
 {
     std::string id; ///< Unique per process start.
-    std::string zone;
-    Endpoint peerAddress; ///< Address of gRPC (TCP) and membership (UDP).
+    std::string zone{};
+    Endpoint peerAddress{}; ///< Address of gRPC (TCP) and membership (UDP).
     std::uint64_t incarnation = 0; ///< Grows with each refutation and each change of the targets.
     MemberState state = MemberState::Alive;
     std::uint64_t configVersion = 0; ///< Newest version that the member reported.
