Add the stand-in for the platform's store

Cause: processes under test need the platform's store, with its rate limits and its faults, over its published protocol.

Change: storestandin serves the etcd v3 JSON gateway with RESTinio on top of InMemoryStore, so that both share one model. POST /control sets the faults and rates, GET /control/stats reports the calls. Above its rate a call waits for its turn; with refuse_above_rate, and after 5 s of queue, it receives 429. Each waiting watch takes one of the reads. A lost answer and a silent store withhold the response, so that the client's own timeout is exercised.

Ruled out: closing the listener when the store is down, because the control API shares its port; calls receive 503 instead, and watches end.

--- /dev/null
+++ b/tools/storestandin/src/storestandin.cpp
@@ -0,0 +1,502 @@
+#include "storestandin.h"
+
+#include "callstatistics.h"
+#include "ratelimiter.h"
+
+#include <hornbeam/base/asioruntime.h>
+#include <hornbeam/store/etcdprotocol.h>
+#include <hornbeam/store/inmemorystore.h>
+
+#include <nlohmann/json.hpp>
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace Hornbeam {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** The store never times out by itself; its clients do. */
+constexpr std::chrono::hours noTimeout(24);
+
+/** How long a connection whose answer is withheld stays open. Longer than the request timeout of any client. */
+constexpr std::chrono::seconds silentTime(30);
+
+/** Longest time that a call waits for its turn under the rate limit before it is refused. */
+constexpr std::chrono::seconds longestQueue(5);
+
+/** Reports closed connections, which ends their watches. Outlives the server in the connections that refer to it. */
+class ConnectionListener
+{
+public:
+    void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT(readability-identifier-naming)
+    {
+        if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()) && closed) {
+            closed(notice.connection_id());
+        }
+    }
+
+    std::function<void(restinio::connection_id_t)> closed;
+};
+
+struct ServerTraits : public restinio::default_single_thread_traits_t
+{
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using connection_state_listener_t = ConnectionListener;
+};
+
+using Server = restinio::http_server_t<ServerTraits>;
+using RequestPtr = restinio::request_handle_t;
+using WatchResponse = restinio::response_builder_t<restinio::chunked_output_t>;
+
+void respond(const RequestPtr &request, restinio::http_status_line_t status, std::string body)
+{
+    request->create_response(std::move(status))
+        .append_header(restinio::http_field::content_type, "application/json")
+        .set_body(std::move(body))
+        .done();
+}
+
+void respondError(const RequestPtr &request, const Error &error)
+{
+    const auto status = static_cast<std::uint16_t>(EtcdProtocol::httpStatus(error));
+    respond(request,
+            restinio::http_status_line_t(restinio::http_status_code_t(status), errorCodeName(error.code())),
+            EtcdProtocol::encodeError(error));
+}
+
+/** Sends what a watch reports as chunks of one response. */
+class WatchStream : public WatchListener
+{
+public:
+    WatchStream(const RequestPtr &request, std::function<void()> ended)
+        : m_response(request->create_response<restinio::chunked_output_t>())
+        , m_ended(std::move(ended))
+    {
+        m_response.append_header(restinio::http_field::content_type, "application/json");
+    }
+
+    void send(const EtcdProtocol::WatchMessage &message)
+    {
+        m_response.append_chunk(EtcdProtocol::encodeWatchMessage(message));
+        m_response.flush();
+    }
+
+    void changed(const std::vector<KeyValue> &changes) override
+    {
+        EtcdProtocol::WatchMessage message;
+        message.revision = changes.back().modRevision;
+        message.changes = changes;
+        send(message);
+    }
+
+    void ended(const Error &error) override
+    {
+        EtcdProtocol::WatchMessage message;
+        message.cancelled = true;
+        message.compactRevision = error.code() == ErrorCode::Conflict ? 1 : 0;
+        message.cancelReason = error.message();
+        m_response.append_chunk(EtcdProtocol::encodeWatchMessage(message));
+        m_response.done();
+        m_ended(); // Destroys this object.
+    }
+
+    void start(std::unique_ptr<Watch> watch)
+    {
+        m_watch = std::move(watch);
+    }
+
+private:
+    WatchResponse m_response;
+    std::function<void()> m_ended;
+    std::unique_ptr<Watch> m_watch;
+};
+
+} // namespace
+
+class StoreStandin::Impl
+{
+public:
+    Impl(StoreStandinOptions options, asio::io_context &context)
+        : m_options(std::move(options))
+        , m_executor(context)
+        , m_timers(context)
+        , m_store(m_executor, m_timers, {.requestTimeout = noTimeout})
+        , m_connections(std::make_shared<ConnectionListener>())
+        , m_server(restinio::external_io_context(context), [this](auto &settings) { configure(settings); })
+    {
+        m_connections->closed = [this](restinio::connection_id_t id) {
+            m_executor.post([this, id] { m_streams.erase(id); });
+        };
+        m_progress = m_timers.every(m_options.progressInterval, [this] { sendProgress(); });
+    }
+
+    ~Impl()
+    {
+        m_connections->closed = nullptr;
+    }
+
+    void open()
+    {
+        m_server.open_sync();
+    }
+
+    Endpoint localEndpoint() const
+    {
+        return {m_options.listen.address(), m_port};
+    }
+
+private:
+    template <typename Settings>
+    void configure(Settings &settings)
+    {
+        settings.address(m_options.listen.address())
+            .port(m_options.listen.port())
+            .connection_state_listener(m_connections)
+            // A second request is read while a watch runs only to notice that its connection was closed.
+            .max_pipelined_requests(2)
+            .read_next_http_message_timelimit(noTimeout)
+            .handle_request_timeout(noTimeout)
+            .acceptor_post_bind_hook(
+                [this](asio::ip::tcp::acceptor &acceptor) { m_port = acceptor.local_endpoint().port(); })
+            .request_handler([this](const RequestPtr &request) { return handle(request); });
+    }
+
+    restinio::request_handling_status_t handle(const RequestPtr &request)
+    {
+        const std::string path(request->header().path());
+        if (path.starts_with("/control")) {
+            handleControl(request, path);
+        } else if (request->header().method() != restinio::http_method_post()) {
+            respondError(request, Error(ErrorCode::NotFound, "Not Found"));
+        } else if (m_silent) {
+            withholdAnswer(request);
+        } else if (path == EtcdProtocol::watchPath) {
+            limited(request, m_reads, m_readLimiter, readRate(), [this, request] { watch(request); });
+        } else if (path == EtcdProtocol::rangePath) {
+            limited(request, m_reads, m_readLimiter, readRate(), [this, request] { range(request); });
+        } else {
+            limited(request, m_writes, m_writeLimiter, m_options.writesPerSecond, [this, request, path] {
+                write(request, path);
+            });
+        }
+        return restinio::request_accepted();
+    }
+
+    double readRate() const
+    {
+        const auto watches = static_cast<double>(m_streams.size());
+        return std::max(1.0, static_cast<double>(m_options.readsPerSecond) - watches);
+    }
+
+    void limited(const RequestPtr &request,
+                 CallStatistics &statistics,
+                 RateLimiter &limiter,
+                 double rate,
+                 std::function<void()> work)
+    {
+        const auto now = m_timers.now();
+        statistics.add(now);
+        if (m_refuseAboveRate && !limiter.tryReserve(rate, now)) {
+            refuse(request);
+            return;
+        }
+        const Duration wait = m_refuseAboveRate ? Duration::zero() : limiter.reserve(rate, now);
+        if (wait > longestQueue) {
+            refuse(request);
+            return;
+        }
+        later(wait, std::move(work));
+    }
+
+    void refuse(const RequestPtr &request)
+    {
+        ++m_refused;
+        respondError(request, Error(ErrorCode::Overloaded, "etcdserver: too many requests"));
+    }
+
+    void later(Duration delay, std::function<void()> work)
+    {
+        if (delay <= Duration::zero()) {
+            work();
+            return;
+        }
+        const auto id = m_nextTimer++;
+        m_delayed.emplace(id, m_timers.once(delay, [this, id, work = std::move(work)] {
+            const auto handle = std::move(m_delayed.at(id));
+            m_delayed.erase(id);
+            work();
+        }));
+    }
+
+    void withholdAnswer(const RequestPtr &request)
+    {
+        later(silentTime, [request] {
+            request->create_response(restinio::status_service_unavailable()).connection_close().done();
+        });
+    }
+
+    /** Answers with the encoded result; an answer that the faults lose is withheld. */
+    template <typename T, typename Encode>
+    auto answer(const RequestPtr &request, Encode encode)
+    {
+        return [this, request, encode](Result<T> result) {
+            if (result) {
+                respond(request, restinio::status_ok(), encode(*result));
+            } else if (result.error().code() == ErrorCode::OutcomeUnknown) {
+                withholdAnswer(request);
+            } else {
+                respondError(request, result.error());
+            }
+        };
+    }
+
+    void range(const RequestPtr &request)
+    {
+        const auto decoded = EtcdProtocol::decodeRangeRequest(request->body());
+        if (!decoded) {
+            respondError(request, decoded.error());
+            return;
+        }
+        m_store.range(*decoded, answer<RangeResult>(request, &EtcdProtocol::encodeRangeResult));
+    }
+
+    void write(const RequestPtr &request, const std::string &path)
+    {
+        if (path == EtcdProtocol::transactionPath) {
+            commit(request);
+        } else if (path == EtcdProtocol::leaseGrantPath) {
+            grantLease(request);
+        } else if (path == EtcdProtocol::leaseKeepAlivePath) {
+            keepLeaseAlive(request);
+        } else if (path == EtcdProtocol::leaseRevokePath) {
+            revokeLease(request);
+        } else {
+            respondError(request, Error(ErrorCode::NotFound, "Not Found"));
+        }
+    }
+
+    void commit(const RequestPtr &request)
+    {
+        const auto decoded = EtcdProtocol::decodeTransaction(request->body());
+        if (!decoded) {
+            respondError(request, decoded.error());
+            return;
+        }
+        m_store.commit(*decoded, answer<TransactionResult>(request, [transaction = *decoded](const auto &result) {
+            return EtcdProtocol::encodeTransactionResult(transaction, result);
+        }));
+    }
+
+    void grantLease(const RequestPtr &request)
+    {
+        const auto timeToLive = EtcdProtocol::decodeLeaseGrantRequest(request->body());
+        if (!timeToLive) {
+            respondError(request, timeToLive.error());
+            return;
+        }
+        m_store.grantLease(*timeToLive, answer<LeaseGrant>(request, [this](const LeaseGrant &grant) {
+            return EtcdProtocol::encodeLeaseGrant(grant, m_store.revision());
+        }));
+    }
+
+    void keepLeaseAlive(const RequestPtr &request)
+    {
+        const auto lease = EtcdProtocol::decodeLeaseRequest(request->body());
+        if (!lease) {
+            respondError(request, lease.error());
+            return;
+        }
+        const auto encode = [this](const LeaseGrant &grant) {
+            return EtcdProtocol::encodeKeepAlive(grant, m_store.revision());
+        };
+        m_store.keepLeaseAlive(
+            *lease, [lease = *lease, encode, done = answer<LeaseGrant>(request, encode)](Result<LeaseGrant> result) {
+                // The gateway reports an expired lease as a time to live of zero, not as an error.
+                if (!result && result.error().code() == ErrorCode::NotFound) {
+                    result = LeaseGrant{.id = lease, .timeToLive = std::chrono::seconds(0)};
+                }
+                done(std::move(result));
+            });
+    }
+
+    void revokeLease(const RequestPtr &request)
+    {
+        const auto lease = EtcdProtocol::decodeLeaseRequest(request->body());
+        if (!lease) {
+            respondError(request, lease.error());
+            return;
+        }
+        m_store.revokeLease(*lease, answer<bool>(request, [this](bool) {
+            return EtcdProtocol::encodeLeaseRevoked(m_store.revision());
+        }));
+    }
+
+    void watch(const RequestPtr &request)
+    {
+        const auto decoded = EtcdProtocol::decodeWatchRequest(request->body());
+        if (!decoded) {
+            respondError(request, decoded.error());
+            return;
+        }
+        if (m_store.faults().unavailable) {
+            respondError(request, Error(ErrorCode::Unavailable, "etcdserver: no leader"));
+            return;
+        }
+        const auto id = request->connection_id();
+        auto stream = std::make_unique<WatchStream>(request, [this, id] { m_streams.erase(id); });
+        EtcdProtocol::WatchMessage created;
+        created.created = true;
+        created.revision = m_store.revision();
+        stream->send(created);
+        stream->start(m_store.watch(*decoded, *stream));
+        m_streams[id] = std::move(stream);
+    }
+
+    void sendProgress()
+    {
+        if (m_silent) {
+            return;
+        }
+        EtcdProtocol::WatchMessage progress;
+        progress.revision = m_store.revision();
+        for (const auto &[id, stream] : m_streams) {
+            stream->send(progress);
+        }
+    }
+
+    void handleControl(const RequestPtr &request, const std::string &path)
+    {
+        if (path == "/control/stats" && request->header().method() == restinio::http_method_get()) {
+            respond(request, restinio::status_ok(), statsJson());
+            return;
+        }
+        if (path != "/control" || request->header().method() != restinio::http_method_post()) {
+            respondError(request, Error(ErrorCode::NotFound, "Not Found"));
+            return;
+        }
+        try {
+            applyControl(Json::parse(request->body()));
+            respond(request, restinio::status_ok(), "{}");
+        } catch (const std::exception &error) {
+            respondError(request, Error(ErrorCode::InvalidArgument, error.what()));
+        }
+    }
+
+    /**
+     * Fields of the control request; absent ones keep their value, unknown ones are refused:
+     * down (bool): calls are refused with 503 and watches end.
+     * silent (bool): calls and watches receive nothing, as on a connection that went silent.
+     * latency_ms, answer_delay_ms (number): delay before and after the effect of each call.
+     * lose_answers (number): the next writes take effect, but their answers are withheld.
+     * lose_answers_prefix (string): the same for all writes of a key with this prefix; empty for none.
+     * lose_requests (number): the next writes have no effect and no answer.
+     * stale_reads (number): range calls answer from this many revisions ago.
+     * refuse_above_rate (bool): calls above the rate receive 429 at once instead of waiting for their turn.
+     * writes_per_second, reads_per_second (number): the rates.
+     */
+    void applyControl(const Json &json)
+    {
+        // Everything is read into copies first, so that a refused request changes nothing.
+        auto faults = m_store.faults();
+        auto options = m_options;
+        bool silent = m_silent;
+        bool refuse = m_refuseAboveRate;
+        for (const auto &[name, value] : json.items()) {
+            if (name == "down") {
+                faults.unavailable = value.get<bool>();
+            } else if (name == "silent") {
+                silent = value.get<bool>();
+            } else if (name == "latency_ms") {
+                faults.applyDelay = std::chrono::milliseconds(value.get<std::uint32_t>());
+            } else if (name == "answer_delay_ms") {
+                faults.answerDelay = std::chrono::milliseconds(value.get<std::uint32_t>());
+            } else if (name == "lose_answers") {
+                faults.loseAnswers = value.get<std::uint32_t>();
+            } else if (name == "lose_answers_prefix") {
+                faults.loseAnswersPrefix = value.get<std::string>();
+            } else if (name == "lose_requests") {
+                faults.loseRequests = value.get<std::uint32_t>();
+            } else if (name == "stale_reads") {
+                faults.staleReads = value.get<std::uint32_t>();
+            } else if (name == "refuse_above_rate") {
+                refuse = value.get<bool>();
+            } else if (name == "writes_per_second") {
+                options.writesPerSecond = value.get<std::uint32_t>();
+            } else if (name == "reads_per_second") {
+                options.readsPerSecond = value.get<std::uint32_t>();
+            } else {
+                throw std::invalid_argument("unknown field " + name);
+            }
+        }
+        m_store.setFaults(std::move(faults));
+        m_options = std::move(options);
+        m_silent = silent;
+        m_refuseAboveRate = refuse;
+    }
+
+    /** calls_per_second counts the calls of the last second and each waiting watch as one call. */
+    std::string statsJson()
+    {
+        const auto now = m_timers.now();
+        const auto reads = m_reads.lastSecond(now);
+        const auto writes = m_writes.lastSecond(now);
+        return Json{{"reads", m_reads.total()},
+                    {"writes", m_writes.total()},
+                    {"refused", m_refused},
+                    {"waiting_watches", m_streams.size()},
+                    {"reads_last_second", reads},
+                    {"writes_last_second", writes},
+                    {"calls_per_second", reads + writes + m_streams.size()},
+                    {"revision", m_store.revision()}}
+            .dump();
+    }
+
+    StoreStandinOptions m_options;
+    AsioExecutor m_executor;
+    AsioTimerService m_timers;
+    InMemoryStore m_store;
+    bool m_silent = false;
+    bool m_refuseAboveRate = false;
+    RateLimiter m_readLimiter;
+    RateLimiter m_writeLimiter;
+    CallStatistics m_reads;
+    CallStatistics m_writes;
+    std::uint64_t m_refused = 0;
+    std::uint16_t m_port = 0;
+    std::shared_ptr<ConnectionListener> m_connections;
+    Server m_server;
+    std::map<restinio::connection_id_t, std::unique_ptr<WatchStream>> m_streams;
+    std::map<std::uint64_t, TimerHandle> m_delayed;
+    std::uint64_t m_nextTimer = 1;
+    TimerHandle m_progress;
+};
+
+Result<std::unique_ptr<StoreStandin>> StoreStandin::make(StoreStandinOptions options, asio::io_context &context)
+{
+    auto impl = std::make_unique<Impl>(std::move(options), context);
+    try {
+        impl->open();
+    } catch (const std::exception &error) {
+        return makeError(ErrorCode::Unavailable, std::string("cannot listen: ") + error.what());
+    }
+    return std::unique_ptr<StoreStandin>(new StoreStandin(std::move(impl)));
+}
+
+StoreStandin::StoreStandin(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+StoreStandin::~StoreStandin() = default;
+
+Endpoint StoreStandin::localEndpoint() const
+{
+    return m_impl->localEndpoint();
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/tools/storestandin/tests/storestandintest.cpp
@@ -0,0 +1,254 @@
+#include "storestandin.h"
+
+#include <hornbeam/base/asioruntime.h>
+#include <hornbeam/base/metrics.h>
+#include <hornbeam/store/etcdstore.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <future>
+#include <optional>
+
+// After asio, because CppUTest replaces operator new by a macro.
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto testBound = 10s;
+
+class RecordingListener : public WatchListener
+{
+public:
+    void changed(const std::vector<KeyValue> &entries) override
+    {
+        changes.insert(changes.end(), entries.begin(), entries.end());
+    }
+
+    void ended(const Error &error) override
+    {
+        end = error.code();
+    }
+
+    std::vector<KeyValue> changes;
+    std::optional<ErrorCode> end;
+};
+
+Transaction createOnly(const std::string &key, const std::string &value, LeaseId lease = 0)
+{
+    return {.compares = {{.key = key, .field = Compare::Field::CreateRevision, .revision = 0}},
+            .success = {Operation::put(key, value, lease)},
+            .failure = {Operation::get(key)}};
+}
+
+/** Sends one HTTP request and returns the response until the connection closes. Blocks. */
+std::string httpCall(const Endpoint &endpoint, const std::string &start, const std::string &body)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(endpoint.address()), endpoint.port()});
+    const std::string request = start + " HTTP/1.1\r\nHost: store\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    asio::write(socket, asio::buffer(request));
+    std::string response;
+    std::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    return response;
+}
+
+} // namespace
+
+// The client runs against the stand-in over TCP; both share one control thread.
+TEST_GROUP(StoreStandin)
+{
+    asio::io_context context;
+    AsioExecutor executor{context};
+    MetricsRegistry metrics;
+    std::unique_ptr<StoreStandin> standin;
+    std::unique_ptr<EtcdStore> store;
+    RecordingListener listener;
+
+    void setup() override
+    {
+        start({.progressInterval = 50ms});
+    }
+
+    void teardown() override
+    {
+        store.reset();
+        standin.reset();
+    }
+
+    void start(StoreStandinOptions options)
+    {
+        store.reset();
+        standin = std::move(*StoreStandin::make(std::move(options), context));
+        store = std::move(*EtcdStore::make({.endpoints = {standin->localEndpoint()},
+                                            .requestTimeout = 300ms,
+                                            .watchIdleTimeout = 500ms,
+                                            .maxCallsInFlight = 1000},
+                                           executor,
+                                           metrics));
+    }
+
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + testBound;
+        context.restart();
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(10ms);
+        }
+        CHECK(condition());
+    }
+
+    template <typename T, typename Call>
+    Result<T> wait(Call call)
+    {
+        std::optional<Result<T>> answer;
+        call([&](Result<T> result) { answer = std::move(result); });
+        runUntil([&] { return answer.has_value(); });
+        return answer ? *answer : makeError(ErrorCode::Internal, "no answer");
+    }
+
+    Result<TransactionResult> commit(const Transaction &transaction)
+    {
+        return wait<TransactionResult>([&](auto callback) { store->commit(transaction, callback); });
+    }
+
+    Result<RangeResult> range(const RangeRequest &request)
+    {
+        return wait<RangeResult>([&](auto callback) { store->range(request, callback); });
+    }
+
+    std::string http(const std::string &start, const std::string &body)
+    {
+        auto response = std::async(std::launch::async, httpCall, standin->localEndpoint(), start, body);
+        runUntil([&] { return response.wait_for(0s) == std::future_status::ready; });
+        return response.get();
+    }
+
+    void control(const std::string &json)
+    {
+        STRCMP_CONTAINS("200 OK", http("POST /control", json).c_str());
+    }
+};
+
+TEST(StoreStandin, runsNestedTransactions)
+{
+    CHECK(commit(createOnly("/b", "old"))->succeeded);
+    const auto result = commit({.compares = {},
+                                .success = {Operation::transaction(createOnly("/a", std::string("\0\xff", 2))),
+                                            Operation::transaction(createOnly("/b", "new"))},
+                                .failure = {}});
+    CHECK(result->results.at(0).nested.at(0).succeeded);
+    CHECK_FALSE(result->results.at(1).nested.at(0).succeeded);
+    STRCMP_EQUAL("old", result->results.at(1).nested.at(0).results.at(0).entries.at(0).value.c_str());
+    const auto entries = range({.key = "/", .prefix = true});
+    CHECK_EQUAL(2, entries->entries.size());
+    CHECK(std::string("\0\xff", 2) == entries->entries.at(0).value);
+    CHECK_EQUAL(1, range({.key = "", .prefix = true, .limit = 1, .keysOnly = true})->entries.size());
+}
+
+TEST(StoreStandin, grantsExtendsAndRevokesLeases)
+{
+    const auto grant = wait<LeaseGrant>([&](auto callback) { store->grantLease(60s, callback); });
+    CHECK(60s == grant->timeToLive);
+    commit(createOnly("/a", "1", grant->id));
+    CHECK(wait<LeaseGrant>([&](auto callback) { store->keepLeaseAlive(grant->id, callback); })->timeToLive == 60s);
+    CHECK(wait<bool>([&](auto callback) { store->revokeLease(grant->id, callback); }).has_value());
+    CHECK(range({.key = "/a"})->entries.empty());
+    const auto expired = wait<LeaseGrant>([&](auto callback) { store->keepLeaseAlive(grant->id, callback); });
+    CHECK(ErrorCode::NotFound == expired.error().code());
+}
+
+// Guards against a watch that its idle timeout ends although the store reports progress.
+TEST(StoreStandin, streamsChangesAndProgress)
+{
+    const auto watch = store->watch({.prefix = "/p/", .startRevision = 1}, listener);
+    const auto quiet = std::chrono::steady_clock::now() + 800ms;
+    runUntil([&] { return std::chrono::steady_clock::now() > quiet; });
+    CHECK_FALSE(listener.end.has_value());
+    commit(createOnly("/p/a", "1"));
+    commit({.compares = {}, .success = {Operation::remove("/p/a")}, .failure = {}});
+    runUntil([&] { return listener.changes.size() == 2; });
+    STRCMP_EQUAL("1", listener.changes.at(0).value.c_str());
+    CHECK_EQUAL(0, listener.changes.at(1).createRevision);
+    STRCMP_CONTAINS("\"waiting_watches\":1", http("GET /control/stats", "").c_str());
+}
+
+// Guards against watches of closed connections that are counted as waiting for ever.
+TEST(StoreStandin, forgetsTheWatchOfAClosedConnection)
+{
+    auto watch = store->watch({.prefix = "/"}, listener);
+    runUntil([&] { return http("GET /control/stats", "").find("\"waiting_watches\":1") != std::string::npos; });
+    watch.reset();
+    runUntil([&] { return http("GET /control/stats", "").find("\"waiting_watches\":0") != std::string::npos; });
+}
+
+TEST(StoreStandin, goesDownAndComesBack)
+{
+    const auto watch = store->watch({.prefix = "/"}, listener);
+    CHECK(range({.key = "/a"}).has_value());
+    control(R"({"down":true})");
+    runUntil([&] { return listener.end.has_value(); });
+    CHECK(ErrorCode::Unavailable == range({.key = "/a"}).error().code());
+    control(R"({"down":false})");
+    CHECK(range({.key = "/a"}).has_value());
+}
+
+TEST(StoreStandin, losesAnswersAfterTheWrite)
+{
+    control(R"({"lose_answers":1})");
+    CHECK(ErrorCode::OutcomeUnknown == commit(createOnly("/a", "1")).error().code());
+    CHECK_EQUAL(1, range({.key = "/a"})->entries.size());
+    control(R"({"lose_answers_prefix":"/x/"})");
+    CHECK(ErrorCode::OutcomeUnknown == commit(createOnly("/x/a", "1")).error().code());
+    CHECK(commit(createOnly("/y", "1")).has_value());
+    CHECK_EQUAL(1, range({.key = "/x/a"})->entries.size());
+}
+
+TEST(StoreStandin, answersStaleReads)
+{
+    commit(createOnly("/a", "1"));
+    commit(createOnly("/b", "1"));
+    control(R"({"stale_reads":1})");
+    CHECK_EQUAL(1, range({.key = "/", .prefix = true})->entries.size());
+}
+
+TEST(StoreStandin, endsAWatchThatTurnsSilent)
+{
+    const auto watch = store->watch({.prefix = "/"}, listener);
+    CHECK(range({.key = "/a"}).has_value());
+    control(R"({"silent":true})");
+    runUntil([&] { return listener.end.has_value(); });
+    CHECK(ErrorCode::Unavailable == range({.key = "/a"}).error().code());
+}
+
+// Guards against a stand-in that is faster than the platform's store: of 6 writes at 20 a second, the last waits 200
+// ms.
+TEST(StoreStandin, limitsTheRateOfWrites)
+{
+    start({.writesPerSecond = 20});
+    int answers = 0;
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < 6; ++i) {
+        store->commit(createOnly("/" + std::to_string(i), ""), [&](const auto &result) { answers += result ? 1 : 0; });
+    }
+    runUntil([&] { return answers == 6; });
+    CHECK(std::chrono::steady_clock::now() - began >= 150ms);
+    control(R"({"refuse_above_rate":true,"writes_per_second":1})");
+    commit(createOnly("/x", ""));
+    CHECK(ErrorCode::Overloaded == commit(createOnly("/y", "")).error().code());
+}
+
+TEST(StoreStandin, refusesUnknownControlFields)
+{
+    STRCMP_CONTAINS("400", http("POST /control", R"({"dwon":true})").c_str());
+}
