Add the lease election

Cause: a fixed number of nodes per zone watches the store, whatever the size of the zone, so nodes have to agree on who does.

Change: LeaseElection takes one of N slots by creating a key under a lease and renews the lease. It computes the end of its role from the moment before each grant or renewal was sent, less a margin, on its own monotonic clock.

Giving up after a lost answer of the acquiring write: the repeated write is recognised by its attempt id.

--- /dev/null
+++ b/libs/store/src/leaseelection.cpp
@@ -0,0 +1,239 @@
+#include <hornbeam/base/randomid.h>
+#include <hornbeam/store/leaseelection.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr std::chrono::seconds shortestTimeToLive(2);
+constexpr std::uint32_t maxSlots = 1000;
+
+/** Renewals per time to live; two may fail before the role ends. */
+constexpr int renewalsPerTimeToLive = 3;
+
+} // namespace
+
+Result<std::unique_ptr<LeaseElection>> LeaseElection::make(LeaseElectionOptions options,
+                                                           KeyValueStore &store,
+                                                           TimerService &timers,
+                                                           LeaseElectionListener &listener)
+{
+    if (options.prefix.empty() || options.candidate.empty()) {
+        return makeError(ErrorCode::InvalidArgument, "an election needs a prefix and a candidate");
+    }
+    if (options.slots == 0 || options.slots > maxSlots) {
+        return makeError(ErrorCode::InvalidArgument, "an election has 1 to 1000 slots");
+    }
+    if (options.timeToLive < shortestTimeToLive || options.margin <= Duration::zero()
+        || options.margin * 2 >= options.timeToLive) {
+        return makeError(ErrorCode::InvalidArgument, "the time to live or the margin of an election is out of range");
+    }
+    return std::unique_ptr<LeaseElection>(new LeaseElection(std::move(options), store, timers, listener));
+}
+
+LeaseElection::LeaseElection(LeaseElectionOptions options,
+                             KeyValueStore &store,
+                             TimerService &timers,
+                             LeaseElectionListener &listener)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_timers(timers)
+    , m_listener(listener)
+    , m_backoff(m_options.backoff)
+    , m_occupiedBackoff(m_options.occupiedBackoff)
+    , m_random(m_options.backoff.seed != 0 ? m_options.backoff.seed : std::random_device()())
+    , m_round(std::make_shared<std::uint64_t>(0))
+{
+}
+
+LeaseElection::~LeaseElection() = default;
+
+void LeaseElection::start()
+{
+    ++*m_round;
+    look();
+}
+
+void LeaseElection::stop()
+{
+    abandon();
+    m_step.reset();
+}
+
+bool LeaseElection::isHolder() const
+{
+    return m_holder && m_timers.now() < m_validUntil;
+}
+
+std::optional<std::uint32_t> LeaseElection::slot() const
+{
+    return isHolder() ? std::optional(m_slot) : std::nullopt;
+}
+
+/** Calls @p step with the answer unless the round has ended or the election is gone. */
+template <typename T>
+KeyValueStore::Callback<T> LeaseElection::guarded(void (LeaseElection::*step)(Result<T>))
+{
+    return [this, step, current = std::weak_ptr(m_round), round = *m_round](Result<T> result) {
+        const auto latest = current.lock();
+        if (latest && *latest == round) {
+            (this->*step)(std::move(result));
+        }
+    };
+}
+
+void LeaseElection::look()
+{
+    m_store.range({.key = m_options.prefix, .prefix = true, .limit = 0, .keysOnly = true},
+                  guarded(&LeaseElection::looked));
+}
+
+void LeaseElection::looked(Result<RangeResult> result)
+{
+    if (!result) {
+        retry(m_backoff, &LeaseElection::look);
+        return;
+    }
+    std::vector<std::uint32_t> free;
+    for (m_slot = 0; m_slot < m_options.slots; ++m_slot) {
+        const auto taken = [key = slotKey()](const KeyValue &entry) {
+            return entry.key == key;
+        };
+        if (std::none_of(result->entries.begin(), result->entries.end(), taken)) {
+            free.push_back(m_slot);
+        }
+    }
+    if (free.empty()) {
+        retry(m_occupiedBackoff, &LeaseElection::look);
+        return;
+    }
+    // A random choice keeps candidates that start together from racing for the same slot.
+    m_slot = free[std::uniform_int_distribution<std::size_t>(0, free.size() - 1)(m_random)];
+    m_sent = m_timers.now();
+    m_store.grantLease(m_options.timeToLive, guarded(&LeaseElection::granted));
+}
+
+void LeaseElection::granted(Result<LeaseGrant> result)
+{
+    if (!result) {
+        retry(m_backoff, &LeaseElection::look);
+        return;
+    }
+    m_lease = result->id;
+    m_validUntil = validUntil(m_sent);
+    m_attempt = m_options.candidate + " " + randomId();
+    write();
+}
+
+void LeaseElection::write()
+{
+    if (m_timers.now() >= m_validUntil) {
+        abandon();
+        retry(m_backoff, &LeaseElection::look);
+        return;
+    }
+    Transaction transaction;
+    transaction.compares = {{.key = slotKey(), .field = Compare::Field::CreateRevision, .revision = 0}};
+    transaction.success = {Operation::put(slotKey(), m_attempt, m_lease)};
+    transaction.failure = {Operation::get(slotKey())};
+    m_store.commit(std::move(transaction), guarded(&LeaseElection::written));
+}
+
+void LeaseElection::written(Result<TransactionResult> result)
+{
+    if (!result && result.error().code() != ErrorCode::NotFound) {
+        // The write may have taken effect. Its repetition finds out, because the attempt recognises its own value.
+        retry(m_backoff, &LeaseElection::write);
+        return;
+    }
+    const auto own = [this](const OperationResult &operation) {
+        return !operation.entries.empty() && operation.entries.front().value == m_attempt;
+    };
+    const bool acquired = result
+        && (result->succeeded || std::any_of(result->results.begin(), result->results.end(), own))
+        && m_timers.now() < m_validUntil;
+    if (!acquired) {
+        abandon();
+        retry(m_backoff, &LeaseElection::look);
+        return;
+    }
+    becomeHolder();
+}
+
+void LeaseElection::becomeHolder()
+{
+    m_holder = true;
+    m_backoff.reset();
+    m_occupiedBackoff.reset();
+    armExpiry();
+    m_step = m_timers.once(m_options.timeToLive / renewalsPerTimeToLive, [this] { renew(); });
+    m_listener.acquired(m_slot);
+}
+
+void LeaseElection::renew()
+{
+    m_sent = m_timers.now();
+    m_store.keepLeaseAlive(m_lease, guarded(&LeaseElection::renewed));
+}
+
+void LeaseElection::renewed(Result<LeaseGrant> result)
+{
+    if (!result && result.error().code() == ErrorCode::NotFound) {
+        expire();
+        return;
+    }
+    if (!result) {
+        retry(m_backoff, &LeaseElection::renew);
+        return;
+    }
+    m_backoff.reset();
+    m_validUntil = validUntil(m_sent);
+    armExpiry();
+    m_step = m_timers.once(m_options.timeToLive / renewalsPerTimeToLive, [this] { renew(); });
+}
+
+void LeaseElection::armExpiry()
+{
+    m_expiry = m_timers.once(std::max(Duration::zero(), m_validUntil - m_timers.now()), [this] { expire(); });
+}
+
+void LeaseElection::expire()
+{
+    // Before abandon(), so that a listener which stops the election in lost() cancels the retry.
+    retry(m_backoff, &LeaseElection::look);
+    abandon();
+}
+
+// Ends the round. The lease is revoked so that a slot, or a write of it that still arrives, does not last.
+void LeaseElection::abandon()
+{
+    ++*m_round;
+    m_expiry.reset();
+    if (const LeaseId lease = std::exchange(m_lease, 0); lease != 0) {
+        m_store.revokeLease(lease, [](const Result<bool> &) {});
+    }
+    if (std::exchange(m_holder, false)) {
+        m_listener.lost();
+    }
+}
+
+void LeaseElection::retry(Backoff &backoff, void (LeaseElection::*step)())
+{
+    m_step = m_timers.once(backoff.next(), [this, step] { (this->*step)(); });
+}
+
+std::string LeaseElection::slotKey() const
+{
+    return m_options.prefix + std::to_string(m_slot);
+}
+
+TimePoint LeaseElection::validUntil(TimePoint sent) const
+{
+    return sent + m_options.timeToLive - m_options.margin;
+}
+
+} // namespace Hornbeam
