--- /dev/null
+++ b/tests/integration/tests/operatorintegrationtest.cpp
@@ -0,0 +1,154 @@
+#include "meshtest.h"
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+/** Base64 of "/hornbeamring/config/", with which the key of the head starts in the store's JSON. */
+constexpr const char *configKeyPrefix = "L2hvcm5iZWFtcmluZy9jb25maWcv";
+
+} // namespace
+
+class OperatorTest : public MeshTest
+{
+protected:
+    void setup() override
+    {
+        startMesh({.zones = {"tampere", "turku"}, .nodesPerZone = 1});
+    }
+
+    std::string makePlan(int node, const std::string &route)
+    {
+        const auto planned = mesh->plan(node, routeIntent("vuorolista", route));
+        CHECK_TEXT(planned.status / 100 == 2, planned.body.dump().c_str());
+        return planned.body["id"].get<std::string>();
+    }
+
+    std::future<PlanResult> confirmLater(int node, const std::string &plan)
+    {
+        return std::async(std::launch::async, [this, node, plan] { return mesh->confirm(node, plan); });
+    }
+
+    Json currentConfig(int node)
+    {
+        HttpRequest request;
+        request.url = "/v1/config";
+        const auto response = mesh->ask(node, request);
+        LONGS_EQUAL(200, statusOf(response));
+        return Json::parse(response->body);
+    }
+
+    std::uint64_t currentVersion(int node)
+    {
+        return currentConfig(node)["version"].get<std::uint64_t>();
+    }
+
+    bool hasRoute(int node, const std::string &name)
+    {
+        for (const auto &route : currentConfig(node)["routes"]) {
+            if (route["name"] == name) {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+TEST_GROUP_BASE(Operator, OperatorTest){};
+
+// Guards invariant 9 against two operators who confirm conflicting plans at the same moment through two nodes.
+TEST(Operator, ofTwoConfirmsAtOnceOneIsAcceptedAndTheOtherSeesTheDifference)
+{
+    for (int i = 0; i < 5; ++i) {
+        const auto before = version;
+        const auto name = "race-" + std::to_string(i);
+        const auto first = makePlan(0, name + "-a");
+        const auto second = makePlan(1, name + "-b");
+        auto running = confirmLater(0, first);
+        const auto secondResult = mesh->confirm(1, second);
+        const auto firstResult = running.get();
+        const auto &accepted = firstResult.status == 200 ? firstResult : secondResult;
+        const auto &refused = firstResult.status == 200 ? secondResult : firstResult;
+        LONGS_EQUAL(200, accepted.status);
+        LONGS_EQUAL_TEXT(409, refused.status, refused.body.dump().c_str());
+        version = accepted.body["version"].get<std::uint64_t>();
+        LONGS_EQUAL(before + 1, version);
+        CHECK(mesh->waitForVersion(version, mesh->allNodes(), effectBound, "/rota"));
+        CHECK(hasRoute(0, name + "-a") != hasRoute(0, name + "-b"));
+    }
+}
+
+// Guards against a confirm that is repeated because its response was lost between the node and the operator.
+TEST(Operator, repeatedConfirmReturnsTheSameVersion)
+{
+    const auto plan = makePlan(0, "repeated");
+    const auto first = mesh->confirm(0, plan);
+    const auto second = mesh->confirm(1, plan);
+    LONGS_EQUAL(200, first.status);
+    LONGS_EQUAL_TEXT(200, second.status, second.body.dump().c_str());
+    LONGS_EQUAL(first.body["version"].get<int>(), second.body["version"].get<int>());
+    LONGS_EQUAL(version + 1, first.body["version"].get<std::uint64_t>());
+}
+
+// Guards invariant 9 against the store's answer to the confirm being lost after the write took effect.
+TEST(Operator, confirmWhoseStoreAnswerIsLostTakesEffectOnce)
+{
+    const auto plan = makePlan(0, "lost-answer");
+    CHECK(mesh->addRule({{"kind", "dropResponse"},
+                         {"links", {"store"}},
+                         {"count", 1},
+                         {"requestContains", {"/v3/kv/txn", configKeyPrefix}}}));
+    auto result = mesh->confirm(0, plan);
+    if (result.status != 200) {
+        // An unknown outcome is an honest answer; the repeated confirm then tells it.
+        waitUntil(patience, [&] {
+            result = mesh->confirm(0, plan);
+            return result.status == 200;
+        });
+    }
+    LONGS_EQUAL_TEXT(200, result.status, result.body.dump().c_str());
+    LONGS_EQUAL(version + 1, result.body["version"].get<std::uint64_t>());
+    CHECK(mesh->waitForVersion(version + 1, mesh->allNodes(), effectBound, "/rota"));
+    LONGS_EQUAL(version + 1, currentVersion(1));
+}
+
+// Guards invariant 5 against a store outage: plans and confirms are refused and the configuration stays in effect.
+TEST(Operator, confirmWhileTheStoreIsDownIsRefusedAndChangesNothing)
+{
+    const auto plan = makePlan(0, "store-down");
+    CHECK(mesh->controlStore({{"down", true}}));
+    LONGS_EQUAL(503, mesh->confirm(0, plan).status);
+    LONGS_EQUAL(503, mesh->plan(1, routeIntent("vuorolista", "other")).status);
+    LONGS_EQUAL(version, mesh->servedVersion(0, "/rota"));
+    CHECK(mesh->controlStore({{"down", false}}));
+    PlanResult result;
+    waitUntil(patience, [&] {
+        result = mesh->confirm(0, plan);
+        return result.status == 200;
+    });
+    LONGS_EQUAL_TEXT(200, result.status, result.body.dump().c_str());
+    CHECK(mesh->waitForVersion(version + 1, mesh->allNodes(), effectBound, "/rota"));
+}
+
+// Guards invariant 9 against the node that confirms being killed right after its response.
+TEST(Operator, confirmThroughANodeKilledRightAfterReachesTheOthers)
+{
+    nextVersion(1);
+    mesh->processes().kill(Mesh::nodeName(1));
+    CHECK(mesh->waitForVersion(version, {0}, effectBound, "/rota"));
+}
+
+// Guards invariant 2: a plan that would leave a route without its service is refused.
+TEST(Operator, removalOfAServiceThatARouteNeedsIsRefused)
+{
+    const auto planned =
+        mesh->plan(0, {{"operations", Json::array({{{"op", "removeService"}, {"name", "vuorolista"}}})}});
+    if (planned.status / 100 == 2) {
+        const auto confirmed = mesh->confirm(0, planned.body["id"].get<std::string>());
+        CHECK_TEXT(confirmed.status >= 400, confirmed.body.dump().c_str());
+    }
+    LONGS_EQUAL(version, currentVersion(0));
+    LONGS_EQUAL(200, statusOf(read(0)));
+}
--- a/tests/support/include/hornbeam/testsupport/httpclient.h
+++ b/tests/support/include/hornbeam/testsupport/httpclient.h
@@ -3,6 +3,7 @@
 #include <hornbeam/base/error.h>
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,10 +14,11 @@
 {
     std::string method = "GET";
     std::string url;
-    std::vector<std::string> headers; ///< "Name: value".
-    std::string body;
+    std::vector<std::string> headers = {}; ///< "Name: value".
+    std::string body = {};
     std::chrono::milliseconds timeout{10000};
-    std::string sourceAddress; ///< IP address to connect from; empty lets the system choose.
+    std::int64_t maxBytesPerSecond = 0; ///< Reads the response no faster; 0 is no limit.
+    std::string sourceAddress = {}; ///< IP address to connect from; empty lets the system choose.
 };
 
 struct HttpResponse
--- a/tests/support/include/hornbeam/testsupport/mesh.h
+++ b/tests/support/include/hornbeam/testsupport/mesh.h
@@ -19,8 +19,8 @@
     int nodesPerZone = 1;
     int targetsPerNode = 1;
     std::string service = "vuorolista";
-    std::vector<std::string> targetArguments; ///< Further arguments of each target stand-in.
-    std::vector<std::string> storeArguments; ///< Further arguments of the store stand-in.
+    std::vector<std::string> targetArguments = {}; ///< Further arguments of each target stand-in.
+    std::vector<std::string> storeArguments = {}; ///< Further arguments of the store stand-in.
     nlohmann::json settings = nlohmann::json::object(); ///< Merged into the settings of each node.
     std::uint64_t seed = 1; ///< Seed of the fault proxy.
 };
@@ -101,6 +101,9 @@
     bool controlFaults(const nlohmann::json &request) const;
     bool controlStore(const nlohmann::json &request) const;
 
+    /** Number of keys in the store from @p key up to, but without, @p end; both in base64. */
+    std::uint64_t storedKeys(const std::string &key, const std::string &end) const;
+
     /** Adds one rule to the fault proxy. */
     bool addRule(const nlohmann::json &rule) const;
 
--- a/tests/support/include/hornbeam/testsupport/processgroup.h
+++ b/tests/support/include/hornbeam/testsupport/processgroup.h
@@ -19,8 +19,8 @@
 {
     std::string name; ///< Unique among the running processes of the group; names the log file.
     std::filesystem::path program;
-    std::vector<std::string> arguments;
-    std::string readyLine; ///< Text of the output to wait for; empty does not wait.
+    std::vector<std::string> arguments = {};
+    std::string readyLine = {}; ///< Text of the output to wait for; empty does not wait.
     std::chrono::milliseconds readyTimeout{10000};
 };
 
--- a/tests/support/src/httpclient.cpp
+++ b/tests/support/src/httpclient.cpp
@@ -71,6 +71,9 @@
     if (request.method == "HEAD") {
         curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
     }
+    if (request.maxBytesPerSecond > 0) {
+        curl_easy_setopt(curl, CURLOPT_MAX_RECV_SPEED_LARGE, static_cast<curl_off_t>(request.maxBytesPerSecond));
+    }
     if (!request.sourceAddress.empty()) {
         curl_easy_setopt(curl, CURLOPT_INTERFACE, ("host!" + request.sourceAddress).c_str());
     }
--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -288,6 +288,17 @@
     return succeeded(sendHttp(control));
 }
 
+std::uint64_t Mesh::storedKeys(const std::string &key, const std::string &end) const
+{
+    HttpRequest range;
+    range.method = "POST";
+    range.url = "http://" + store().toString() + "/v3/kv/range";
+    range.body = Json{{"key", key}, {"range_end", end}, {"keys_only", true}}.dump();
+    const auto response = sendHttp(range);
+    const auto body = response ? Json::parse(response->body, nullptr, false) : Json();
+    return body.is_object() && body.contains("kvs") ? body["kvs"].size() : 0;
+}
+
 bool Mesh::addRule(const Json &rule) const
 {
     return controlFaults({{"rules", Json::array({rule})}});
