--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -22,6 +22,9 @@
 
     /** Reports that @p target closed its connection while it ran the request with this digest. */
     virtual void targetCrashed(const Digest &request, const Endpoint &target) = 0;
+
+    /** Reports that a target answered a request that was under way during a recent crash; it did not cause that one. */
+    virtual void requestSucceeded(const Digest & /*request*/) {}
 };
 
 /** What the proxy needs from the rest of the process. The referenced objects outlive the server. */
--- /dev/null
+++ b/libs/proxy/src/admissioncontroller.cpp
@@ -0,0 +1,110 @@
+#include "admissioncontroller.h"
+
+#include <algorithm>
+
+namespace Hornbeam {
+
+namespace {
+
+/** Weight of a new sample in the average duration: follows a change within some tens of requests. */
+constexpr int averageWeight = 16;
+
+} // namespace
+
+QueuedRequest::QueuedRequest(Priority priority, TimePoint deadline)
+    : m_priority(priority)
+    , m_deadline(deadline)
+{
+}
+
+AdmissionController::AdmissionController(std::uint32_t maxQueued)
+    : m_maxQueued(maxQueued)
+{
+}
+
+AdmissionController::Verdict AdmissionController::admit(const QueuedRequestPtr &request,
+                                                        std::uint32_t slots,
+                                                        TimePoint now)
+{
+    const auto priority = request->priority();
+    if (queuedAtOrAbove(priority) == 0 && request->tryStart()) {
+        return Verdict::Started;
+    }
+    if (now + estimatedWait(priority, slots) + m_averageDuration > request->deadline()) {
+        return Verdict::TooLate;
+    }
+    if (queued() >= m_maxQueued && !displaceBelow(priority)) {
+        return Verdict::QueueFull;
+    }
+    m_queues[static_cast<std::size_t>(priority)].push_back(request);
+    return Verdict::Queued;
+}
+
+void AdmissionController::slotsChanged(TimePoint now)
+{
+    for (auto &queue : m_queues) {
+        for (auto it = queue.begin(); it != queue.end();) {
+            const auto request = *it;
+            const bool expired = request->deadline() <= now;
+            if (!expired && !request->tryStart()) {
+                ++it;
+                continue;
+            }
+            it = queue.erase(it);
+            if (expired) {
+                request->rejected();
+            }
+        }
+    }
+}
+
+void AdmissionController::remove(const QueuedRequestPtr &request)
+{
+    auto &queue = m_queues[static_cast<std::size_t>(request->priority())];
+    queue.erase(std::remove(queue.begin(), queue.end(), request), queue.end());
+}
+
+void AdmissionController::recordDuration(Duration duration)
+{
+    const bool first = m_averageDuration == Duration::zero();
+    m_averageDuration += (duration - m_averageDuration) / (first ? 1 : averageWeight);
+}
+
+Duration AdmissionController::estimatedWait(Priority priority, std::uint32_t slots) const
+{
+    const auto ahead = static_cast<Duration::rep>(queuedAtOrAbove(priority)) + 1;
+    return m_averageDuration * ahead / std::max<std::uint32_t>(slots, 1);
+}
+
+std::size_t AdmissionController::queued() const
+{
+    std::size_t n = 0;
+    for (const auto &queue : m_queues) {
+        n += queue.size();
+    }
+    return n;
+}
+
+std::size_t AdmissionController::queuedAtOrAbove(Priority priority) const
+{
+    std::size_t n = 0;
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+        n += m_queues[i].size();
+    }
+    return n;
+}
+
+bool AdmissionController::displaceBelow(Priority priority)
+{
+    for (std::size_t i = m_queues.size() - 1; i > static_cast<std::size_t>(priority); --i) {
+        if (!m_queues[i].empty()) {
+            const auto displaced = m_queues[i].back();
+            m_queues[i].pop_back();
+            displaced->rejected();
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/admissioncontroller.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <hornbeam/base/timerservice.h>
+#include <hornbeam/config/route.h>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+namespace Hornbeam {
+
+/** A request that waits for a slot of its service. */
+class QueuedRequest
+{
+public:
+    QueuedRequest(Priority priority, TimePoint deadline);
+    virtual ~QueuedRequest() = default;
+
+    /** Takes a slot of a target that suits the request; false when none is free. */
+    virtual bool tryStart() = 0;
+
+    /** Told once when the request left the queue without a slot. */
+    virtual void rejected() = 0;
+
+    Priority priority() const
+    {
+        return m_priority;
+    }
+
+    TimePoint deadline() const
+    {
+        return m_deadline;
+    }
+
+private:
+    Priority m_priority;
+    TimePoint m_deadline;
+};
+
+using QueuedRequestPtr = std::shared_ptr<QueuedRequest>;
+
+/**
+ * Admits the requests of one service to its slots and queues the others by priority.
+ * A request that would probably not finish before its deadline is refused at once instead of waiting in vain. When the
+ * queue is full, a request of higher priority displaces the newest one of the lowest priority. Not thread-safe.
+ */
+class AdmissionController
+{
+public:
+    enum class Verdict {
+        Started,
+        Queued,
+        QueueFull,
+        TooLate, ///< The estimated wait exceeds the deadline.
+    };
+
+    explicit AdmissionController(std::uint32_t maxQueued);
+
+    /** @p slots: slots of all targets of the service. */
+    Verdict admit(const QueuedRequestPtr &request, std::uint32_t slots, TimePoint now);
+
+    /** Starts waiting requests as far as slots are free and rejects those whose deadline has passed. */
+    void slotsChanged(TimePoint now);
+
+    /** Removes a request whose caller has gone. */
+    void remove(const QueuedRequestPtr &request);
+
+    /** Learns how long a request held its slot. */
+    void recordDuration(Duration duration);
+
+    /** Estimated wait of a new request of @p priority with @p slots slots. */
+    Duration estimatedWait(Priority priority, std::uint32_t slots) const;
+
+    std::size_t queued() const;
+
+private:
+    using Queue = std::deque<QueuedRequestPtr>;
+
+    std::size_t queuedAtOrAbove(Priority priority) const;
+    bool displaceBelow(Priority priority);
+
+    std::uint32_t m_maxQueued;
+    std::array<Queue, 3> m_queues; ///< By priority.
+    Duration m_averageDuration = Duration::zero();
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/attemptreport.cpp
@@ -0,0 +1,84 @@
+#include "attemptreport.h"
+
+namespace Hornbeam {
+
+namespace {
+
+/** Whether a response counts against its target. Shedding does not: ejecting overloaded targets overloads the others.
+ */
+bool isFailureStatus(int status)
+{
+    return status >= 500 && status != 501 && status != 503;
+}
+
+void reportCrash(CallContext &call, const Endpoint &target, TimePoint now)
+{
+    call.core.metrics.crashes.add();
+    call.core.suspects.add(call.crashDigest(), now);
+    call.core.dependencies.crashes.targetCrashed(call.crashDigest(), target);
+}
+
+} // namespace
+
+void reportAttempt(CallContext &call, UpstreamExchange &exchange, AttemptStatus status)
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto &balancer = call.core.balancer;
+    switch (status) {
+    case AttemptStatus::Response:
+        if (isFailureStatus(exchange.stream().reader().head().status)) {
+            balancer.recordFailure(exchange.lease(), now);
+        } else {
+            balancer.recordSuccess(exchange.lease(), now);
+        }
+        break;
+    case AttemptStatus::Broken:
+        reportCrash(call, exchange.lease().address(), now);
+        balancer.recordFailure(exchange.lease(), now);
+        break;
+    case AttemptStatus::ConnectFailed:
+    case AttemptStatus::Silent:
+    case AttemptStatus::BadResponse:
+        balancer.recordFailure(exchange.lease(), now);
+        break;
+    default:
+        break;
+    }
+}
+
+bool isCrashSuspect(CallContext &call)
+{
+    return call.core.suspects.any()
+        && call.core.suspects.contains(call.crashDigest(), std::chrono::steady_clock::now());
+}
+
+void clearCrashSuspicion(CallContext &call)
+{
+    if (call.core.suspects.any() && call.core.suspects.remove(call.crashDigest())) {
+        call.core.dependencies.crashes.requestSucceeded(call.crashDigest());
+    }
+}
+
+Refusal refusalFor(AttemptStatus status, CallContext &call)
+{
+    switch (status) {
+    case AttemptStatus::ConnectFailed:
+        return {.status = 503,
+                .reason = "connection failed",
+                .retryAfterSeconds = call.core.balancer.retryAfterSeconds(call.service.name)};
+    case AttemptStatus::DeadlinePassed:
+        return {.status = 504, .reason = "deadline passed"};
+    case AttemptStatus::Expired:
+        return {.status = 504, .outcome = RefusalOutcome::Unknown, .reason = "no response before the deadline"};
+    case AttemptStatus::Silent:
+        return {.status = 504, .outcome = RefusalOutcome::Unknown, .reason = "silent target"};
+    case AttemptStatus::BadResponse:
+        return {.status = 502, .outcome = RefusalOutcome::Unknown, .reason = "bad response"};
+    case AttemptStatus::CallerFailed:
+        return {.status = 400, .reason = "bad request body"};
+    default:
+        return {.status = 502, .outcome = RefusalOutcome::Unknown, .reason = "connection closed by the target"};
+    }
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/attemptreport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "upstreamexchange.h"
+
+namespace Hornbeam {
+
+/** Tells the outlier detector and the crash reporter how an attempt ended. */
+void reportAttempt(CallContext &call, UpstreamExchange &exchange, AttemptStatus status);
+
+/** Whether this node has recently seen the request crash a target. */
+bool isCrashSuspect(CallContext &call);
+
+/** Clears a request that a target has answered completely. */
+void clearCrashSuspicion(CallContext &call);
+
+/** The answer to the caller for an attempt that brought no response. */
+Refusal refusalFor(AttemptStatus status, CallContext &call);
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/callerconnection.cpp
@@ -0,0 +1,206 @@
+#include "callerconnection.h"
+
+#include "idempotentcall.h"
+#include "oncecall.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Hornbeam {
+
+namespace {
+
+/** Bodies up to this size are kept, so that an idempotent request can be sent again. */
+constexpr std::size_t replayBytes = std::size_t{64} * 1024;
+
+/** Bodies up to this size can be identified by their content. */
+constexpr std::size_t identityBytes = std::size_t{1024} * 1024;
+
+/** Time and bytes for which a connection that is closed early still takes what its caller sends. */
+constexpr auto lingerTime = std::chrono::seconds(1);
+constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
+
+/** Counts a request as in flight while it lives. */
+class InFlightGuard
+{
+public:
+    explicit InFlightGuard(std::atomic<std::size_t> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+
+    InFlightGuard(const InFlightGuard &) = delete;
+    InFlightGuard &operator=(const InFlightGuard &) = delete;
+
+    ~InFlightGuard()
+    {
+        --m_count;
+    }
+
+private:
+    std::atomic<std::size_t> &m_count;
+};
+
+} // namespace
+
+CallerConnection::CallerConnection(ServerCore &core,
+                                   UpstreamPool &pool,
+                                   const std::shared_ptr<asio::io_context> &context,
+                                   TimedSocket socket)
+    : m_core(core)
+    , m_pool(pool)
+    , m_context(context)
+    , m_stream(std::move(socket), HttpMessageReader::Kind::Request, core.options.maxHeaderBytes)
+{
+}
+
+CallerConnection::~CallerConnection()
+{
+    --m_core.connections;
+}
+
+asio::awaitable<void> CallerConnection::run()
+{
+    bool open = true;
+    while (open) {
+        m_stream.reader().reset();
+        m_idle = true;
+        const auto result = co_await m_stream.readHead(std::chrono::steady_clock::now() + m_core.options.idleTimeout);
+        m_idle = false;
+        if (result != ReadResult::Ok) {
+            co_await refuseUnreadable(result);
+            break;
+        }
+        const InFlightGuard guard(m_core.requestsInFlight);
+        open = co_await serve();
+    }
+    co_await closeGently();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (m_idle && !m_stream.reader().started() && m_stream.socket().isQuiet()) {
+        m_stream.socket().cancel();
+    }
+}
+
+asio::awaitable<void> CallerConnection::refuseUnreadable(ReadResult result)
+{
+    const auto version = m_core.state()->snapshot->version();
+    switch (result) {
+    case ReadResult::Malformed:
+        co_await refuse({.status = 400, .reason = "malformed request"}, version);
+        break;
+    case ReadResult::HeadTooLarge:
+        co_await refuse({.status = 431, .reason = "header too large"}, version);
+        break;
+    case ReadResult::TimedOut:
+        if (m_stream.reader().started()) {
+            co_await refuse({.status = 408, .reason = "incomplete request"}, version);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+asio::awaitable<bool> CallerConnection::refuse(Refusal refusal, std::uint64_t version)
+{
+    const auto &reader = m_stream.reader();
+    const bool keepAlive = reader.state() == HttpMessageReader::State::Complete && reader.head().keepAlive
+        && !m_core.draining.load(std::memory_order_relaxed) && refusal.status != 400;
+    m_core.metrics.countResponse({}, refusal.status);
+    co_return co_await writeRefusal(m_core, m_stream, refusal, version, keepAlive);
+}
+
+asio::awaitable<bool> CallerConnection::serve()
+{
+    const auto state = m_core.state();
+    const auto &head = m_stream.reader().head();
+    const auto version = state->snapshot->version();
+    if (const auto *problem = findRequestProblem(head)) {
+        co_return co_await refuse({.status = 400, .reason = problem}, version);
+    }
+    if (!state->ready) {
+        co_return co_await refuse({.status = 503, .reason = "not ready", .retryAfterSeconds = 1}, version);
+    }
+    const auto *route = state->snapshot->matchRoute(head.host(), head.method, head.path());
+    if (route == nullptr) {
+        co_return co_await refuse({.status = 404, .reason = "no route"}, version);
+    }
+    co_return co_await serveRoute(state, *route);
+}
+
+asio::awaitable<bool> CallerConnection::serveRoute(const RoutingStatePtr &state, const Route &route)
+{
+    const auto *service = state->snapshot->findService(route.service);
+    if (service == nullptr) {
+        co_return co_await refuse({.status = 503, .reason = "no service"}, state->snapshot->version());
+    }
+    CallContext call(m_core, m_pool, m_context, m_stream, state, route, *service);
+    const bool prepared = co_await prepare(call);
+    if (!prepared) {
+        co_return call.keepOpen;
+    }
+    if (call.body.isComplete()) {
+        call.watch.start();
+    }
+    if (route.idempotent) {
+        IdempotentCall idempotent(call);
+        co_await idempotent.run();
+    } else {
+        OnceCall once(call);
+        co_await once.run();
+    }
+    co_return call.keepOpen;
+}
+
+asio::awaitable<bool> CallerConnection::prepare(CallContext &call)
+{
+    const auto started = std::chrono::steady_clock::now();
+    const auto result = co_await call.body.buffer(call.route.idempotent ? replayBytes : identityBytes, call.deadline);
+    call.waited += std::chrono::steady_clock::now() - started;
+    const bool needsContent = !call.route.idempotent && call.route.identity == RequestIdentitySource::Content;
+    if (result == RequestBody::Result::TooLarge
+        || (result == RequestBody::Result::Ok && needsContent && !call.body.isComplete())) {
+        co_await call.refuse({.status = 413, .reason = "request body too large"});
+        co_return false;
+    }
+    if (result != RequestBody::Result::Ok) {
+        co_await call.refuse({.status = 400, .reason = "incomplete request body"});
+        co_return false;
+    }
+    const auto &quarantined = call.state->quarantined;
+    if (!quarantined.empty() && std::binary_search(quarantined.begin(), quarantined.end(), call.crashDigest())) {
+        co_await call.refuse({.status = 422, .reason = "quarantined after crashes"});
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> CallerConnection::closeGently()
+{
+    auto &socket = m_stream.socket();
+    if (!socket.socket().is_open()) {
+        co_return;
+    }
+    socket.shutdownSend();
+    // Closing with unread bytes would reset the connection and could destroy the response on its way.
+    const auto &reader = m_stream.reader();
+    const bool mayStillSend = reader.started() && reader.state() != HttpMessageReader::State::Complete;
+    const auto until = std::chrono::steady_clock::now() + lingerTime;
+    std::array<char, 4096> discarded;
+    std::size_t total = 0;
+    while (mayStillSend && total < lingerBytes) {
+        std::size_t n = 0;
+        const auto ec = co_await socket.readSome(asio::buffer(discarded), until, n);
+        if (ec) {
+            break;
+        }
+        total += n;
+    }
+    socket.close();
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/callerconnection.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "callcontext.h"
+
+#include <memory>
+
+namespace Hornbeam {
+
+/** Serves the requests of one caller's connection, one after the other. */
+class CallerConnection
+{
+public:
+    /** @p context: the context of the thread that owns the connection. */
+    CallerConnection(ServerCore &core,
+                     UpstreamPool &pool,
+                     const std::shared_ptr<asio::io_context> &context,
+                     TimedSocket socket);
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
+    ~CallerConnection();
+
+    /** Serves until the connection ends. */
+    asio::awaitable<void> run();
+
+    /** Closes the connection if it waits for a request of which nothing has arrived. */
+    void closeIfIdle();
+
+private:
+    asio::awaitable<bool> serve();
+    asio::awaitable<bool> serveRoute(const RoutingStatePtr &state, const Route &route);
+    asio::awaitable<bool> prepare(CallContext &call);
+    asio::awaitable<bool> refuse(Refusal refusal, std::uint64_t version);
+    asio::awaitable<void> refuseUnreadable(ReadResult result);
+    asio::awaitable<void> closeGently();
+
+    ServerCore &m_core;
+    UpstreamPool &m_pool;
+    const std::shared_ptr<asio::io_context> &m_context;
+    HttpStream m_stream;
+    bool m_idle = false;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/callerwatch.cpp
@@ -0,0 +1,37 @@
+#include "callerwatch.h"
+
+#include <utility>
+
+namespace Hornbeam {
+
+CallerWatch::CallerWatch(TimedSocket &caller)
+    : m_caller(caller)
+{
+}
+
+CallerWatch::~CallerWatch()
+{
+    stop();
+}
+
+void CallerWatch::start()
+{
+    m_caller.watchDisconnect([this] {
+        m_gone = true;
+        if (m_cancel) {
+            m_cancel();
+        }
+    });
+}
+
+void CallerWatch::stop()
+{
+    m_caller.stopWatching();
+}
+
+void CallerWatch::setCancel(std::function<void()> cancel)
+{
+    m_cancel = std::move(cancel);
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/crashsuspects.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <hornbeam/base/digest.h>
+#include <hornbeam/base/timerservice.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace Hornbeam {
+
+/** The requests that this node has seen crash a target within the window. Safe from any thread. */
+class CrashSuspects
+{
+public:
+    explicit CrashSuspects(Duration window);
+
+    void add(const Digest &request, TimePoint now);
+
+    /** Forgets a request that has succeeded; returns whether it was a suspect. */
+    bool remove(const Digest &request);
+
+    bool contains(const Digest &request, TimePoint now);
+
+    /** Whether there may be suspects; saves computing digests as long as nothing crashes. */
+    bool any() const
+    {
+        return m_any.load(std::memory_order_relaxed);
+    }
+
+private:
+    void forgetExpired(TimePoint now);
+
+    Duration m_window;
+    std::atomic<bool> m_any = false;
+    std::mutex m_mutex;
+    std::map<Digest, TimePoint> m_crashes;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -0,0 +1,155 @@
+#include "httpmessagereader.h"
+
+#include <limits>
+
+namespace Hornbeam {
+
+/** The functions that http_parser calls; a result other than zero stops it with an error. */
+struct HttpMessageReader::Callbacks
+{
+    static HttpMessageReader &reader(http_parser *parser)
+    {
+        return *static_cast<HttpMessageReader *>(parser->data);
+    }
+
+    static int onUrl(http_parser *parser, const char *at, std::size_t n)
+    {
+        reader(parser).m_head.target.append(at, n);
+        return reader(parser).countHeaderBytes(n) ? 0 : 1;
+    }
+
+    static int onStatus(http_parser *parser, const char *at, std::size_t n)
+    {
+        reader(parser).m_head.reason.append(at, n);
+        return reader(parser).countHeaderBytes(n) ? 0 : 1;
+    }
+
+    static int onHeaderField(http_parser *parser, const char *at, std::size_t n)
+    {
+        auto &self = reader(parser);
+        if (self.m_state == State::Head) {
+            if (self.m_lastWasValue || self.m_head.headers.empty()) {
+                self.m_head.headers.emplace_back();
+            }
+            self.m_lastWasValue = false;
+            self.m_head.headers.back().name.append(at, n);
+        }
+        return self.countHeaderBytes(n) ? 0 : 1;
+    }
+
+    static int onHeaderValue(http_parser *parser, const char *at, std::size_t n)
+    {
+        auto &self = reader(parser);
+        if (self.m_state == State::Head) {
+            self.m_lastWasValue = true;
+            self.m_head.headers.back().value.append(at, n);
+        }
+        return self.countHeaderBytes(n) ? 0 : 1;
+    }
+
+    static int onHeadersComplete(http_parser *parser)
+    {
+        auto &self = reader(parser);
+        self.finishHead();
+        http_parser_pause(parser, 1);
+        // The result 1 tells the parser that no body follows.
+        return self.m_kind == Kind::Response && self.m_headRequested ? 1 : 0;
+    }
+
+    static int onBody(http_parser *parser, const char *at, std::size_t n)
+    {
+        reader(parser).m_body.append(at, n);
+        return 0;
+    }
+
+    static int onMessageComplete(http_parser *parser)
+    {
+        reader(parser).m_state = State::Complete;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    static const http_parser_settings &settings()
+    {
+        static const http_parser_settings callbacks = [] {
+            http_parser_settings it;
+            http_parser_settings_init(&it);
+            it.on_url = onUrl;
+            it.on_status = onStatus;
+            it.on_header_field = onHeaderField;
+            it.on_header_value = onHeaderValue;
+            it.on_headers_complete = onHeadersComplete;
+            it.on_body = onBody;
+            it.on_message_complete = onMessageComplete;
+            return it;
+        }();
+        return callbacks;
+    }
+};
+
+HttpMessageReader::HttpMessageReader(Kind kind, std::size_t maxHeaderBytes)
+    : m_kind(kind)
+    , m_maxHeaderBytes(maxHeaderBytes)
+{
+    reset();
+}
+
+void HttpMessageReader::reset(bool headRequested)
+{
+    http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+    m_state = State::Head;
+    m_head = HttpHead();
+    m_body.clear();
+    m_headerBytes = 0;
+    m_headRequested = headRequested;
+    m_started = false;
+    m_lastWasValue = false;
+    m_endsWithConnection = false;
+}
+
+std::size_t HttpMessageReader::feed(std::string_view bytes)
+{
+    if (bytes.empty() || m_state == State::Complete || m_state == State::Malformed || m_state == State::HeadTooLarge) {
+        return 0;
+    }
+    m_started = true;
+    http_parser_pause(&m_parser, 0);
+    const auto used = http_parser_execute(&m_parser, &Callbacks::settings(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error == HPE_HEADER_OVERFLOW) {
+        m_state = State::HeadTooLarge;
+    } else if (error != HPE_OK && error != HPE_PAUSED && m_state != State::HeadTooLarge) {
+        m_state = State::Malformed;
+    }
+    return used;
+}
+
+bool HttpMessageReader::countHeaderBytes(std::size_t n)
+{
+    m_headerBytes += n;
+    if (m_headerBytes <= m_maxHeaderBytes) {
+        return true;
+    }
+    m_state = State::HeadTooLarge;
+    return false;
+}
+
+void HttpMessageReader::finishHead()
+{
+    // The proxy speaks one protocol only, so an upgrade request is an ordinary request.
+    m_parser.upgrade = 0;
+    m_head.method = m_kind == Kind::Request ? http_method_str(static_cast<http_method>(m_parser.method)) : "";
+    m_head.status = m_kind == Kind::Response ? static_cast<int>(m_parser.status_code) : 0;
+    m_head.minorVersion = m_parser.http_major == 1 ? m_parser.http_minor : 0;
+    m_head.chunked = (m_parser.flags & F_CHUNKED) != 0;
+    if (!m_head.chunked && m_parser.content_length != std::numeric_limits<std::uint64_t>::max()) {
+        m_head.contentLength = m_parser.content_length;
+    }
+    m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    m_endsWithConnection = m_kind == Kind::Response && !m_headRequested && !m_head.chunked && !m_head.contentLength
+        && !statusHasNoBody(m_head.status);
+    m_state = State::Body;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/loadbalancer.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "admissioncontroller.h"
+#include "outlierdetector.h"
+#include "retrybudget.h"
+#include "slotlease.h"
+#include "slotrequest.h"
+#include "targetselector.h"
+
+#include <hornbeam/base/metrics.h>
+#include <hornbeam/proxy/proxyoptions.h>
+#include <hornbeam/proxy/routingstate.h>
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Hornbeam {
+
+/**
+ * The node's view of its targets: who runs how many of its requests, who waits, who is ejected. Shared by the traffic
+ * threads, because slots and outstanding requests count per node. Safe from any thread.
+ */
+class LoadBalancer
+{
+public:
+    LoadBalancer(const ProxyOptions &options, MetricsRegistry &metrics);
+
+    /** Takes over the targets of @p state. A target keeps its load while its address and instance stay the same. */
+    void publish(const RoutingState &state, TimePoint now);
+
+    /** Takes a slot, queues or refuses the request. Returns whether it was queued; finish() tells the result. */
+    bool acquire(const SlotRequestPtr &request, TimePoint now);
+
+    /** Ends the wait of a request and returns its result; a request that still waits is removed from the queue. */
+    SlotResult finish(const SlotRequestPtr &request);
+
+    /** Counts a first attempt for the retry budget of the service. */
+    void countRequest(const std::string &service);
+
+    bool tryTakeRetry(const std::string &service);
+
+    void recordSuccess(const SlotLease &lease, TimePoint now);
+    void recordFailure(const SlotLease &lease, TimePoint now);
+
+    /** Random whole seconds after which a refused caller may try again, spread so that callers do not return at once.
+     */
+    int retryAfterSeconds(const std::string &service);
+
+    /** Targets and queue lengths as JSON members, for the dump. */
+    std::string dumpJson(TimePoint now) const;
+
+private:
+    friend class SlotLease;
+    friend class SlotRequest;
+
+    struct ServiceState
+    {
+        ServiceState(std::uint32_t maxQueued, std::uint32_t retryPercent);
+
+        std::vector<TargetLoadPtr> targets;
+        AdmissionController admission;
+        RetryBudget retries;
+    };
+
+    ServiceState &serviceState(const std::string &name);
+    TargetLoadPtr loadOf(const Target &target, const std::vector<TargetLoadPtr> &known, TimePoint now) const;
+    void rebuild(const RoutingState &state, TimePoint now);
+    void release(const std::string &service, TargetLoad &load, TimePoint started);
+    TargetSelector::Selection select(const std::string &service, const TargetQuery &query, TimePoint now);
+
+    const ProxyOptions m_options;
+    Counter &m_ejections;
+    mutable std::mutex m_mutex;
+    TargetSelector m_selector;
+    OutlierDetector m_outliers;
+    std::map<std::string, ServiceState, std::less<>> m_services;
+    std::mt19937_64 m_random;
+    bool m_seenTargets = false;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/oncecall.cpp
@@ -0,0 +1,168 @@
+#include "oncecall.h"
+
+#include "attemptreport.h"
+#include "claimwait.h"
+#include "responseforwarder.h"
+#include "slotwait.h"
+
+namespace Hornbeam {
+
+namespace {
+
+/** Separates the parts of an identity; no part contains it, since headers and targets have no zero bytes. */
+constexpr char separator = '\0';
+
+/** The target states that it refused the request before it ran it. */
+bool isShed(const HttpHead &response)
+{
+    const auto *outcome = response.find("x-hornbeam-outcome");
+    return response.status == 503 && outcome != nullptr && *outcome == "not-run";
+}
+
+/** The caller's credentials, which survive a change of its address, or else its address. */
+std::string callerOf(CallContext &call)
+{
+    if (const auto *credentials = call.head().find("authorization")) {
+        return *credentials;
+    }
+    std::error_code ec;
+    const auto peer = call.caller.socket().socket().remote_endpoint(ec);
+    return ec ? std::string() : peer.address().to_string();
+}
+
+} // namespace
+
+std::optional<Digest> identityOf(CallContext &call)
+{
+    const auto &head = call.head();
+    if (call.route.identity == RequestIdentitySource::Header) {
+        const auto *key = head.find("idempotency-key");
+        if (key == nullptr || key->empty()) {
+            return std::nullopt;
+        }
+        auto text = std::string("key") + separator + head.method + separator;
+        text += head.path();
+        return Digest::of(text + separator + *key);
+    }
+    auto text = std::string("content") + separator + callerOf(call) + separator + head.method + separator;
+    return Digest::of(text + head.target + separator + call.body.buffered());
+}
+
+OnceCall::OnceCall(CallContext &call)
+    : m_call(call)
+{
+}
+
+asio::awaitable<void> OnceCall::run()
+{
+    const auto identity = identityOf(m_call);
+    if (!identity) {
+        co_await m_call.refuse({.status = 400, .reason = "Idempotency-Key is missing"});
+        co_return;
+    }
+    auto grant = co_await waitForSlot(m_call, {});
+    if (!grant.lease) {
+        co_await m_call.refuse(refusalFor(grant.result, m_call));
+        co_return;
+    }
+    const auto decision = co_await waitForClaim(m_call, *identity);
+    if (decision.outcome != ClaimOutcome::Granted) {
+        co_await answerDecision(decision);
+        co_return;
+    }
+    m_ticket = decision.ticket;
+    co_await runClaimed(std::move(grant.lease));
+}
+
+asio::awaitable<void> OnceCall::answerDecision(const ClaimDecision &decision)
+{
+    switch (decision.outcome) {
+    case ClaimOutcome::Completed:
+        co_await replayResponse(m_call, decision.response);
+        co_return;
+    case ClaimOutcome::InProgress:
+        co_await m_call.refuse(
+            {.status = 409, .outcome = RefusalOutcome::InProgress, .reason = "in progress", .retryAfterSeconds = 1});
+        co_return;
+    case ClaimOutcome::Unknown:
+        co_await m_call.refuse({.status = 504, .outcome = RefusalOutcome::Unknown, .reason = "outcome unknown"});
+        co_return;
+    default:
+        co_await m_call.refuse({.status = 503,
+                                .reason = "no claim",
+                                .retryAfterSeconds = m_call.core.balancer.retryAfterSeconds(m_call.service.name)});
+    }
+}
+
+asio::awaitable<void> OnceCall::runClaimed(SlotLease lease)
+{
+    std::vector<Endpoint> tried;
+    while (lease) {
+        UpstreamExchange exchange(m_call, std::move(lease));
+        const bool connected = co_await exchange.connect(true);
+        if (connected) {
+            co_await send(exchange);
+            co_return;
+        }
+        // Nothing was sent, so another target may be tried.
+        reportAttempt(m_call, exchange, AttemptStatus::ConnectFailed);
+        tried.push_back(exchange.lease().address());
+        auto grant = co_await waitForSlot(m_call, tried);
+        lease = std::move(grant.lease);
+    }
+    m_call.core.dependencies.claims.release(m_ticket);
+    co_await m_call.refuse(refusalFor(AttemptStatus::ConnectFailed, m_call));
+}
+
+asio::awaitable<void> OnceCall::send(UpstreamExchange &exchange)
+{
+    // Once the request is sent, it goes on without its caller, so that its outcome is recorded.
+    const auto status = co_await exchange.run(false);
+    reportAttempt(m_call, exchange, status);
+    if (status == AttemptStatus::Response) {
+        co_await forward(exchange);
+    } else {
+        co_await fail(exchange, status);
+    }
+}
+
+asio::awaitable<void> OnceCall::forward(UpstreamExchange &exchange)
+{
+    auto &claims = m_call.core.dependencies.claims;
+    const auto code = exchange.stream().reader().head().status;
+    const bool shed = isShed(exchange.stream().reader().head());
+    ResponseForwarder forwarder(m_call, exchange);
+    forwarder.record();
+    const bool complete = co_await forwarder.forward();
+    m_call.core.metrics.countResponse(m_call.route.name, code);
+    if (shed) {
+        claims.release(m_ticket);
+    } else if (complete) {
+        claims.complete(m_ticket, forwarder.recorded());
+        clearCrashSuspicion(m_call);
+    } else {
+        claims.markUnknown(m_ticket);
+    }
+    if (complete) {
+        exchange.finish();
+    }
+}
+
+asio::awaitable<void> OnceCall::fail(UpstreamExchange &exchange, AttemptStatus status)
+{
+    auto &claims = m_call.core.dependencies.claims;
+    if (!exchange.hasSent()) {
+        claims.release(m_ticket);
+        auto refusal = refusalFor(status, m_call);
+        refusal.outcome = RefusalOutcome::NotRun;
+        co_await m_call.refuse(refusal);
+        co_return;
+    }
+    claims.markUnknown(m_ticket);
+    auto refusal = refusalFor(status, m_call);
+    refusal.status = 504;
+    refusal.outcome = RefusalOutcome::Unknown;
+    co_await m_call.refuse(refusal);
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/proxymetrics.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <hornbeam/base/metrics.h>
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace Hornbeam {
+
+/** The metrics of the traffic path. Safe from any thread. */
+class ProxyMetrics
+{
+public:
+    explicit ProxyMetrics(MetricsRegistry &registry);
+
+    /** Counts a response by route and status class; an empty route stands for requests that match none. */
+    void countResponse(const std::string &route, int status);
+    void countRefusal(const char *reason);
+
+    Counter &retries;
+    Counter &crashes;
+    Counter &silentConnections;
+    Counter &truncatedResponses;
+    Counter &cancelled;
+    LatencyRecorder &addedTime;
+
+private:
+    MetricsRegistry &m_registry;
+    std::mutex m_mutex;
+    std::map<std::pair<std::string, int>, Counter *> m_responses; ///< By route and status class.
+    std::map<std::string, Counter *, std::less<>> m_refusals;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -0,0 +1,161 @@
+#include "proxyserverimpl.h"
+
+#include <asio/ip/tcp.hpp>
+#include <http_parser.h>
+#include <nlohmann/json.hpp>
+
+#include <mutex>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr auto drainCheckPeriod = std::chrono::milliseconds(10);
+
+/** Bound of maxHeaderBytes; the parser's own limit must not be lower. */
+constexpr std::uint32_t largestHeaderBytes = 1024 * 1024;
+
+bool isValid(const ProxyOptions &options)
+{
+    return options.threads >= 1 && options.threads <= 64 && options.maxConnections >= 1
+        && options.maxConnections <= 100000 && options.maxHeaderBytes >= 1024
+        && options.maxHeaderBytes <= largestHeaderBytes && options.maxQueuedRequests <= 100000
+        && options.retryBudgetPercent <= 100;
+}
+
+/** Fails if another socket listens on the address: the shared port would otherwise hide a second process. */
+std::error_code probeAddress(const asio::ip::tcp::endpoint &endpoint)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor probe(context);
+    std::error_code ec;
+    probe.open(endpoint.protocol(), ec);
+    if (!ec) {
+        probe.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        probe.bind(endpoint, ec);
+    }
+    return ec;
+}
+
+void raiseParserLimit()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { http_parser_set_max_header_size(2 * largestHeaderBytes); });
+}
+
+} // namespace
+
+ProxyServerImpl::ProxyServerImpl(ProxyOptions options, ProxyDependencies dependencies)
+    : m_core(std::move(options), dependencies)
+{
+    m_core.closeOlderConnections = [this](const Endpoint &target, TimePoint since) {
+        for (const auto &thread : m_threads) {
+            thread->closeOlder(target, since);
+        }
+    };
+}
+
+ProxyServerImpl::~ProxyServerImpl()
+{
+    // All threads stop before any is destroyed, because their requests use each other's slots and connections.
+    for (const auto &thread : m_threads) {
+        thread->stop();
+    }
+}
+
+Result<bool> ProxyServerImpl::start()
+{
+    const auto &options = m_core.options;
+    if (!isValid(options)) {
+        return makeError(ErrorCode::InvalidArgument, "proxy option out of range");
+    }
+    std::error_code ec;
+    const auto address = asio::ip::make_address(options.listen.address(), ec);
+    if (ec) {
+        return makeError(ErrorCode::InvalidArgument, "invalid listen address " + options.listen.address());
+    }
+    raiseParserLimit();
+    asio::ip::tcp::endpoint endpoint(address, options.listen.port());
+    ec = endpoint.port() == 0 ? std::error_code() : probeAddress(endpoint);
+    for (std::uint32_t i = 0; i < options.threads && !ec; ++i) {
+        m_threads.push_back(std::make_unique<TrafficThread>(m_core));
+        ec = m_threads.back()->listen(endpoint);
+        if (!ec) {
+            endpoint = m_threads.back()->localEndpoint();
+        }
+    }
+    if (ec) {
+        return makeError(ErrorCode::Unavailable, "cannot listen on " + options.listen.toString() + ": " + ec.message());
+    }
+    m_localEndpoint = Endpoint(endpoint.address().to_string(), endpoint.port());
+    for (const auto &thread : m_threads) {
+        thread->start();
+    }
+    return true;
+}
+
+void ProxyServerImpl::publish(RoutingStatePtr state)
+{
+    m_core.publish(std::move(state));
+}
+
+Endpoint ProxyServerImpl::localEndpoint() const
+{
+    return m_localEndpoint;
+}
+
+void ProxyServerImpl::drain(std::function<void()> drained)
+{
+    m_core.draining = true;
+    for (const auto &thread : m_threads) {
+        thread->drain();
+    }
+    const auto bound = std::chrono::steady_clock::now() + m_core.options.drainBound;
+    m_threads.front()->runAfter(drainCheckPeriod,
+                                [this, bound, drained = std::move(drained)] { checkDrained(bound, drained); });
+}
+
+void ProxyServerImpl::checkDrained(TimePoint bound, const std::function<void()> &drained)
+{
+    const bool empty = m_core.requestsInFlight == 0 && m_core.connections == 0;
+    if (empty || std::chrono::steady_clock::now() >= bound) {
+        drained();
+        return;
+    }
+    m_threads.front()->runAfter(drainCheckPeriod, [this, bound, drained] { checkDrained(bound, drained); });
+}
+
+std::size_t ProxyServerImpl::requestsInFlight() const
+{
+    return m_core.requestsInFlight;
+}
+
+std::string ProxyServerImpl::dumpJson() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto state = m_core.state();
+    const nlohmann::json json = {
+        {"configVersion", state->snapshot->version()},
+        {"ready", state->ready},
+        {"draining", m_core.draining.load()},
+        {"requestsInFlight", m_core.requestsInFlight.load()},
+        {"connections", m_core.connections.load()},
+        {"quarantined", state->quarantined.size()},
+        {"services", nlohmann::json::parse(m_core.balancer.dumpJson(now))},
+    };
+    return json.dump();
+}
+
+Result<std::unique_ptr<ProxyServer>> ProxyServer::make(ProxyOptions options, ProxyDependencies dependencies)
+{
+    auto server = std::make_unique<ProxyServerImpl>(std::move(options), dependencies);
+    auto started = server->start();
+    if (!started) {
+        return tl::unexpected(started.error());
+    }
+    return server;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/proxyserverimpl.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "servercore.h"
+#include "trafficthread.h"
+
+#include <memory>
+#include <vector>
+
+namespace Hornbeam {
+
+/** The proxy server on several traffic threads. */
+class ProxyServerImpl : public ProxyServer
+{
+public:
+    ProxyServerImpl(ProxyOptions options, ProxyDependencies dependencies);
+    ~ProxyServerImpl() override;
+
+    /** Binds one socket per thread and starts the threads. */
+    Result<bool> start();
+
+    void publish(RoutingStatePtr state) override;
+    Endpoint localEndpoint() const override;
+    void drain(std::function<void()> drained) override;
+    std::size_t requestsInFlight() const override;
+    std::string dumpJson() const override;
+
+private:
+    void checkDrained(TimePoint bound, const std::function<void()> &drained);
+
+    ServerCore m_core;
+    std::vector<std::unique_ptr<TrafficThread>> m_threads;
+    Endpoint m_localEndpoint;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/servercore.cpp
@@ -0,0 +1,32 @@
+#include "servercore.h"
+
+#include <utility>
+
+namespace Hornbeam {
+
+ServerCore::ServerCore(ProxyOptions serverOptions, ProxyDependencies serverDependencies)
+    : options(std::move(serverOptions))
+    , dependencies(serverDependencies)
+    , balancer(options, dependencies.metrics)
+    , suspects(options.crashWindow)
+    , metrics(dependencies.metrics)
+{
+    auto initial = std::make_shared<RoutingState>();
+    initial->snapshot = Snapshot::empty();
+    m_state = std::move(initial);
+}
+
+RoutingStatePtr ServerCore::state() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state;
+}
+
+void ServerCore::publish(RoutingStatePtr state)
+{
+    balancer.publish(*state, std::chrono::steady_clock::now());
+    const std::lock_guard lock(m_mutex);
+    m_state = std::move(state);
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/servercore.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "crashsuspects.h"
+#include "loadbalancer.h"
+#include "proxymetrics.h"
+
+#include <hornbeam/proxy/proxyserver.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+
+namespace Hornbeam {
+
+/** What the traffic threads of a server share. */
+class ServerCore
+{
+public:
+    ServerCore(ProxyOptions options, ProxyDependencies dependencies);
+
+    const ProxyOptions options;
+    const ProxyDependencies dependencies;
+    LoadBalancer balancer;
+    CrashSuspects suspects;
+    ProxyMetrics metrics;
+    std::atomic<std::size_t> requestsInFlight = 0;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<bool> draining = false;
+
+    RoutingStatePtr state() const;
+    void publish(RoutingStatePtr state);
+
+    /** Closes the pooled connections to @p target on all threads that have not answered since @p since. */
+    std::function<void(const Endpoint &target, TimePoint since)> closeOlderConnections;
+
+private:
+    mutable std::mutex m_mutex;
+    RoutingStatePtr m_state;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/slotlease.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "targetload.h"
+
+#include <string>
+
+namespace Hornbeam {
+
+class LoadBalancer;
+
+/** A slot of a target; destroying it frees the slot. */
+class SlotLease
+{
+public:
+    SlotLease() = default;
+    SlotLease(LoadBalancer &balancer, std::string service, TargetLoadPtr load, TimePoint started);
+    SlotLease(SlotLease &&other) noexcept;
+    SlotLease &operator=(SlotLease &&other) noexcept;
+    ~SlotLease();
+
+    /** The target; only for a lease that holds a slot. */
+    const Endpoint &address() const
+    {
+        return m_load->target.address;
+    }
+
+    explicit operator bool() const
+    {
+        return m_load != nullptr;
+    }
+
+private:
+    friend class LoadBalancer;
+
+    void reset();
+
+    LoadBalancer *m_balancer = nullptr;
+    std::string m_service;
+    TargetLoadPtr m_load;
+    TimePoint m_started;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/slotwait.cpp
@@ -0,0 +1,103 @@
+#include "slotwait.h"
+
+#include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace Hornbeam {
+
+namespace {
+
+SlotRequestPtr makeRequest(CallContext &call, std::vector<Endpoint> excluded, std::function<void()> wake)
+{
+    return std::make_shared<SlotRequest>(call.core.balancer,
+                                         SlotRequestOptions{
+                                             .service = call.service.name,
+                                             .requiredLabels = call.route.requiredLabels,
+                                             .excluded = std::move(excluded),
+                                             .priority = call.route.priority,
+                                             .deadline = call.deadline,
+                                             .wake = std::move(wake),
+                                         });
+}
+
+/** Takes a request out of the queue when the wait ends in any way, also when the server stops. */
+class QueueGuard
+{
+public:
+    QueueGuard(LoadBalancer &balancer, SlotRequestPtr request)
+        : m_balancer(balancer)
+        , m_request(std::move(request))
+    {
+    }
+
+    QueueGuard(const QueueGuard &) = delete;
+    QueueGuard &operator=(const QueueGuard &) = delete;
+
+    ~QueueGuard()
+    {
+        m_balancer.finish(m_request);
+    }
+
+private:
+    LoadBalancer &m_balancer;
+    SlotRequestPtr m_request;
+};
+
+SlotGrant finishRequest(CallContext &call, const SlotRequestPtr &request)
+{
+    SlotGrant grant;
+    grant.result = call.core.balancer.finish(request);
+    if (grant.result == SlotResult::Granted) {
+        const auto now = std::chrono::steady_clock::now();
+        grant.lease = SlotLease(call.core.balancer, call.service.name, request->target(), now);
+    }
+    return grant;
+}
+
+} // namespace
+
+asio::awaitable<SlotGrant> waitForSlot(CallContext &call, std::vector<Endpoint> excluded)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(*call.context, call.deadline);
+    const auto request = makeRequest(call, std::move(excluded), [timer, context = std::weak_ptr(call.context)] {
+        if (const auto running = context.lock()) {
+            asio::post(*running, [timer] { timer->cancel(); });
+        }
+    });
+    const QueueGuard guard(call.core.balancer, request);
+    const auto started = std::chrono::steady_clock::now();
+    if (call.core.balancer.acquire(request, started)) {
+        call.watch.setCancel([timer] { timer->cancel(); });
+        std::error_code ignored;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        call.watch.setCancel(nullptr);
+        call.waited += std::chrono::steady_clock::now() - started;
+    }
+    co_return finishRequest(call, request);
+}
+
+SlotGrant takeFreeSlot(CallContext &call, std::vector<Endpoint> excluded)
+{
+    const auto request = makeRequest(call, std::move(excluded), [] {});
+    call.core.balancer.acquire(request, std::chrono::steady_clock::now());
+    return finishRequest(call, request);
+}
+
+Refusal refusalFor(SlotResult result, CallContext &call)
+{
+    const auto retryAfter = call.core.balancer.retryAfterSeconds(call.service.name);
+    switch (result) {
+    case SlotResult::NoTarget:
+        return {.status = 503, .reason = "no target", .retryAfterSeconds = retryAfter};
+    case SlotResult::QueueFull:
+        return {.status = 503, .reason = "queue full", .retryAfterSeconds = retryAfter};
+    case SlotResult::TooLate:
+        return {.status = 503, .reason = "deadline before a slot", .retryAfterSeconds = retryAfter};
+    default:
+        return {.status = 503, .reason = "no slot in time", .retryAfterSeconds = retryAfter};
+    }
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/timedsocket.cpp
@@ -0,0 +1,184 @@
+#include "timedsocket.h"
+
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace Hornbeam {
+
+struct TimedSocket::State : std::enable_shared_from_this<TimedSocket::State>
+{
+    explicit State(asio::ip::tcp::socket peer)
+        : socket(std::move(peer))
+        , timer(socket.get_executor())
+    {
+    }
+
+    /** Starts an operation. The timer is re-armed only when it would fire too late, which saves most timer calls. */
+    void begin(TimePoint operationDeadline)
+    {
+        expired = false;
+        deadline = operationDeadline;
+        if (!armed || armedUntil > deadline) {
+            arm();
+        }
+    }
+
+    std::error_code end(const std::error_code &ec)
+    {
+        deadline = TimePoint::max();
+        return expired ? std::make_error_code(std::errc::timed_out) : ec;
+    }
+
+    void arm()
+    {
+        armed = true;
+        armedUntil = deadline;
+        const auto armedGeneration = ++generation;
+        timer.expires_at(deadline);
+        timer.async_wait([weak = weak_from_this(), armedGeneration](const std::error_code & /*ec*/) {
+            const auto self = weak.lock();
+            if (self && self->generation == armedGeneration) {
+                self->fire();
+            }
+        });
+    }
+
+    void fire()
+    {
+        armed = false;
+        if (deadline == TimePoint::max()) {
+            return;
+        }
+        if (deadline > std::chrono::steady_clock::now()) {
+            arm();
+            return;
+        }
+        expired = true;
+        std::error_code ignored;
+        socket.cancel(ignored);
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    TimePoint deadline = TimePoint::max();
+    TimePoint armedUntil;
+    std::uint64_t generation = 0;
+    std::uint64_t watch = 0;
+    bool armed = false;
+    bool expired = false;
+};
+
+TimedSocket::TimedSocket(asio::ip::tcp::socket socket)
+    : m_state(std::make_shared<State>(std::move(socket)))
+{
+}
+
+TimedSocket::~TimedSocket()
+{
+    if (m_state) {
+        close();
+        m_state->timer.cancel();
+    }
+}
+
+asio::awaitable<std::error_code> TimedSocket::connect(const asio::ip::tcp::endpoint &peer, TimePoint deadline)
+{
+    const auto state = m_state;
+    std::error_code ec;
+    state->begin(deadline);
+    co_await state->socket.async_connect(peer, asio::redirect_error(asio::use_awaitable, ec));
+    ec = state->end(ec);
+    if (!ec) {
+        state->socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    }
+    co_return ec;
+}
+
+asio::awaitable<std::error_code> TimedSocket::readSome(asio::mutable_buffer buffer, TimePoint deadline, std::size_t &n)
+{
+    const auto state = m_state;
+    std::error_code ec;
+    state->begin(deadline);
+    n = co_await state->socket.async_read_some(buffer, asio::redirect_error(asio::use_awaitable, ec));
+    co_return state->end(ec);
+}
+
+asio::awaitable<std::error_code> TimedSocket::write(std::span<const asio::const_buffer> buffers,
+                                                    TimePoint deadline,
+                                                    std::size_t &n)
+{
+    const auto state = m_state;
+    std::error_code ec;
+    state->begin(deadline);
+    n = co_await asio::async_write(state->socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
+    co_return state->end(ec);
+}
+
+void TimedSocket::watchDisconnect(std::function<void()> gone)
+{
+    const auto watch = ++m_state->watch;
+    // A watch that is stopped stays queued and completes with the next bytes of the peer, without effect.
+    m_state->socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [weak = std::weak_ptr(m_state), watch, gone = std::move(gone)](const std::error_code &ec) {
+            const auto state = weak.lock();
+            if (ec || !state || state->watch != watch) {
+                return;
+            }
+            char byte = 0;
+            const auto n = ::recv(state->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                gone();
+            }
+        });
+}
+
+void TimedSocket::stopWatching()
+{
+    ++m_state->watch;
+}
+
+void TimedSocket::cancel()
+{
+    std::error_code ignored;
+    m_state->socket.cancel(ignored);
+}
+
+void TimedSocket::abort()
+{
+    std::error_code ignored;
+    m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_state->socket.close(ignored);
+}
+
+void TimedSocket::close()
+{
+    std::error_code ignored;
+    m_state->socket.close(ignored);
+}
+
+void TimedSocket::shutdownSend()
+{
+    std::error_code ignored;
+    m_state->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+bool TimedSocket::isQuiet()
+{
+    char byte = 0;
+    const auto n = ::recv(m_state->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+asio::ip::tcp::socket &TimedSocket::socket()
+{
+    return m_state->socket;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/trafficthread.cpp
@@ -0,0 +1,190 @@
+#include "trafficthread.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace Hornbeam {
+
+namespace {
+
+/** How soon an acceptor at the connection limit looks for a free place. */
+constexpr auto fullRetryPeriod = std::chrono::milliseconds(5);
+
+/** How long idle connections stay open during a drain: requests that are on their way still arrive. */
+constexpr auto idleGrace = std::chrono::milliseconds(500);
+
+constexpr auto idleCheckPeriod = std::chrono::milliseconds(50);
+constexpr auto purgePeriod = std::chrono::seconds(5);
+
+/** Lets several sockets share one port; the kernel spreads the connections over them. */
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+} // namespace
+
+TrafficThread::TrafficThread(ServerCore &core)
+    : m_core(core)
+    , m_context(std::make_shared<asio::io_context>(1))
+    , m_pool({})
+    , m_acceptor(std::make_unique<asio::ip::tcp::acceptor>(*m_context))
+{
+}
+
+TrafficThread::~TrafficThread()
+{
+    stop();
+    m_connections.clear();
+    m_pool.clear();
+    m_acceptor.reset();
+    // Another thread may hold the context for the moment in which it posts to it.
+    while (m_context.use_count() > 1) {
+        std::this_thread::yield();
+    }
+    m_context.reset();
+}
+
+std::error_code TrafficThread::listen(const asio::ip::tcp::endpoint &endpoint)
+{
+    std::error_code ec;
+    m_acceptor->open(endpoint.protocol(), ec);
+    if (!ec) {
+        m_acceptor->set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        m_acceptor->set_option(ReusePort(true), ec);
+    }
+    if (!ec) {
+        m_acceptor->bind(endpoint, ec);
+    }
+    if (!ec) {
+        m_acceptor->non_blocking(true, ec);
+    }
+    if (!ec) {
+        m_acceptor->listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return ec;
+}
+
+asio::ip::tcp::endpoint TrafficThread::localEndpoint() const
+{
+    std::error_code ignored;
+    return m_acceptor->local_endpoint(ignored);
+}
+
+void TrafficThread::start()
+{
+    asio::co_spawn(*m_context, accept(), asio::detached);
+    runAfter(purgePeriod, [this] { purgePool(); });
+    m_thread = std::thread([this] { m_context->run(); });
+}
+
+void TrafficThread::stop()
+{
+    m_context->stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+asio::awaitable<void> TrafficThread::accept()
+{
+    while (m_acceptor->is_open()) {
+        std::error_code ec;
+        co_await m_acceptor->async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        // At the limit, further connections wait in the listen backlog.
+        if (ec || !acceptOne()) {
+            co_await sleep(fullRetryPeriod);
+        }
+    }
+}
+
+asio::awaitable<void> TrafficThread::sleep(Duration duration)
+{
+    asio::steady_timer timer(*m_context, duration);
+    std::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+bool TrafficThread::acceptOne()
+{
+    if (m_core.connections.fetch_add(1) >= m_core.options.maxConnections) {
+        --m_core.connections;
+        return false;
+    }
+    std::error_code ec;
+    auto socket = m_acceptor->accept(ec);
+    if (ec) {
+        --m_core.connections;
+        return ec == asio::error::would_block || ec == asio::error::connection_aborted;
+    }
+    serve(std::move(socket));
+    return true;
+}
+
+void TrafficThread::serve(asio::ip::tcp::socket socket)
+{
+    std::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto connection =
+        std::make_shared<CallerConnection>(m_core, m_pool, m_context, TimedSocket(std::move(socket)));
+    m_connections.insert(connection);
+    asio::co_spawn(*m_context, connection->run(), [this, connection](const std::exception_ptr & /*error*/) {
+        m_connections.erase(connection);
+    });
+}
+
+void TrafficThread::drain()
+{
+    asio::post(*m_context, [this] { acceptWaiting(); });
+    runAfter(idleGrace, [this] { closeIdleConnections(); });
+}
+
+void TrafficThread::acceptWaiting()
+{
+    // Closing the socket would reset the connections that the kernel has already accepted for it.
+    std::error_code ec;
+    while (!ec) {
+        auto socket = m_acceptor->accept(ec);
+        if (!ec) {
+            ++m_core.connections;
+            serve(std::move(socket));
+        }
+    }
+    m_acceptor->close(ec);
+}
+
+void TrafficThread::closeIdleConnections()
+{
+    for (const auto &connection : m_connections) {
+        connection->closeIfIdle();
+    }
+    runAfter(idleCheckPeriod, [this] { closeIdleConnections(); });
+}
+
+void TrafficThread::closeOlder(const Endpoint &target, TimePoint since)
+{
+    asio::post(*m_context, [this, target, since] { m_pool.closeOlder(target, since); });
+}
+
+void TrafficThread::purgePool()
+{
+    m_pool.closeExpired(std::chrono::steady_clock::now());
+    runAfter(purgePeriod, [this] { purgePool(); });
+}
+
+void TrafficThread::runAfter(Duration delay, std::function<void()> work)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(*m_context, delay);
+    timer->async_wait([timer, work = std::move(work)](const std::error_code &ec) {
+        if (!ec) {
+            work();
+        }
+    });
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -0,0 +1,240 @@
+#include "upstreamexchange.h"
+
+#include "socketinfo.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace Hornbeam {
+
+namespace {
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::array<asio::const_buffer, 3> chunkBuffers(const std::string &size, const std::string &piece)
+{
+    return {asio::buffer(size), asio::buffer(piece), asio::const_buffer("\r\n", 2)};
+}
+
+std::string chunkSizeLine(std::size_t n)
+{
+    std::array<char, 24> text{};
+    const auto length = std::snprintf(text.data(), text.size(), "%zx\r\n", n);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+} // namespace
+
+UpstreamExchange::UpstreamExchange(CallContext &call, SlotLease lease)
+    : m_call(call)
+    , m_lease(std::move(lease))
+{
+}
+
+UpstreamExchange::~UpstreamExchange()
+{
+    m_call.watch.setCancel(nullptr);
+}
+
+asio::awaitable<bool> UpstreamExchange::connect(bool fresh)
+{
+    const auto &target = m_lease.address();
+    if (!fresh) {
+        m_connection = m_call.pool.take(target, now());
+        if (m_connection) {
+            co_return true;
+        }
+    }
+    std::error_code ec;
+    const auto address = asio::ip::make_address(target.address(), ec);
+    if (ec) {
+        co_return false;
+    }
+    TimedSocket socket{asio::ip::tcp::socket(*m_call.context)};
+    ec = co_await socket.connect({address, target.port()}, attemptDeadline());
+    if (ec) {
+        co_return false;
+    }
+    const auto maxHeaderBytes = m_call.core.options.maxHeaderBytes;
+    m_connection = std::make_unique<UpstreamConnection>(target, std::move(socket), maxHeaderBytes, now());
+    co_return true;
+}
+
+asio::awaitable<AttemptStatus> UpstreamExchange::run(bool cancellable)
+{
+    if (m_call.watch.isGone()) {
+        co_return AttemptStatus::CallerFailed;
+    }
+    if (cancellable) {
+        m_call.watch.setCancel([this] { stream().socket().cancel(); });
+    }
+    stream().reader().reset(m_call.head().method == "HEAD");
+    m_acknowledgedBefore = acknowledgedBytes(stream().socket().socket().native_handle());
+    const auto sent = co_await send();
+    if (sent != AttemptStatus::Response) {
+        co_return sent;
+    }
+    co_return co_await readHead();
+}
+
+std::string UpstreamExchange::formatHead() const
+{
+    const auto &head = m_call.head();
+    std::string out;
+    out.reserve(1024);
+    out += head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    appendEndToEndHeaders(head, out);
+    if (m_call.body.isReplayable() && head.chunked) {
+        out += "Content-Length: " + std::to_string(m_call.body.buffered().size()) + "\r\n";
+    } else if (head.contentLength) {
+        out += "Content-Length: " + std::to_string(*head.contentLength) + "\r\n";
+    } else if (head.chunked) {
+        out += "Transfer-Encoding: chunked\r\n";
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.deadline - now());
+    out += "X-Hornbeam-Deadline-Ms: " + std::to_string(left.count()) + "\r\n\r\n";
+    return out;
+}
+
+asio::awaitable<AttemptStatus> UpstreamExchange::send()
+{
+    m_sendStarted = now();
+    if (m_sendStarted >= m_call.deadline) {
+        co_return AttemptStatus::DeadlinePassed;
+    }
+    if (m_call.firstSend == TimePoint()) {
+        m_call.firstSend = m_sendStarted;
+    }
+    const auto head = formatHead();
+    const auto &buffered = m_call.body.buffered();
+    const bool chunked = m_call.head().chunked && !m_call.body.isReplayable();
+    bool written = false;
+    if (chunked && !buffered.empty()) {
+        const auto size = chunkSizeLine(buffered.size());
+        const auto chunk = chunkBuffers(size, buffered);
+        const std::array<asio::const_buffer, 4> buffers = {asio::buffer(head), chunk[0], chunk[1], chunk[2]};
+        written = co_await write(buffers);
+    } else {
+        const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(buffered)};
+        written = co_await write(buffers);
+    }
+    if (m_call.body.isReplayable()) {
+        m_bodySent = written;
+        co_return AttemptStatus::Response;
+    }
+    // After a failed write, the target may have answered before it read the whole request.
+    if (!written) {
+        co_return AttemptStatus::Response;
+    }
+    co_return co_await streamBody(chunked);
+}
+
+asio::awaitable<AttemptStatus> UpstreamExchange::streamBody(bool chunked)
+{
+    std::string piece;
+    for (;;) {
+        const auto result = co_await m_call.body.next(piece, m_call.deadline);
+        if (result != RequestBody::Result::Ok) {
+            co_return AttemptStatus::CallerFailed;
+        }
+        bool written = true;
+        if (chunked) {
+            const auto size = chunkSizeLine(piece.size());
+            // The chunk of size zero ends the body.
+            const auto buffers = chunkBuffers(size, piece);
+            written = co_await write(buffers);
+        } else if (!piece.empty()) {
+            const std::array<asio::const_buffer, 1> buffers = {asio::buffer(piece)};
+            written = co_await write(buffers);
+        }
+        if (!written) {
+            co_return AttemptStatus::Response;
+        }
+        if (piece.empty()) {
+            m_bodySent = true;
+            m_call.watch.start();
+            co_return AttemptStatus::Response;
+        }
+    }
+}
+
+asio::awaitable<bool> UpstreamExchange::write(std::span<const asio::const_buffer> buffers)
+{
+    std::size_t n = 0;
+    const auto ec = co_await stream().socket().write(buffers, attemptDeadline(), n);
+    m_sentBytes += n;
+    m_call.sentToTarget = m_call.sentToTarget || n > 0;
+    co_return !ec;
+}
+
+asio::awaitable<AttemptStatus> UpstreamExchange::readHead()
+{
+    auto &reader = stream().reader();
+    for (;;) {
+        const auto result = co_await stream().readHead(attemptDeadline());
+        if (result != ReadResult::Ok) {
+            co_return result == ReadResult::TimedOut ? handleTimeout() : statusOf(result);
+        }
+        const auto status = reader.head().status;
+        if (status < 200 && status != 101) {
+            // Interim responses are between the proxy and the target.
+            reader.reset(m_call.head().method == "HEAD");
+            continue;
+        }
+        m_connection->lastAlive = now();
+        const bool usable = status != 101 && !reader.endsWithConnection();
+        co_return usable ? AttemptStatus::Response : AttemptStatus::BadResponse;
+    }
+}
+
+AttemptStatus UpstreamExchange::statusOf(ReadResult result) const
+{
+    switch (result) {
+    case ReadResult::Cancelled:
+        return AttemptStatus::CallerFailed;
+    case ReadResult::Closed:
+        break;
+    default:
+        return AttemptStatus::BadResponse;
+    }
+    if (m_connection->stream.reader().started()) {
+        return AttemptStatus::BadResponse;
+    }
+    // A closed socket never acknowledges data, so an idle connection that the target closed at the same moment is told
+    // apart from a target that received the request and crashed.
+    const auto acknowledged = acknowledgedBytes(m_connection->stream.socket().socket().native_handle());
+    const bool received = acknowledged != m_acknowledgedBefore;
+    return m_connection->reused && !received ? AttemptStatus::NotReceived : AttemptStatus::Broken;
+}
+
+AttemptStatus UpstreamExchange::handleTimeout()
+{
+    if (now() >= m_call.deadline) {
+        return AttemptStatus::Expired;
+    }
+    m_call.core.metrics.silentConnections.add();
+    m_call.core.closeOlderConnections(m_connection->target, m_sendStarted);
+    return AttemptStatus::Silent;
+}
+
+TimePoint UpstreamExchange::attemptDeadline() const
+{
+    return std::min(m_call.deadline, now() + m_call.service.attemptTimeout);
+}
+
+void UpstreamExchange::finish()
+{
+    auto &reader = stream().reader();
+    const bool complete = reader.state() == HttpMessageReader::State::Complete;
+    if (complete && m_bodySent && reader.head().keepAlive && !stream().hasUnparsedBytes()) {
+        m_connection->lastAlive = now();
+        m_call.watch.setCancel(nullptr);
+        m_call.pool.put(std::move(m_connection));
+    }
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/upstreampool.cpp
@@ -0,0 +1,70 @@
+#include "upstreampool.h"
+
+namespace Hornbeam {
+
+UpstreamPool::UpstreamPool(UpstreamPoolOptions options)
+    : m_options(options)
+{
+}
+
+UpstreamConnectionPtr UpstreamPool::take(const Endpoint &target, TimePoint now)
+{
+    const auto idle = m_idle.find(target);
+    if (idle == m_idle.end()) {
+        return nullptr;
+    }
+    auto &connections = idle->second;
+    while (!connections.empty()) {
+        auto connection = std::move(connections.back());
+        connections.pop_back();
+        const bool fresh = connection->lastAlive + m_options.idleTimeout > now;
+        // Bytes on an idle connection would be taken for the next response.
+        if (fresh && connection->stream.socket().isQuiet()) {
+            connection->reused = true;
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void UpstreamPool::put(UpstreamConnectionPtr connection)
+{
+    auto &connections = m_idle[connection->target];
+    if (connections.size() >= m_options.maxIdlePerTarget) {
+        connections.erase(connections.begin());
+    }
+    connections.push_back(std::move(connection));
+}
+
+void UpstreamPool::closeOlder(const Endpoint &target, TimePoint since)
+{
+    const auto idle = m_idle.find(target);
+    if (idle != m_idle.end()) {
+        std::erase_if(idle->second, [since](const auto &connection) { return connection->lastAlive < since; });
+    }
+}
+
+void UpstreamPool::closeExpired(TimePoint now)
+{
+    for (auto &[target, connections] : m_idle) {
+        std::erase_if(connections,
+                      [&](const auto &connection) { return connection->lastAlive + m_options.idleTimeout <= now; });
+    }
+    std::erase_if(m_idle, [](const auto &it) { return it.second.empty(); });
+}
+
+void UpstreamPool::clear()
+{
+    m_idle.clear();
+}
+
+std::size_t UpstreamPool::size() const
+{
+    std::size_t n = 0;
+    for (const auto &[target, connections] : m_idle) {
+        n += connections.size();
+    }
+    return n;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/tests/testtarget.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "testsocket.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Hornbeam {
+
+/** A target whose answers a test writes byte by byte. Each connection has its own thread. */
+class TestTarget
+{
+public:
+    /** Answers a request; returns whether the connection takes another one. */
+    using Handler = std::function<bool(const TestMessage &request, TestSocket &connection)>;
+
+    explicit TestTarget(Handler handler);
+    ~TestTarget();
+
+    const Endpoint &address() const
+    {
+        return m_address;
+    }
+
+    int requests() const
+    {
+        return m_requests;
+    }
+
+    int connections() const
+    {
+        return m_accepted;
+    }
+
+    /** Handler that answers 200 with the given body. */
+    static Handler answer(std::string body);
+
+    /** Text of a complete response. */
+    static std::string response(const std::string &status, const std::string &body, const std::string &headers = {});
+
+private:
+    void accept();
+    void serve(int fd);
+
+    Handler m_handler;
+    Endpoint m_address;
+    int m_listener;
+    std::atomic<int> m_requests = 0;
+    std::atomic<int> m_accepted = 0;
+    std::mutex m_mutex;
+    std::vector<int> m_open;
+    std::vector<std::thread> m_threads;
+    std::thread m_acceptor;
+};
+
+} // namespace Hornbeam
