Add the sources of the node

Cause: the parts of a node (store, membership, distribution, proxy, claims, admin API) need one place that owns and connects them.

Change: Node builds the parts in the order of their dependencies. StoreSync reads the head once and watches it while the node holds a watcher lease. WatcherCandidacy lets only the first members of a zone look at the leases, so that the store's load does not grow with the zone.

Ruled out: every node as a lease candidate. 1,700 candidates that look every 2 to 10 s would be several hundred reads a second.

--- /dev/null
+++ b/daemons/hornbeamd/adminfacade.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "watchercandidacy.h"
+
+#include <hornbeam/admin/announcementapi.h>
+#include <hornbeam/admin/operatorapi.h>
+#include <hornbeam/admin/statusapi.h>
+
+#include <string>
+
+namespace Hornbeam {
+
+class CrashQuarantine;
+class Disseminator;
+class MembershipTable;
+class MetricsRegistry;
+class ProxyServer;
+class RoutingPublisher;
+class StoreSync;
+class TargetRegistry;
+class VersionedSnapshot;
+
+/** The parts that the admin API reads and changes; they outlive the facade. */
+struct AdminFacadeDependencies
+{
+    std::string id; ///< Member id of the node.
+    std::string zone;
+    KeyValueStore &store;
+    TimerService &timers;
+    VersionedSnapshot &configuration;
+    MembershipTable &members;
+    TargetRegistry &targets;
+    Disseminator &disseminator;
+    StoreSync &storeSync;
+    WatcherCandidacy &candidacy;
+    CrashQuarantine &quarantine;
+    RoutingPublisher &publisher;
+    ProxyServer &proxy;
+    MetricsRegistry &metrics;
+};
+
+/** Serves the admin API from the parts of the node. Control thread only. */
+class AdminFacade : public OperatorApi,
+                    public AnnouncementApi,
+                    public StatusApi,
+                    private AppliedConfiguration,
+                    private FleetView
+{
+public:
+    explicit AdminFacade(AdminFacadeDependencies dependencies);
+
+    void createPlan(Intent intent, std::function<void(Result<Plan>)> callback) override;
+    void readPlan(const std::string &id, std::function<void(Result<Plan>)> callback) override;
+    void confirmPlan(const std::string &id, std::function<void(ConfirmResult)> callback) override;
+    SnapshotPtr configuration() const override;
+    RolloutStatus rollout(ConfigVersion version) const override;
+
+    Result<Target> announce(const Announcement &announcement) override;
+    Result<Target> withdraw(const Endpoint &address) override;
+    std::vector<Target> knownTargets() const override;
+
+    std::string renderMetrics() const override;
+    std::string dumpJson() const override;
+    HealthStatus health() const override;
+
+private:
+    SnapshotPtr applied() const override;
+    ConfigVersion newestKnownVersion() const override;
+    std::size_t nodeCount() const override;
+    std::size_t targetCount(const std::vector<std::string> &services,
+                            const std::vector<Endpoint> &addresses) const override;
+
+    AdminFacadeDependencies m_parts;
+    PlanService m_plans;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/daemons/hornbeamd/daemon.cpp
@@ -0,0 +1,48 @@
+#include "daemon.h"
+
+#include "logger.h"
+#include "node.h"
+
+#include <hornbeam/settings/settings.h>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace Hornbeam {
+
+namespace {
+
+constexpr int exitStartFailed = 1;
+
+}
+
+int runDaemon(const Settings &settings)
+{
+    const Logger log("hornbeamd");
+    asio::io_context control(1);
+    auto node = Node::make(settings, control);
+    if (!node) {
+        log.error("start failed", {{"error", node.error().message()}});
+        return exitStartFailed;
+    }
+    asio::signal_set signals(control, SIGTERM, SIGINT);
+    signals.async_wait([&](const std::error_code &ec, int signal) {
+        if (!ec) {
+            log.info("graceful shutdown started", {{"signal", std::to_string(signal)}});
+            (*node)->shutDown([&control] { control.stop(); });
+        }
+    });
+    (*node)->start();
+    log.info("node started", {{"zone", settings.node.zone}, {"traffic", settings.traffic.listen.toString()}});
+    // Process supervisors and tests wait for this line.
+    std::cout << "hornbeamd is ready" << std::endl;
+    control.run();
+    node->reset();
+    log.info("node stopped");
+    return 0;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/daemons/hornbeamd/node.cpp
@@ -0,0 +1,375 @@
+#include "node.h"
+
+#include "adminfacade.h"
+#include "crashrelay.h"
+#include "logger.h"
+#include "routingpublisher.h"
+#include "storesync.h"
+#include "unreachablepeers.h"
+#include "watchercandidacy.h"
+
+#include <hornbeam/admin/adminserver.h>
+#include <hornbeam/base/asioruntime.h>
+#include <hornbeam/base/metrics.h>
+#include <hornbeam/base/randomid.h>
+#include <hornbeam/claims/storeclaimcoordinator.h>
+#include <hornbeam/dissemination/disseminator.h>
+#include <hornbeam/membership/failuredetector.h>
+#include <hornbeam/membership/targetregistry.h>
+#include <hornbeam/membership/udptransport.h>
+#include <hornbeam/proxy/crashquarantine.h>
+#include <hornbeam/proxy/proxyserver.h>
+#include <hornbeam/settings/settings.h>
+#include <hornbeam/store/etcdstore.h>
+
+#include <asio/io_context.hpp>
+
+#include <utility>
+
+namespace Hornbeam {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Nodes that start together read the store's head spread over this time.
+constexpr auto storeReadSpread = 200ms;
+
+ProxyOptions proxyOptions(const Settings &settings)
+{
+    const auto &traffic = settings.traffic;
+    return {.listen = traffic.listen,
+            .zone = settings.node.zone,
+            .threads = traffic.threads,
+            .maxConnections = traffic.maxConnections,
+            .maxHeaderBytes = traffic.maxHeaderBytes,
+            .maxQueuedRequests = traffic.maxQueuedRequests,
+            .idleTimeout = traffic.idleTimeout,
+            .drainBound = traffic.drainBound,
+            .retryBudgetPercent = traffic.retryBudgetPercent,
+            .slowStart = traffic.slowStart};
+}
+
+EtcdStoreOptions storeOptions(const Settings &settings)
+{
+    return {.endpoints = settings.store.endpoints,
+            .localAddress = settings.peer.listen.address(),
+            .requestTimeout = settings.store.requestTimeout};
+}
+
+FailureDetectorOptions detectorOptions(const Settings &settings, const std::string &id)
+{
+    return {.id = id,
+            .zone = settings.node.zone,
+            .advertisedAddress = settings.peer.advertise,
+            .seeds = settings.peer.seeds};
+}
+
+DisseminatorOptions disseminatorOptions(const Settings &settings, const std::string &id)
+{
+    return {.id = id, .zone = settings.node.zone, .advertisedAddress = settings.peer.advertise};
+}
+
+} // namespace
+
+/** Owns the parts in the order in which they depend on each other. */
+class Node::Impl : private StoreSyncListener
+{
+public:
+    Impl(const Settings &settings, asio::io_context &control)
+        : m_settings(settings)
+        , m_control(control)
+        , m_id(randomId())
+        , m_executor(control)
+        , m_timers(control)
+        , m_configuration(m_metrics)
+        , m_quarantine({})
+        , m_publisher({.executor = m_executor,
+                       .timers = m_timers,
+                       .configuration = m_configuration,
+                       .members = m_members,
+                       .quarantine = m_quarantine})
+        , m_targets(m_timers, [this](const std::vector<Target> &targets) { targetsChanged(targets); })
+    {
+    }
+
+    Result<bool> build();
+    void start();
+    void shutDown(std::function<void()> stopped);
+
+private:
+    SnapshotPtr currentSnapshot() const override;
+    void receivedSnapshot(const SnapshotPtr &snapshot) override;
+    void storeAnswered(ConfigVersion version) override;
+    void storeReachable(bool reachable) override;
+
+    Result<bool> buildMembership();
+    Result<bool> buildDistribution();
+    Result<bool> buildTraffic();
+    Result<bool> buildAdmin();
+    void subscribe();
+    void targetsChanged(std::vector<Target> targets);
+    void versionApplied(const SnapshotPtr &snapshot);
+    void memberChanged(const MemberPtr &before, const MemberPtr &after);
+    void becameReady();
+    void watcherChanged(bool watcher);
+
+    const Settings m_settings;
+    asio::io_context &m_control;
+    const std::string m_id;
+    Logger m_log{"node"};
+    AsioExecutor m_executor;
+    AsioTimerService m_timers;
+    MetricsRegistry m_metrics;
+    VersionedSnapshot m_configuration;
+    MembershipTable m_members;
+    CrashQuarantine m_quarantine;
+    RoutingPublisher m_publisher;
+    std::unique_ptr<EtcdStore> m_store;
+    std::unique_ptr<UdpTransport> m_datagrams;
+    std::unique_ptr<FailureDetector> m_detector;
+    UnreachablePeers m_peers{m_executor};
+    std::unique_ptr<Disseminator> m_disseminator;
+    std::unique_ptr<StoreSync> m_storeSync;
+    std::unique_ptr<WatcherCandidacy> m_candidacy;
+    std::unique_ptr<CrashRelay> m_crashRelay;
+    std::unique_ptr<StoreClaimCoordinator> m_claims;
+    std::unique_ptr<ProxyServer> m_proxy;
+    TargetRegistry m_targets;
+    std::unique_ptr<AdminFacade> m_adminFacade;
+    std::unique_ptr<AdminServer> m_admin;
+};
+
+Result<bool> Node::Impl::build()
+{
+    auto store = EtcdStore::make(storeOptions(m_settings), m_executor, m_metrics);
+    if (!store) {
+        return tl::unexpected(store.error());
+    }
+    m_store = std::move(*store);
+    for (const auto step : {&Impl::buildMembership, &Impl::buildDistribution, &Impl::buildTraffic, &Impl::buildAdmin}) {
+        auto result = (this->*step)();
+        if (!result) {
+            return result;
+        }
+    }
+    subscribe();
+    return true;
+}
+
+Result<bool> Node::Impl::buildMembership()
+{
+    auto datagrams = UdpTransport::make(m_control, m_settings.peer.listen, m_metrics);
+    if (!datagrams) {
+        return tl::unexpected(datagrams.error());
+    }
+    m_datagrams = std::move(*datagrams);
+    auto detector = FailureDetector::make(
+        detectorOptions(m_settings, m_id),
+        {.transport = *m_datagrams, .timers = m_timers, .table = m_members, .metrics = m_metrics});
+    if (!detector) {
+        return tl::unexpected(detector.error());
+    }
+    m_detector = std::move(*detector);
+    return true;
+}
+
+Result<bool> Node::Impl::buildDistribution()
+{
+    auto disseminator = Disseminator::make(
+        disseminatorOptions(m_settings, m_id),
+        {.peers = m_peers, .timers = m_timers, .table = m_members, .config = m_configuration, .metrics = m_metrics});
+    if (!disseminator) {
+        return tl::unexpected(disseminator.error());
+    }
+    m_disseminator = std::move(*disseminator);
+    StoreSyncListener &listener = *this;
+    m_storeSync = std::make_unique<StoreSync>(*m_store, m_timers, listener);
+    auto candidacy = WatcherCandidacy::make(
+        {.id = m_id, .zone = m_settings.node.zone, .watchersPerZone = m_settings.store.watchersPerZone},
+        *m_store,
+        m_timers,
+        m_members,
+        [this](bool watcher) { watcherChanged(watcher); });
+    if (!candidacy) {
+        return tl::unexpected(candidacy.error());
+    }
+    m_candidacy = std::move(*candidacy);
+    return true;
+}
+
+Result<bool> Node::Impl::buildTraffic()
+{
+    auto claims = StoreClaimCoordinator::make(
+        {.retention = m_settings.store.claimRetention},
+        {.store = *m_store, .executor = m_executor, .timers = m_timers, .metrics = m_metrics});
+    if (!claims) {
+        return tl::unexpected(claims.error());
+    }
+    m_claims = std::move(*claims);
+    m_crashRelay = std::make_unique<CrashRelay>(CrashRelayDependencies{.executor = m_executor,
+                                                                       .timers = m_timers,
+                                                                       .quarantine = m_quarantine,
+                                                                       .detector = *m_detector,
+                                                                       .publisher = m_publisher});
+    auto proxy = ProxyServer::make(proxyOptions(m_settings),
+                                   {.claims = *m_claims, .crashes = *m_crashRelay, .metrics = m_metrics});
+    if (!proxy) {
+        return tl::unexpected(proxy.error());
+    }
+    m_proxy = std::move(*proxy);
+    return true;
+}
+
+Result<bool> Node::Impl::buildAdmin()
+{
+    m_adminFacade = std::make_unique<AdminFacade>(AdminFacadeDependencies{.id = m_id,
+                                                                          .zone = m_settings.node.zone,
+                                                                          .store = *m_store,
+                                                                          .timers = m_timers,
+                                                                          .configuration = m_configuration,
+                                                                          .members = m_members,
+                                                                          .targets = m_targets,
+                                                                          .disseminator = *m_disseminator,
+                                                                          .storeSync = *m_storeSync,
+                                                                          .candidacy = *m_candidacy,
+                                                                          .quarantine = m_quarantine,
+                                                                          .publisher = m_publisher,
+                                                                          .proxy = *m_proxy,
+                                                                          .metrics = m_metrics});
+    auto admin =
+        AdminServer::make(m_control,
+                          {.listen = m_settings.admin.listen},
+                          {.operators = *m_adminFacade, .announcements = *m_adminFacade, .status = *m_adminFacade});
+    if (!admin) {
+        return tl::unexpected(admin.error());
+    }
+    m_admin = std::move(*admin);
+    return true;
+}
+
+void Node::Impl::subscribe()
+{
+    m_configuration.subscribe([this](const SnapshotPtr &snapshot) { versionApplied(snapshot); });
+    m_members.subscribe([this](const MemberPtr &before, const MemberPtr &after) { memberChanged(before, after); });
+    m_detector->subscribeHeartbeats([this](const Heartbeat &it) { m_disseminator->heartbeatReceived(it); });
+    m_detector->subscribeRumors([this](const Rumor &it) { m_crashRelay->received(it); });
+    m_detector->subscribeJoined([this] { m_disseminator->membershipJoined(); });
+    m_disseminator->subscribeReady([this] { becameReady(); });
+}
+
+void Node::Impl::start()
+{
+    m_publisher.start(*m_proxy);
+    m_detector->start();
+    m_storeSync->start(storeReadSpread);
+    m_candidacy->start();
+}
+
+void Node::Impl::shutDown(std::function<void()> stopped)
+{
+    m_candidacy->stop();
+    m_storeSync->setWatching(false);
+    m_detector->leave();
+    m_proxy->drain([this, stopped = std::move(stopped)] { m_executor.post(stopped); });
+}
+
+SnapshotPtr Node::Impl::currentSnapshot() const
+{
+    return m_configuration.current();
+}
+
+void Node::Impl::receivedSnapshot(const SnapshotPtr &snapshot)
+{
+    m_disseminator->offer(snapshot, OfferSource::Watched);
+}
+
+void Node::Impl::storeAnswered(ConfigVersion version)
+{
+    m_disseminator->setStoreFloor(version);
+}
+
+void Node::Impl::storeReachable(bool reachable)
+{
+    m_metrics.gauge("hornbeam_store_reachable", "Whether the last call to the store succeeded.").set(reachable ? 1 : 0);
+    if (reachable) {
+        m_log.info("store reachable");
+    } else {
+        m_log.warning("store unreachable; serving with the newest known version",
+                      {{"version", std::to_string(m_configuration.current()->version())}});
+    }
+}
+
+void Node::Impl::targetsChanged(std::vector<Target> targets)
+{
+    m_log.info("targets of this host changed", {{"count", std::to_string(targets.size())}});
+    m_detector->setTargets(std::move(targets));
+}
+
+void Node::Impl::versionApplied(const SnapshotPtr &snapshot)
+{
+    m_metrics.gauge("hornbeam_config_version", "Configuration version in effect.")
+        .set(static_cast<std::int64_t>(snapshot->version()));
+    m_log.info("configuration applied", {{"version", std::to_string(snapshot->version())}});
+    m_detector->setConfig(snapshot->version(), snapshot->contentDigest().prefix());
+}
+
+void Node::Impl::memberChanged(const MemberPtr &before, const MemberPtr &after)
+{
+    const bool stateChanged = !before || !after || before->state != after->state;
+    if (!stateChanged || !after || after->id == m_id) {
+        return;
+    }
+    m_metrics.gauge("hornbeam_members_live", "Alive and suspect members, this node included.")
+        .set(static_cast<std::int64_t>(m_members.liveMembers()->size()));
+    if (after->state == MemberState::Failed) {
+        m_log.warning("member failed", {{"id", after->id}, {"zone", after->zone}});
+    } else if (after->state == MemberState::Left) {
+        m_log.info("member left", {{"id", after->id}, {"zone", after->zone}});
+    } else if (!before) {
+        m_log.info("member joined", {{"id", after->id}, {"zone", after->zone}});
+    }
+}
+
+void Node::Impl::becameReady()
+{
+    m_log.info("ready to serve", {{"version", std::to_string(m_configuration.current()->version())}});
+    m_publisher.setReady();
+    m_storeSync->stopReading();
+}
+
+void Node::Impl::watcherChanged(bool watcher)
+{
+    m_log.info(watcher ? "store watcher role acquired" : "store watcher role lost");
+    m_storeSync->setWatching(watcher);
+    m_detector->setStoreWatcher(watcher);
+}
+
+Result<std::unique_ptr<Node>> Node::make(const Settings &settings, asio::io_context &control)
+{
+    auto impl = std::make_unique<Impl>(settings, control);
+    const auto built = impl->build();
+    if (!built) {
+        return tl::unexpected(built.error());
+    }
+    return std::unique_ptr<Node>(new Node(std::move(impl)));
+}
+
+Node::Node(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Node::~Node() = default;
+
+void Node::start()
+{
+    m_impl->start();
+}
+
+void Node::shutDown(std::function<void()> stopped)
+{
+    m_impl->shutDown(std::move(stopped));
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/daemons/hornbeamd/watchercandidacy.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <hornbeam/base/error.h>
+#include <hornbeam/base/timerservice.h>
+#include <hornbeam/store/leaseelection.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Hornbeam {
+
+class KeyValueStore;
+class MembershipTable;
+
+struct WatcherCandidacyOptions
+{
+    std::string id; ///< Member id of the node.
+    std::string zone;
+    std::uint32_t watchersPerZone = 3;
+};
+
+/**
+ * Decides whether the node is a candidate for one of the zone's store watcher leases.
+ * Only the first members of the zone, in the order of their hashes, are candidates. Otherwise every node of the zone
+ * would look at the leases in the store, and the store's load would grow with the fleet. Control thread only.
+ */
+class WatcherCandidacy : private LeaseElectionListener
+{
+public:
+    using Listener = std::function<void(bool watcher)>;
+
+    static Result<std::unique_ptr<WatcherCandidacy>> make(WatcherCandidacyOptions options,
+                                                          KeyValueStore &store,
+                                                          TimerService &timers,
+                                                          MembershipTable &members,
+                                                          Listener listener);
+
+    /** Starts to follow the membership. */
+    void start();
+
+    /** Gives up the role and frees the lease. */
+    void stop();
+
+    bool isWatcher() const;
+
+private:
+    WatcherCandidacy(WatcherCandidacyOptions options, MembershipTable &members, Listener listener);
+
+    void acquired(std::uint32_t slot) override;
+    void lost() override;
+    void update();
+    bool amongFirstOfZone() const;
+
+    WatcherCandidacyOptions m_options;
+    MembershipTable &m_members;
+    Listener m_listener;
+    std::unique_ptr<LeaseElection> m_election;
+    bool m_following = false;
+    bool m_candidate = false;
+};
+
+} // namespace Hornbeam
