Test selection, admission, retries, claims and the crash quarantine

The protections of the traffic path had no focused tests. Each of them now has one that fails without it. Further changes that the tests and a review led to:

- A request that crashed two targets is refused by the node that saw it at once, without waiting for the control thread to publish the quarantine.
- The options of the Connection headers are collected once per message and bounded; comparing each header with each of them was quadratic.
- A queued call whose caller disconnects counts as cancelled, not as refused.
- A connection whose 503 response was read completely is pooled again.

--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -53,6 +53,7 @@
     /**
      * Starts a graceful shutdown: no new connections, responses carry "Connection: close", running requests finish.
      * Calls @p drained once from a traffic thread when no request is left, at the latest after the drain bound.
+     * The callback must not destroy the server.
      */
     virtual void drain(std::function<void()> drained) = 0;
 
--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -1,5 +1,7 @@
 #include "attemptreport.h"
 
+#include <algorithm>
+
 namespace Hornbeam {
 
 namespace {
@@ -14,7 +16,7 @@
 void reportCrash(CallContext &call, const Endpoint &target, TimePoint now)
 {
     call.core.metrics.crashes.add();
-    call.core.suspects.add(call.crashDigest(), now);
+    call.core.suspects.add(call.crashDigest(), target, now);
     call.core.dependencies.crashes.targetCrashed(call.crashDigest(), target);
 }
 
@@ -52,6 +54,16 @@
         && call.core.suspects.contains(call.crashDigest(), std::chrono::steady_clock::now());
 }
 
+bool isCrashCulprit(CallContext &call)
+{
+    const auto &quarantined = call.state->quarantined;
+    if (!quarantined.empty() && std::binary_search(quarantined.begin(), quarantined.end(), call.crashDigest())) {
+        return true;
+    }
+    return call.core.suspects.any()
+        && call.core.suspects.isCulprit(call.crashDigest(), std::chrono::steady_clock::now());
+}
+
 void clearCrashSuspicion(CallContext &call)
 {
     if (call.core.suspects.any() && call.core.suspects.remove(call.crashDigest())) {
--- a/libs/proxy/src/attemptreport.h
+++ b/libs/proxy/src/attemptreport.h
@@ -10,6 +10,9 @@
 /** Whether this node has recently seen the request crash a target. */
 bool isCrashSuspect(CallContext &call);
 
+/** Whether the request is quarantined, or this node has seen it crash two targets. */
+bool isCrashCulprit(CallContext &call);
+
 /** Clears a request that a target has answered completely. */
 void clearCrashSuspicion(CallContext &call);
 
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -1,9 +1,9 @@
 #include "callerconnection.h"
 
+#include "attemptreport.h"
 #include "idempotentcall.h"
 #include "oncecall.h"
 
-#include <algorithm>
 #include <array>
 
 namespace Hornbeam {
@@ -171,8 +171,7 @@
         co_await call.refuse({.status = 400, .reason = "incomplete request body"});
         co_return false;
     }
-    const auto &quarantined = call.state->quarantined;
-    if (!quarantined.empty() && std::binary_search(quarantined.begin(), quarantined.end(), call.crashDigest())) {
+    if (isCrashCulprit(call)) {
         co_await call.refuse({.status = 422, .reason = "quarantined after crashes"});
         co_return false;
     }
--- a/libs/proxy/src/callerwatch.h
+++ b/libs/proxy/src/callerwatch.h
@@ -6,7 +6,10 @@
 
 namespace Hornbeam {
 
-/** Notices that a caller disconnects while its request waits or runs, and cancels what the request waits for. */
+/**
+ * Notices that a caller disconnects while its request waits or runs, and cancels what the request waits for.
+ * A caller that closes only its sending side counts as gone: the two cannot be told apart.
+ */
 class CallerWatch
 {
 public:
--- a/libs/proxy/src/crashsuspects.cpp
+++ b/libs/proxy/src/crashsuspects.cpp
@@ -14,12 +14,14 @@
 {
 }
 
-void CrashSuspects::add(const Digest &request, TimePoint now)
+void CrashSuspects::add(const Digest &request, const Endpoint &target, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     forgetExpired(now);
     if (m_crashes.size() < maxSuspects) {
-        m_crashes[request] = now;
+        auto &crashes = m_crashes[request];
+        crashes.targets.insert(target);
+        crashes.last = now;
     }
     m_any = !m_crashes.empty();
 }
@@ -39,9 +41,17 @@
     return m_crashes.contains(request);
 }
 
+bool CrashSuspects::isCulprit(const Digest &request, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    forgetExpired(now);
+    const auto it = m_crashes.find(request);
+    return it != m_crashes.end() && it->second.targets.size() >= 2;
+}
+
 void CrashSuspects::forgetExpired(TimePoint now)
 {
-    std::erase_if(m_crashes, [&](const auto &it) { return it.second + m_window <= now; });
+    std::erase_if(m_crashes, [&](const auto &it) { return it.second.last + m_window <= now; });
     m_any = !m_crashes.empty();
 }
 
--- a/libs/proxy/src/crashsuspects.h
+++ b/libs/proxy/src/crashsuspects.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <hornbeam/base/digest.h>
+#include <hornbeam/base/endpoint.h>
 #include <hornbeam/base/timerservice.h>
 
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace Hornbeam {
 
@@ -15,13 +17,20 @@
 public:
     explicit CrashSuspects(Duration window);
 
-    void add(const Digest &request, TimePoint now);
+    /** Records that @p target crashed while it ran the request. */
+    void add(const Digest &request, const Endpoint &target, TimePoint now);
 
     /** Forgets a request that has succeeded; returns whether it was a suspect. */
     bool remove(const Digest &request);
 
     bool contains(const Digest &request, TimePoint now);
 
+    /**
+     * Whether the request has crashed two different targets. It is refused from that moment on, without waiting for the
+     * control thread to publish the quarantine.
+     */
+    bool isCulprit(const Digest &request, TimePoint now);
+
     /** Whether there may be suspects; saves computing digests as long as nothing crashes. */
     bool any() const
     {
@@ -29,12 +38,18 @@
     }
 
 private:
+    struct Crashes
+    {
+        std::set<Endpoint> targets;
+        TimePoint last;
+    };
+
     void forgetExpired(TimePoint now);
 
     Duration m_window;
     std::atomic<bool> m_any = false;
     std::mutex m_mutex;
-    std::map<Digest, TimePoint> m_crashes;
+    std::map<Digest, Crashes> m_crashes;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -46,25 +46,29 @@
     return text;
 }
 
-/** Whether a Connection header names @p header as one of this hop. */
-bool isNamedByConnection(const HttpHead &head, std::string_view header)
+/** The headers that the Connection headers name as headers of this hop. */
+std::vector<std::string_view> connectionOptions(const HttpHead &head)
 {
+    std::vector<std::string_view> names;
     for (const auto &it : head.headers) {
-        if (!equalsIgnoringCase(it.name, "connection")) {
-            continue;
-        }
-        std::string_view rest = it.value;
+        std::string_view rest = equalsIgnoringCase(it.name, "connection") ? std::string_view(it.value) : "";
         while (!rest.empty()) {
             const auto comma = std::min(rest.find(','), rest.size());
-            if (equalsIgnoringCase(trim(rest.substr(0, comma)), header)) {
-                return true;
-            }
+            names.push_back(trim(rest.substr(0, comma)));
             rest.remove_prefix(std::min(comma + 1, rest.size()));
         }
     }
-    return false;
+    return names;
 }
 
+bool contains(const std::vector<std::string_view> &names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](auto it) { return equalsIgnoringCase(it, name); });
+}
+
+/** More names than any client sends; each of them is compared with each header. */
+constexpr std::size_t maxConnectionOptions = 16;
+
 /** Whether a path segment is "." or "..", also when its dots are percent-encoded. */
 bool isDotSegment(std::string_view segment)
 {
@@ -164,6 +168,9 @@
     if (hosts > 1 || (hosts == 0 && head.minorVersion >= 1)) {
         return "exactly one Host header is required";
     }
+    if (connectionOptions(head).size() > maxConnectionOptions) {
+        return "too many connection options";
+    }
     if (head.target.empty() || head.target.front() != '/') {
         return "the request target must be a path";
     }
@@ -178,9 +185,10 @@
 
 void appendEndToEndHeaders(const HttpHead &head, std::string &out)
 {
+    const auto ofThisHop = connectionOptions(head);
     for (const auto &header : head.headers) {
         if (isHopByHop(header.name) || startsWithIgnoringCase(header.name, "x-hornbeam-")
-            || isNamedByConnection(head, header.name)) {
+            || contains(ofThisHop, header.name)) {
             continue;
         }
         out += header.name;
--- a/libs/proxy/src/idempotentcall.cpp
+++ b/libs/proxy/src/idempotentcall.cpp
@@ -22,7 +22,7 @@
 {
     auto grant = co_await waitForSlot(m_call, {});
     if (!grant.lease) {
-        co_await m_call.refuse(refusalFor(grant.result, m_call));
+        co_await refuse(refusalFor(grant.result, m_call));
         co_return;
     }
     m_call.core.balancer.countRequest(m_call.service.name);
@@ -49,9 +49,21 @@
     }
     if (!m_lease) {
         co_await answer(exchange, status);
+    } else if (status == AttemptStatus::Response) {
+        exchange.finish();
     }
 }
 
+asio::awaitable<void> IdempotentCall::refuse(Refusal refusal)
+{
+    if (m_call.watch.isGone()) {
+        m_call.core.metrics.cancelled.add();
+        m_call.caller.socket().close();
+        co_return;
+    }
+    co_await m_call.refuse(refusal);
+}
+
 asio::awaitable<AttemptStatus> IdempotentCall::exchangeOn(UpstreamExchange &exchange)
 {
     auto status = AttemptStatus::ConnectFailed;
@@ -103,12 +115,7 @@
 asio::awaitable<void> IdempotentCall::answer(UpstreamExchange &exchange, AttemptStatus status)
 {
     if (status != AttemptStatus::Response) {
-        if (status == AttemptStatus::CallerFailed && m_call.watch.isGone()) {
-            m_call.core.metrics.cancelled.add();
-            m_call.caller.socket().close();
-            co_return;
-        }
-        co_await m_call.refuse(refusalFor(status, m_call));
+        co_await refuse(refusalFor(status, m_call));
         co_return;
     }
     const auto code = exchange.stream().reader().head().status;
--- a/libs/proxy/src/idempotentcall.h
+++ b/libs/proxy/src/idempotentcall.h
@@ -20,6 +20,7 @@
     asio::awaitable<AttemptStatus> exchangeOn(UpstreamExchange &exchange);
     asio::awaitable<SlotLease> retrySlot(AttemptStatus status);
     asio::awaitable<void> answer(UpstreamExchange &exchange, AttemptStatus status);
+    asio::awaitable<void> refuse(Refusal refusal);
     bool mayRetry(AttemptStatus status);
 
     CallContext &m_call;
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -6,6 +6,10 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace Hornbeam {
 
 namespace {
@@ -20,7 +24,12 @@
 constexpr auto purgePeriod = std::chrono::seconds(5);
 
 /** Lets several sockets share one port; the kernel spreads the connections over them. */
-using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+std::error_code sharePort(asio::ip::tcp::acceptor &acceptor)
+{
+    const int on = 1;
+    const int result = ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+    return result == 0 ? std::error_code() : std::error_code(errno, std::system_category());
+}
 
 } // namespace
 
@@ -53,7 +62,7 @@
         m_acceptor->set_option(asio::socket_base::reuse_address(true), ec);
     }
     if (!ec) {
-        m_acceptor->set_option(ReusePort(true), ec);
+        ec = sharePort(*m_acceptor);
     }
     if (!ec) {
         m_acceptor->bind(endpoint, ec);
--- /dev/null
+++ b/libs/proxy/tests/admissioncontrollertest.cpp
@@ -0,0 +1,142 @@
+#include "admissioncontroller.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A request that takes one of a shared number of slots and notes the order of the starts. */
+class FakeRequest : public QueuedRequest
+{
+public:
+    FakeRequest(Priority priority, TimePoint deadline, int &freeSlots, std::vector<FakeRequest *> &started)
+        : QueuedRequest(priority, deadline)
+        , m_freeSlots(freeSlots)
+        , m_started(started)
+    {
+    }
+
+    bool tryStart() override
+    {
+        if (m_freeSlots == 0) {
+            return false;
+        }
+        --m_freeSlots;
+        m_started.push_back(this);
+        return true;
+    }
+
+    void rejected() override
+    {
+        ++rejections;
+    }
+
+    int rejections = 0;
+
+private:
+    int &m_freeSlots;
+    std::vector<FakeRequest *> &m_started;
+};
+
+} // namespace
+
+TEST_GROUP(AdmissionController)
+{
+    const TimePoint now{1h};
+    int freeSlots = 1;
+    std::vector<FakeRequest *> started;
+    AdmissionController admission{3};
+
+    std::shared_ptr<FakeRequest> request(Priority priority, Duration timeout = 1s)
+    {
+        return std::make_shared<FakeRequest>(priority, now + timeout, freeSlots, started);
+    }
+
+    std::shared_ptr<FakeRequest> queue(Priority priority, Duration timeout = 1s)
+    {
+        auto it = request(priority, timeout);
+        CHECK(admission.admit(it, 1, now) == AdmissionController::Verdict::Queued);
+        return it;
+    }
+};
+
+TEST(AdmissionController, startsWhileSlotsAreFree)
+{
+    CHECK(admission.admit(request(Priority::Low), 1, now) == AdmissionController::Verdict::Started);
+    CHECK(admission.admit(request(Priority::High), 1, now) == AdmissionController::Verdict::Queued);
+}
+
+// Guards against visitors who wait at the entrance behind a bulk export.
+TEST(AdmissionController, startsHigherPrioritiesFirst)
+{
+    freeSlots = 0;
+    const auto low = queue(Priority::Low);
+    const auto normal = queue(Priority::Normal);
+    const auto high = queue(Priority::High);
+    freeSlots = 2;
+    admission.slotsChanged(now);
+    CHECK_EQUAL(2, started.size());
+    CHECK(started[0] == high.get());
+    CHECK(started[1] == normal.get());
+    CHECK_EQUAL(1, admission.queued());
+}
+
+// Guards against a newcomer that overtakes requests of its own priority.
+TEST(AdmissionController, keepsTheOrderWithinAPriority)
+{
+    freeSlots = 0;
+    const auto first = queue(Priority::Normal);
+    freeSlots = 1;
+    CHECK(admission.admit(request(Priority::Normal), 1, now) == AdmissionController::Verdict::Queued);
+    admission.slotsChanged(now);
+    CHECK(started.front() == first.get());
+}
+
+// Guards against an unbounded queue, and against bulk work that fills the queue for urgent requests.
+TEST(AdmissionController, boundsTheQueue)
+{
+    freeSlots = 0;
+    queue(Priority::Low);
+    queue(Priority::Normal);
+    const auto newest = queue(Priority::Low);
+    CHECK(admission.admit(request(Priority::Low), 1, now) == AdmissionController::Verdict::QueueFull);
+    CHECK(admission.admit(request(Priority::High), 1, now) == AdmissionController::Verdict::Queued);
+    CHECK_EQUAL(1, newest->rejections);
+    CHECK_EQUAL(3, admission.queued());
+}
+
+// Guards against queueing a request that cannot finish before its deadline: an early refusal can be retried elsewhere.
+TEST(AdmissionController, refusesRequestsThatWouldBeTooLate)
+{
+    admission.recordDuration(400ms);
+    freeSlots = 0;
+    CHECK(admission.admit(request(Priority::Normal, 700ms), 1, now) == AdmissionController::Verdict::TooLate);
+    queue(Priority::Normal, 900ms);
+    CHECK(admission.admit(request(Priority::Normal, 900ms), 1, now) == AdmissionController::Verdict::TooLate);
+    // A higher priority waits only for its own queue.
+    queue(Priority::High, 900ms);
+}
+
+TEST(AdmissionController, rejectsExpiredRequests)
+{
+    freeSlots = 0;
+    const auto expired = queue(Priority::Normal, 100ms);
+    const auto alive = queue(Priority::Normal, 1s);
+    freeSlots = 1;
+    admission.slotsChanged(now + 200ms);
+    CHECK_EQUAL(1, expired->rejections);
+    CHECK(started.front() == alive.get());
+}
+
+TEST(AdmissionController, forgetsRemovedRequests)
+{
+    freeSlots = 0;
+    admission.remove(queue(Priority::Normal));
+    freeSlots = 1;
+    admission.slotsChanged(now);
+    CHECK_EQUAL(0, started.size());
+}
--- /dev/null
+++ b/libs/proxy/tests/crashtest.cpp
@@ -0,0 +1,127 @@
+#include "proxyfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Crash)
+{
+    ProxyFixture proxy;
+
+    /** Closes the connection on "/crash" as a crashed process does, and answers other requests. */
+    static bool crashOnRequest(const TestMessage &request, TestSocket &connection)
+    {
+        if (request.startLine.find("/crash") != std::string::npos) {
+            return false;
+        }
+        return connection.send(TestTarget::response("200 OK", "ok"));
+    }
+};
+
+// Guards against a request that takes down one target after the other by retries of the proxy.
+TEST(Crash, reportsAndDoesNotRetry)
+{
+    TestTarget first(crashOnRequest);
+    TestTarget second(crashOnRequest);
+    proxy.addTarget(first);
+    proxy.addTarget(second);
+    proxy.start();
+    // The first call leaves a pooled connection, on which a crash must be recognised as well.
+    proxy.call(ProxyFixture::get("/"));
+    for (int i = 1; i <= 3; ++i) {
+        const int before = first.requests() + second.requests();
+        const auto response = proxy.call(ProxyFixture::get("/crash?" + std::to_string(i))).value();
+        CHECK_EQUAL(502, response.status());
+        STRCMP_EQUAL("unknown", response.header("x-hornbeam-outcome").c_str());
+        CHECK_EQUAL(before + 1, first.requests() + second.requests());
+        CHECK_EQUAL(i, proxy.crashes.crashed().size());
+    }
+    CHECK(proxy.crashes.crashed()[0] != proxy.crashes.crashed()[1]);
+}
+
+// Guards against further crashes between the second one and the publication of the quarantine.
+TEST(Crash, refusesAtOnceAfterCrashesOfTwoTargets)
+{
+    TestTarget first(crashOnRequest);
+    TestTarget second(crashOnRequest);
+    TestTarget third(crashOnRequest);
+    for (const auto *target : {&first, &second, &third}) {
+        proxy.addTarget(*target);
+    }
+    proxy.start();
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.call(ProxyFixture::get("/crash")).value().status() == 422; }));
+    int crashed = 0;
+    for (const auto *target : {&first, &second, &third}) {
+        crashed += target->requests() > 0 ? 1 : 0;
+    }
+    CHECK_EQUAL(2, crashed);
+}
+
+TEST(Crash, refusesQuarantinedRequests)
+{
+    TestTarget target(crashOnRequest);
+    proxy.addTarget(target);
+    proxy.start();
+    proxy.call(ProxyFixture::post("/crash", "body"));
+    proxy.quarantined = proxy.crashes.crashed();
+    proxy.publish();
+    const int before = target.requests();
+    const auto response = proxy.call(ProxyFixture::post("/crash", "body")).value();
+    CHECK_EQUAL(422, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(before, target.requests());
+    CHECK_EQUAL(502, proxy.call(ProxyFixture::post("/crash", "other")).value().status());
+}
+
+// Guards against blaming an innocent request for good: its success is reported.
+TEST(Crash, reportsTheSuccessOfASuspect)
+{
+    std::atomic<bool> crash = true;
+    TestTarget target([&](const TestMessage & /*request*/, TestSocket &connection) {
+        return !crash && connection.send(TestTarget::response("200 OK", "ok"));
+    });
+    proxy.addTarget(target);
+    proxy.start();
+    CHECK_EQUAL(502, proxy.call(ProxyFixture::get("/")).value().status());
+    crash = false;
+    CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/")).value().status());
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.crashes.succeeded().size() == 1; }));
+    CHECK(proxy.crashes.succeeded() == proxy.crashes.crashed());
+}
+
+// Guards against a suspect that reaches a second target through a retry for another reason.
+TEST(Crash, doesNotRetryASuspect)
+{
+    std::atomic<bool> crash = true;
+    const auto handler = [&](const TestMessage & /*request*/, TestSocket &connection) {
+        return !crash && connection.send(TestTarget::response("503 Service Unavailable", ""));
+    };
+    TestTarget first(handler);
+    TestTarget second(handler);
+    proxy.addTarget(first);
+    proxy.addTarget(second);
+    proxy.start();
+    proxy.call(ProxyFixture::get("/"));
+    crash = false;
+    const int before = first.requests() + second.requests();
+    CHECK_EQUAL(503, proxy.call(ProxyFixture::get("/")).value().status());
+    CHECK_EQUAL(before + 1, first.requests() + second.requests());
+}
+
+TEST(Crash, ejectsATargetThatKeepsFailing)
+{
+    TestTarget bad([](const TestMessage & /*request*/, TestSocket &connection) {
+        return connection.send(TestTarget::response("500 Internal Server Error", ""));
+    });
+    TestTarget good(TestTarget::answer("ok"));
+    proxy.addTarget(bad);
+    proxy.addTarget(good);
+    proxy.start();
+    int failures = 0;
+    for (int i = 0; i < 60; ++i) {
+        failures += proxy.call(ProxyFixture::get("/")).value().status() == 500 ? 1 : 0;
+    }
+    CHECK_EQUAL(5, failures);
+    CHECK(proxy.server->dumpJson().find("\"ejected\":true") != std::string::npos);
+}
--- a/libs/proxy/tests/fakeclaims.cpp
+++ b/libs/proxy/tests/fakeclaims.cpp
@@ -10,10 +10,26 @@
     {
         const std::lock_guard lock(m_mutex);
         m_claimed.push_back(identity);
+        if (hold) {
+            m_pending.push_back(std::move(callback));
+            return;
+        }
     }
     callback(decision);
 }
 
+void FakeClaims::decidePending()
+{
+    std::vector<std::function<void(ClaimDecision)>> pending;
+    {
+        const std::lock_guard lock(m_mutex);
+        pending.swap(m_pending);
+    }
+    for (const auto &callback : pending) {
+        callback(decision);
+    }
+}
+
 void FakeClaims::complete(const ClaimTicket & /*ticket*/, RecordedResponse response)
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/tests/fakeclaims.h
+++ b/libs/proxy/tests/fakeclaims.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/claims/claimcoordinator.h>
 
+#include <atomic>
 #include <functional>
 #include <mutex>
 #include <vector>
@@ -14,6 +15,8 @@
 public:
     /** Called in claim() before it answers; a test can let time pass here. */
     std::function<void()> beforeDecision;
+    /** Keeps the callbacks until decidePending(). */
+    std::atomic<bool> hold = false;
     ClaimDecision decision{.outcome = ClaimOutcome::Granted, .ticket = {}, .response = {}, .reason = {}};
 
     void claim(const Digest &identity, TimePoint deadline, std::function<void(ClaimDecision)> callback) override;
@@ -21,6 +24,9 @@
     void release(const ClaimTicket &ticket) override;
     void markUnknown(const ClaimTicket &ticket) override;
 
+    /** Answers the claims that were held. */
+    void decidePending();
+
     std::vector<Digest> claimed() const;
     std::vector<RecordedResponse> completed() const;
     int released() const;
@@ -30,6 +36,7 @@
     mutable std::mutex m_mutex;
     std::vector<Digest> m_claimed;
     std::vector<RecordedResponse> m_completed;
+    std::vector<std::function<void(ClaimDecision)>> m_pending;
     int m_released = 0;
     int m_unknown = 0;
 };
--- /dev/null
+++ b/libs/proxy/tests/httpmessagereadertest.cpp
@@ -0,0 +1,70 @@
+#include "httpmessagereader.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+
+TEST_GROUP(HttpMessageReader)
+{
+    using State = HttpMessageReader::State;
+
+    /** Feeds all bytes in steps of @p step; returns how many were used before the message ended. */
+    static std::size_t feedAll(HttpMessageReader & reader, std::string_view bytes, std::size_t step)
+    {
+        std::size_t used = 0;
+        while (used < bytes.size() && reader.state() != State::Complete && reader.state() != State::Malformed) {
+            const auto before = reader.state();
+            const auto n = reader.feed(bytes.substr(used, step));
+            used += n;
+            if (n == 0 && reader.state() == before) {
+                break;
+            }
+        }
+        return used;
+    }
+};
+
+// Guards against a result that depends on how the network splits the bytes.
+TEST(HttpMessageReader, readsMessagesInAnySplit)
+{
+    const std::string_view text =
+        "POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        HttpMessageReader reader(HttpMessageReader::Kind::Request, 1024);
+        CHECK_EQUAL(text.size(), feedAll(reader, text, step));
+        CHECK(reader.state() == State::Complete);
+        STRCMP_EQUAL("abcde", reader.body().c_str());
+        STRCMP_EQUAL("/a?b", reader.head().target.c_str());
+        STRCMP_EQUAL("h", reader.head().find("HOST")->c_str());
+        CHECK(reader.head().chunked);
+    }
+}
+
+TEST(HttpMessageReader, stopsAtTheEndOfAMessage)
+{
+    HttpMessageReader reader(HttpMessageReader::Kind::Request, 1024);
+    const std::string_view first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto both = std::string(first) + "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+    CHECK_EQUAL(first.size(), feedAll(reader, both, both.size()));
+    reader.reset();
+    feedAll(reader, std::string_view(both).substr(first.size()), both.size());
+    STRCMP_EQUAL("/2", reader.head().target.c_str());
+}
+
+TEST(HttpMessageReader, boundsTheHead)
+{
+    HttpMessageReader reader(HttpMessageReader::Kind::Request, 100);
+    feedAll(reader, "GET / HTTP/1.1\r\nHost: " + std::string(200, 'h'), 10);
+    CHECK(reader.state() == State::HeadTooLarge);
+}
+
+TEST(HttpMessageReader, recognisesResponsesWithoutALength)
+{
+    HttpMessageReader reader(HttpMessageReader::Kind::Response, 1024);
+    feedAll(reader, "HTTP/1.1 200 OK\r\n\r\n", 100);
+    CHECK(reader.endsWithConnection());
+    reader.reset(true);
+    feedAll(reader, "HTTP/1.1 200 OK\r\n\r\n", 100);
+    CHECK(!reader.endsWithConnection());
+    CHECK(reader.state() == State::Complete);
+}
--- /dev/null
+++ b/libs/proxy/tests/oncecalltest.cpp
@@ -0,0 +1,231 @@
+#include "proxyfixture.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+TEST_GROUP(OnceCall)
+{
+    ProxyFixture proxy;
+
+    std::optional<TestMessage> book(const std::string &headers = {})
+    {
+        return proxy.call(ProxyFixture::post("/book", "slot 5", "Idempotency-Key: k1\r\n" + headers));
+    }
+};
+
+TEST(OnceCall, claimsSendsAndRecords)
+{
+    TestTarget target([](const TestMessage & /*request*/, TestSocket &connection) {
+        return connection.send(TestTarget::response("201 Created", "booked", "Content-Type: text/plain\r\n"));
+    });
+    proxy.addTarget(target);
+    proxy.start();
+    CHECK_EQUAL(201, book().value().status());
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.completed().size() == 1; }));
+    const auto recorded = proxy.claims.completed().front();
+    CHECK_EQUAL(201, recorded.status);
+    STRCMP_EQUAL("booked", recorded.body.c_str());
+    CHECK_EQUAL(0, proxy.claims.released());
+    CHECK_EQUAL(0, proxy.claims.unknown());
+}
+
+TEST(OnceCall, refusesARequestWithoutKey)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    const auto response = proxy.call(ProxyFixture::post("/book", "slot 5")).value();
+    CHECK_EQUAL(400, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(0, target.requests());
+}
+
+// Guards against two bookings for a legacy client that sends the same request twice, and against one for two.
+TEST(OnceCall, identifiesRequestsByTheirContent)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    for (const auto *body : {"slot 5", "slot 5", "slot 6"}) {
+        proxy.call(ProxyFixture::post("/draw", body));
+    }
+    proxy.call(ProxyFixture::post("/draw", "slot 5", "Authorization: clerk2\r\n"));
+    const auto claimed = proxy.claims.claimed();
+    CHECK_EQUAL(4, claimed.size());
+    CHECK(claimed[0] == claimed[1]);
+    CHECK(claimed[0] != claimed[2]);
+    CHECK(claimed[0] != claimed[3]);
+    CHECK_EQUAL(413, proxy.call(ProxyFixture::post("/draw", std::string(2 << 20, 'x'))).value().status());
+}
+
+// Guards against a second execution while the first one runs, or when its outcome is not known.
+TEST(OnceCall, sendsNothingWithoutAGrant)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    proxy.claims.decision.outcome = ClaimOutcome::InProgress;
+    auto response = book().value();
+    CHECK_EQUAL(409, response.status());
+    STRCMP_EQUAL("in-progress", response.header("x-hornbeam-outcome").c_str());
+    CHECK(!response.header("retry-after").empty());
+    proxy.claims.decision.outcome = ClaimOutcome::Unknown;
+    response = book().value();
+    CHECK_EQUAL(504, response.status());
+    STRCMP_EQUAL("unknown", response.header("x-hornbeam-outcome").c_str());
+    proxy.claims.decision.outcome = ClaimOutcome::NotRun;
+    response = book().value();
+    CHECK_EQUAL(503, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    proxy.claims.decision.outcome = ClaimOutcome::Completed;
+    proxy.claims.decision.response = {.status = 201, .headers = {{"Content-Type", "text/x"}}, .body = "booked"};
+    response = book().value();
+    CHECK_EQUAL(201, response.status());
+    STRCMP_EQUAL("replayed", response.header("x-hornbeam-outcome").c_str());
+    STRCMP_EQUAL("text/x", response.header("content-type").c_str());
+    STRCMP_EQUAL("booked", response.body.c_str());
+    CHECK_EQUAL(0, target.requests());
+}
+
+// Guards against sending a request whose caller has given up while the claim was on its way.
+TEST(OnceCall, checksTheDeadlineAfterTheClaim)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    proxy.claims.beforeDecision = [] {
+        std::this_thread::sleep_for(60ms);
+    };
+    const auto response = book("X-Hornbeam-Deadline-Ms: 50\r\n").value();
+    CHECK_EQUAL(504, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(0, target.requests());
+    CHECK_EQUAL(1, proxy.claims.released());
+}
+
+// Guards against a second execution by a retry after the request was sent.
+TEST(OnceCall, neverSendsTwice)
+{
+    const auto silent = [](const TestMessage & /*request*/, TestSocket &connection) {
+        connection.waitClosed();
+        return false;
+    };
+    TestTarget first(silent);
+    TestTarget second(silent);
+    proxy.service.attemptTimeout = 100ms;
+    proxy.addTarget(first);
+    proxy.addTarget(second);
+    proxy.start();
+    const auto response = book().value();
+    CHECK_EQUAL(504, response.status());
+    STRCMP_EQUAL("unknown", response.header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(1, first.requests() + second.requests());
+    CHECK_EQUAL(1, proxy.claims.unknown());
+    CHECK_EQUAL(0, proxy.claims.released());
+}
+
+// Guards against a send on a pooled connection, whose silence would leave the outcome unknown.
+TEST(OnceCall, usesAFreshConnection)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    proxy.call(ProxyFixture::get("/"));
+    CHECK_EQUAL(1, target.connections());
+    book();
+    CHECK_EQUAL(2, target.connections());
+}
+
+TEST(OnceCall, releasesTheClaimWhenNoTargetCanBeReached)
+{
+    Endpoint closed;
+    {
+        const TestTarget target(TestTarget::answer(""));
+        closed = target.address();
+        proxy.addTarget(target);
+    }
+    proxy.start();
+    const auto response = book().value();
+    CHECK_EQUAL(503, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(1, proxy.claims.released());
+}
+
+// Guards against a lost outcome: the response is recorded although its caller has gone, so that a retry receives it.
+TEST(OnceCall, recordsTheResponseWithoutItsCaller)
+{
+    std::atomic<bool> release = false;
+    TestTarget target([&](const TestMessage & /*request*/, TestSocket &connection) {
+        ProxyFixture::waitUntil([&] { return release.load(); });
+        return connection.send(TestTarget::response("201 Created", "booked"));
+    });
+    proxy.addTarget(target);
+    proxy.start();
+    auto socket = proxy.connect();
+    socket.send(ProxyFixture::post("/book", "slot 5", "Idempotency-Key: k1\r\n"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    socket.reset();
+    release = true;
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.completed().size() == 1; }));
+    STRCMP_EQUAL("booked", proxy.claims.completed().front().body.c_str());
+}
+
+TEST(OnceCall, marksATruncatedResponseUnknown)
+{
+    TestTarget target([](const TestMessage & /*request*/, TestSocket &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc");
+        return false;
+    });
+    proxy.addTarget(target);
+    proxy.start();
+    const auto response = book();
+    CHECK(!response || !response->complete);
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.unknown() == 1; }));
+    CHECK_EQUAL(0, proxy.claims.completed().size());
+}
+
+// Guards against a booking that is refused for a day because its target was overloaded for a moment.
+TEST(OnceCall, releasesTheClaimWhenTheTargetStatesThatItDidNotRun)
+{
+    TestTarget target([](const TestMessage & /*request*/, TestSocket &connection) {
+        return connection.send(TestTarget::response("503 Service Unavailable", "", "X-Hornbeam-Outcome: not-run\r\n"));
+    });
+    proxy.addTarget(target);
+    proxy.start();
+    CHECK_EQUAL(503, book().value().status());
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.released() == 1; }));
+    CHECK_EQUAL(0, proxy.claims.completed().size());
+}
+
+// Guards against a claim that nobody uses: a grant after the call has ended is given back.
+TEST(OnceCall, releasesAClaimThatIsGrantedTooLate)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    proxy.claims.hold = true;
+    const auto response = book("X-Hornbeam-Deadline-Ms: 50\r\n").value();
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    proxy.claims.decidePending();
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.released() == 1; }));
+    CHECK_EQUAL(0, target.requests());
+}
+
+// Guards against callbacks into a server that was destroyed while a claim was on its way.
+TEST(OnceCall, survivesADecisionAfterTheServer)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    proxy.claims.hold = true;
+    auto socket = proxy.connect();
+    socket.send(ProxyFixture::post("/book", "slot 5", "Idempotency-Key: k1\r\n"));
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.claimed().size() == 1; }));
+    proxy.server.reset();
+    proxy.claims.decidePending();
+    CHECK_EQUAL(0, target.requests());
+}
--- /dev/null
+++ b/libs/proxy/tests/overloadtest.cpp
@@ -0,0 +1,141 @@
+#include "proxyfixture.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Overload)
+{
+    ProxyFixture proxy;
+    std::atomic<bool> release = false;
+    std::atomic<int> running = 0;
+    std::atomic<int> peak = 0;
+    std::vector<std::string> order;
+    std::mutex mutex;
+
+    /** Holds each request until the test releases it. */
+    TestTarget::Handler holding()
+    {
+        return [this](const TestMessage &request, TestSocket &connection) {
+            const int now = ++running;
+            peak = std::max(peak.load(), now);
+            {
+                const std::lock_guard lock(mutex);
+                order.push_back(request.startLine);
+            }
+            ProxyFixture::waitUntil([this] { return release.load(); });
+            --running;
+            return connection.send(TestTarget::response("200 OK", "ok"));
+        };
+    }
+};
+
+// Guards against more concurrent requests than a target has slots; the others wait and are served.
+TEST(Overload, queuesAboveTheSlots)
+{
+    TestTarget target(holding());
+    proxy.addTarget(target, 2);
+    proxy.start();
+    std::vector<std::thread> callers;
+    std::atomic<int> answered = 0;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&] {
+            const auto response = proxy.call(ProxyFixture::get("/"));
+            answered += response && response->status() == 200 ? 1 : 0;
+        });
+    }
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.server->dumpJson().find("\"queued\":4") != std::string::npos; }));
+    release = true;
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    CHECK_EQUAL(6, answered.load());
+    CHECK_EQUAL(2, peak.load());
+}
+
+TEST(Overload, servesUrgentRequestsFirst)
+{
+    TestTarget target(holding());
+    proxy.addTarget(target, 1);
+    proxy.start();
+    std::vector<std::thread> callers;
+    const std::vector<std::string> paths = {"/first", "/bulk", "/urgent"};
+    for (std::size_t i = 0; i < paths.size(); ++i) {
+        callers.emplace_back([&, i] { proxy.call(ProxyFixture::get(paths[i])); });
+        CHECK(ProxyFixture::waitUntil([&] { return proxy.server->requestsInFlight() == i + 1; }));
+    }
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.server->dumpJson().find("\"queued\":2") != std::string::npos; }));
+    release = true;
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    STRCMP_EQUAL("GET /urgent HTTP/1.1", order.at(1).c_str());
+}
+
+// Guards against callers that wait in vain: a full queue is refused at once, truthfully and with a time to come back.
+TEST(Overload, refusesEarlyWhenTheQueueIsFull)
+{
+    TestTarget target(holding());
+    proxy.options.maxQueuedRequests = 0;
+    proxy.addTarget(target, 1);
+    proxy.start();
+    std::thread caller([&] { proxy.call(ProxyFixture::get("/")); });
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    const auto response = proxy.call(ProxyFixture::get("/")).value();
+    CHECK_EQUAL(503, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK(std::stoi(response.header("retry-after")) >= 1);
+    release = true;
+    caller.join();
+    CHECK_EQUAL(1, target.requests());
+}
+
+// Guards against a request that is sent after its caller has left the queue.
+TEST(Overload, forgetsQueuedRequestsOfGoneCallers)
+{
+    TestTarget target(holding());
+    proxy.addTarget(target, 1);
+    proxy.start();
+    std::thread caller([&] { proxy.call(ProxyFixture::get("/")); });
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    auto socket = proxy.connect();
+    socket.send(ProxyFixture::get("/"));
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.server->requestsInFlight() == 2; }));
+    socket.close();
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.server->requestsInFlight() == 1; }));
+    release = true;
+    caller.join();
+    CHECK_EQUAL(1, target.requests());
+}
+
+// Guards against a queue that waits for targets that have left.
+TEST(Overload, refusesWithoutTargets)
+{
+    proxy.start();
+    const auto response = proxy.call(ProxyFixture::get("/")).value();
+    CHECK_EQUAL(503, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+}
+
+// Guards against crashes at exit: requests that run and wait are dropped when the server is destroyed.
+TEST(Overload, canBeDestroyedWithRequests)
+{
+    TestTarget target(holding());
+    proxy.options.threads = 2;
+    proxy.addTarget(target, 1);
+    proxy.start();
+    std::vector<TestSocket> callers;
+    for (int i = 0; i < 8; ++i) {
+        callers.push_back(proxy.connect());
+        callers.back().send(ProxyFixture::get("/"));
+    }
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.server->requestsInFlight() == callers.size(); }));
+    proxy.server.reset();
+    release = true;
+    for (auto &caller : callers) {
+        CHECK(caller.waitClosed());
+    }
+}
--- a/libs/proxy/tests/proxyservertest.cpp
+++ b/libs/proxy/tests/proxyservertest.cpp
@@ -368,9 +368,13 @@
     CHECK_EQUAL(7, dump["configVersion"].get<int>());
     const auto &entry = dump["services"]["rota"]["targets"][0];
     STRCMP_EQUAL(target.address().toString().c_str(), entry["address"].get<std::string>().c_str());
-    CHECK_EQUAL(0, entry["outstanding"].get<int>());
-    CHECK(proxy.metrics.render().find("hornbeam_proxy_requests_total{class=\"2xx\",route=\"read\"} 1")
-              != std::string::npos
-          || proxy.metrics.render().find("hornbeam_proxy_requests_total{route=\"read\",class=\"2xx\"} 1")
-              != std::string::npos);
+    // The slot is freed, and the response counted, after the caller has read the response.
+    CHECK(ProxyFixture::waitUntil([&] {
+        const auto now = nlohmann::json::parse(proxy.server->dumpJson());
+        return now["services"]["rota"]["targets"][0]["outstanding"].get<int>() == 0;
+    }));
+    CHECK(ProxyFixture::waitUntil([&] {
+        return proxy.metrics.render().find("hornbeam_proxy_requests_total{route=\"read\",class=\"2xx\"} 1")
+            != std::string::npos;
+    }));
 }
--- /dev/null
+++ b/libs/proxy/tests/targetselectortest.cpp
@@ -0,0 +1,137 @@
+#include "targetselector.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Seed of the random choices; HORNBEAM_TEST_SEED sets another one. */
+std::uint64_t testSeed()
+{
+    const char *text = std::getenv("HORNBEAM_TEST_SEED");
+    const auto seed = text != nullptr ? std::strtoull(text, nullptr, 10) : 42;
+    std::cout << "seed " << seed << '\n';
+    return seed;
+}
+
+TargetLoadPtr makeLoad(std::uint16_t port, const std::string &zone, std::uint32_t slots = 10)
+{
+    auto load = std::make_shared<TargetLoad>();
+    load->target.address = Endpoint("10.0.0.1", port);
+    load->target.zone = zone;
+    load->slots = slots;
+    load->firstSeen = TimePoint::min();
+    return load;
+}
+
+} // namespace
+
+TEST_GROUP(TargetSelector)
+{
+    const TimePoint now{1h};
+    TargetSelector selector{{.zone = "turku", .slowStart = 10s, .seed = testSeed()}};
+
+    /** Selects and holds a slot @p n times; returns how often each port was chosen. */
+    std::map<int, int> selectMany(const std::vector<TargetLoadPtr> &loads, int n, bool hold)
+    {
+        std::map<int, int> counts;
+        for (int i = 0; i < n; ++i) {
+            const auto selection = selector.select(loads, {}, now);
+            if (selection.target) {
+                ++counts[selection.target->target.address.port()];
+                selection.target->outstanding += hold ? 1 : 0;
+            }
+        }
+        return counts;
+    }
+};
+
+// Guards against calls that cross zones while the own zone has free slots.
+TEST(TargetSelector, prefersItsOwnZone)
+{
+    const std::vector loads = {makeLoad(1, "turku", 5), makeLoad(2, "helsinki", 100)};
+    auto counts = selectMany(loads, 5, true);
+    CHECK_EQUAL(5, counts[1]);
+    counts = selectMany(loads, 5, true);
+    CHECK_EQUAL(5, counts[2]);
+}
+
+TEST(TargetSelector, respectsSlots)
+{
+    const std::vector loads = {makeLoad(1, "turku", 3), makeLoad(2, "turku", 4)};
+    const auto counts = selectMany(loads, 100, true);
+    CHECK_EQUAL(3, counts.at(1));
+    CHECK_EQUAL(4, counts.at(2));
+    CHECK(selector.select(loads, {}, now).verdict == TargetSelector::Verdict::Busy);
+}
+
+// Guards against a herd on one target: the load per slot must stay even.
+TEST(TargetSelector, balancesOutstandingRequests)
+{
+    std::vector<TargetLoadPtr> loads;
+    for (std::uint16_t i = 1; i <= 10; ++i) {
+        loads.push_back(makeLoad(i, "turku", 1000));
+    }
+    const auto counts = selectMany(loads, 1000, true);
+    for (const auto &[port, n] : counts) {
+        CHECK(n > 85 && n < 115);
+    }
+}
+
+// Guards against a cold target that gets its full share of the traffic at once.
+TEST(TargetSelector, startsNewTargetsSlowly)
+{
+    const std::vector loads = {makeLoad(1, "turku"), makeLoad(2, "turku")};
+    loads[1]->firstSeen = now - 1s;
+    auto counts = selectMany(loads, 1000, false);
+    CHECK(counts[2] > 10 && counts[2] < 120);
+    loads[1]->firstSeen = now - 10s;
+    counts = selectMany(loads, 1000, false);
+    CHECK(counts[2] > 400 && counts[2] < 600);
+}
+
+// Guards against a service whose only targets are new: they must serve all the same.
+TEST(TargetSelector, usesColdTargetsWhenThereAreNoOthers)
+{
+    const std::vector loads = {makeLoad(1, "turku"), makeLoad(2, "turku")};
+    for (const auto &load : loads) {
+        load->firstSeen = now;
+    }
+    const auto counts = selectMany(loads, 1000, false);
+    CHECK(counts.at(1) > 400 && counts.at(2) > 400);
+}
+
+TEST(TargetSelector, requiresLabels)
+{
+    const std::vector loads = {makeLoad(1, "turku"), makeLoad(2, "helsinki")};
+    loads[1]->target.labels = {{"arch", "arm"}, {"track", "canary"}};
+    const std::vector<Label> canary = {{"track", "canary"}};
+    CHECK_EQUAL(2,
+                selector.select(loads, {.requiredLabels = canary, .excluded = {}}, now).target->target.address.port());
+    const std::vector<Label> stable = {{"track", "stable"}};
+    CHECK(selector.select(loads, {.requiredLabels = stable, .excluded = {}}, now).verdict
+          == TargetSelector::Verdict::NoTarget);
+}
+
+TEST(TargetSelector, avoidsExcludedAndEjectedTargets)
+{
+    const std::vector loads = {makeLoad(1, "turku"), makeLoad(2, "turku"), makeLoad(3, "helsinki")};
+    const std::vector excluded = {loads[0]->target.address};
+    loads[1]->ejectedUntil = now + 1s;
+    CHECK_EQUAL(
+        3, selector.select(loads, {.requiredLabels = {}, .excluded = excluded}, now).target->target.address.port());
+}
+
+// Guards against an outage that the detector itself causes: an ejected target is better than none.
+TEST(TargetSelector, fallsBackToEjectedTargets)
+{
+    const std::vector loads = {makeLoad(1, "turku")};
+    loads[0]->ejectedUntil = now + 1s;
+    CHECK(selector.select(loads, {}, now).verdict == TargetSelector::Verdict::Selected);
+}
