--- a/tests/integration/tests/connectionintegrationtest.cpp
+++ b/tests/integration/tests/connectionintegrationtest.cpp
@@ -1,25 +1,28 @@
 #include "meshtest.h"
 
-#include <thread>
-
 using namespace Hornbeam;
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 
-TEST_GROUP_BASE(Connection,
-                MeshTest){void setup() override{startMesh({.zones = {"tampere", "turku"}, .nodesPerZone = 2});
-}
-
-int runningTargets(const std::vector<int> &targets)
+class ConnectionTest : public MeshTest
 {
-    int running = 0;
-    for (const int target : targets) {
-        running += mesh->processes().isRunning(Mesh::targetName(target)) ? 1 : 0;
+protected:
+    void setup() override
+    {
+        startMesh({.zones = {"tampere", "turku"}, .nodesPerZone = 2});
     }
-    return running;
-}
-}
-;
+
+    int runningTargets(const std::vector<int> &targets)
+    {
+        int running = 0;
+        for (const int target : targets) {
+            running += mesh->processes().isRunning(Mesh::targetName(target)) ? 1 : 0;
+        }
+        return running;
+    }
+};
+
+TEST_GROUP_BASE(Connection, ConnectionTest){};
 
 // Guards against pooled target connections that have gone silent: reads are answered within their deadline.
 TEST(Connection, readsWithSilentTargetConnectionsAreAnswered)
@@ -35,7 +38,6 @@
 TEST(Connection, confirmReachesEveryNodeOverSilentPeerAndStoreConnections)
 {
     CHECK(mesh->addRule({{"kind", "silent"}, {"links", {"store", "node-0", "node-1", "node-2", "node-3"}}}));
-    HttpRequest unused;
     Result<std::uint64_t> confirmed = makeError(ErrorCode::Unavailable, "not tried");
     int attempt = 0;
     CHECK(waitUntil(patience, [&] {
@@ -112,7 +114,6 @@
     for (const int node : mesh->allNodes()) {
         mesh->processes().kill(Mesh::nodeName(node));
     }
-    std::vector<std::future<Result<pid_t>>> starting;
     for (const int node : mesh->allNodes()) {
         require(mesh->startNode(node));
     }
--- a/tests/support/include/hornbeam/testsupport/mesh.h
+++ b/tests/support/include/hornbeam/testsupport/mesh.h
@@ -104,6 +104,10 @@
     /** Number of keys in the store from @p key up to, but without, @p end; both in base64. */
     std::uint64_t storedKeys(const std::string &key, const std::string &end) const;
 
+    /** What passed through the fault proxy and what the store stand-in counted. */
+    nlohmann::json faultStatistics() const;
+    nlohmann::json storeStatistics() const;
+
     /** Adds one rule to the fault proxy. */
     bool addRule(const nlohmann::json &rule) const;
 
--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -299,6 +299,22 @@
     return body.is_object() && body.contains("kvs") ? body["kvs"].size() : 0;
 }
 
+Json Mesh::faultStatistics() const
+{
+    HttpRequest request;
+    request.url = "http://" + faultControl().toString() + "/control/stats";
+    const auto response = sendHttp(request);
+    return response ? Json::parse(response->body, nullptr, false) : Json();
+}
+
+Json Mesh::storeStatistics() const
+{
+    HttpRequest request;
+    request.url = "http://" + store().toString() + "/control/stats";
+    const auto response = sendHttp(request);
+    return response ? Json::parse(response->body, nullptr, false) : Json();
+}
+
 bool Mesh::addRule(const Json &rule) const
 {
     return controlFaults({{"rules", Json::array({rule})}});
