--- a/tests/support/include/hornbeam/testsupport/mesh.h
+++ b/tests/support/include/hornbeam/testsupport/mesh.h
@@ -50,6 +50,8 @@
     std::vector<int> nodesOutside(const std::string &zone) const;
     std::vector<int> allNodes() const;
 
+    const std::string &zoneOf(int node) const;
+
     static std::string nodeName(int node);
     static std::string targetName(int target);
 
