Test claims over the store's protocol

Cause: the claim tests use the in-memory store, so batches, lost answers and binary records had not been sent through the gateway protocol.

--- a/tools/storestandin/tests/storestandintest.cpp
+++ b/tools/storestandin/tests/storestandintest.cpp
@@ -2,6 +2,7 @@
 
 #include <hornbeam/base/asioruntime.h>
 #include <hornbeam/base/metrics.h>
+#include <hornbeam/claims/storeclaimcoordinator.h>
 #include <hornbeam/store/etcdstore.h>
 
 #include <asio/executor_work_guard.hpp>
@@ -10,6 +11,7 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
+#include <cstdio>
 #include <future>
 #include <optional>
 
@@ -248,6 +250,38 @@
     CHECK(ErrorCode::Overloaded == commit(createOnly("/y", "")).error().code());
 }
 
+// Guards against claims that work on the in-memory store only: batches, lost answers and binary records pass through
+// the protocol and the rate limit of the platform's store.
+TEST(StoreStandin, carriesClaims)
+{
+    AsioTimerService timers(context);
+    const auto coordinator =
+        std::move(*StoreClaimCoordinator::make({.maxWait = 5s}, {*store, executor, timers, metrics}));
+    constexpr int count = 2000;
+    int granted = 0;
+    std::optional<ClaimTicket> ticket;
+    control(R"({"lose_answers":2})"); // Of the lease and of the first batch.
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < count; ++i) {
+        coordinator->claim(Digest::of(std::to_string(i)), timers.now() + 8s, [&](const ClaimDecision &decision) {
+            granted += decision.outcome == ClaimOutcome::Granted ? 1 : 0;
+            ticket = decision.ticket;
+        });
+    }
+    runUntil([&] { return granted == count; });
+    const auto elapsed = std::chrono::steady_clock::now() - began;
+    std::printf("%d claims in %lld ms ",
+                count,
+                static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()));
+    const RecordedResponse response{.status = 200, .headers = {}, .body = std::string("\0\xff", 2)};
+    coordinator->complete(*ticket, response);
+    std::optional<ClaimDecision> retry;
+    coordinator->claim(ticket->identity, timers.now() + 5s, [&](ClaimDecision decision) { retry = decision; });
+    runUntil([&] { return retry.has_value(); });
+    CHECK(retry->outcome == ClaimOutcome::Completed);
+    CHECK(retry->response == response);
+}
+
 TEST(StoreStandin, refusesUnknownControlFields)
 {
     STRCMP_CONTAINS("400", http("POST /control", R"({"dwon":true})").c_str());
