Check the store client's local address and document watch events

Cause: libcurl would resolve a local address that is no IP address, and the interface did not say how a deletion and a compacted start revision look.

Change: EtcdStore::make refuses a local address that is not numeric. The doc comments of WatchListener name createRevision 0 and Conflict. The stand-in no longer destroys a function object while it runs.

--- a/libs/store/include/hornbeam/store/keyvaluestore.h
+++ b/libs/store/include/hornbeam/store/keyvaluestore.h
@@ -18,10 +18,16 @@
 public:
     virtual ~WatchListener() = default;
 
-    /** Reports changes in the order of their revisions. A deletion has an empty value and modRevision set. */
+    /**
+     * Reports changes in the order of their revisions. A deletion has an empty value, createRevision 0 and the revision
+     * of the deletion in modRevision.
+     */
     virtual void changed(const std::vector<KeyValue> &changes) = 0;
 
-    /** Reports that the watch ended, for example because the store became unreachable. It does not resume by itself. */
+    /**
+     * Reports that the watch ended, for example because the store became unreachable. It does not resume by itself.
+     * Conflict means that the store no longer has the start revision: read the keys and watch from the answer on.
+     */
     virtual void ended(const Error &error) = 0;
 };
 
--- a/libs/store/src/etcdstore.cpp
+++ b/libs/store/src/etcdstore.cpp
@@ -5,6 +5,8 @@
 
 #include "transfer.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -70,6 +72,13 @@
     return {code, std::string("store call failed: ") + curl_easy_strerror(result.code)};
 }
 
+bool isNumericAddress(const std::string &address)
+{
+    std::array<unsigned char, sizeof(in6_addr)> buffer{};
+    return inet_pton(AF_INET, address.c_str(), buffer.data()) == 1
+        || inet_pton(AF_INET6, address.c_str(), buffer.data()) == 1;
+}
+
 void initCurl()
 {
     static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
@@ -475,6 +484,9 @@
     if (options.endpoints.empty()) {
         return makeError(ErrorCode::InvalidArgument, "the store needs at least one endpoint");
     }
+    if (!options.localAddress.empty() && !isNumericAddress(options.localAddress)) {
+        return makeError(ErrorCode::InvalidArgument, "the local address of the store is not an IP address");
+    }
     if (options.connectTimeout < shortest || options.requestTimeout < shortest || options.watchIdleTimeout < shortest) {
         return makeError(ErrorCode::InvalidArgument, "the timeouts of the store are at least 1 ms");
     }
--- a/libs/store/tests/etcdstoretest.cpp
+++ b/libs/store/tests/etcdstoretest.cpp
@@ -251,5 +251,8 @@
 
 TEST(EtcdStore, refusesOptionsOutOfRange)
 {
+    const Endpoint endpoint("127.0.0.1", 1);
     CHECK(ErrorCode::InvalidArgument == EtcdStore::make({}, executor, metrics).error().code());
+    CHECK_FALSE(EtcdStore::make({.endpoints = {endpoint}, .localAddress = "eth0"}, executor, metrics).has_value());
+    CHECK_FALSE(EtcdStore::make({.endpoints = {endpoint}, .maxCallsInFlight = 0}, executor, metrics).has_value());
 }
--- a/tools/storestandin/src/storestandin.cpp
+++ b/tools/storestandin/src/storestandin.cpp
@@ -102,7 +102,8 @@
         message.cancelReason = error.message();
         m_response.append_chunk(EtcdProtocol::encodeWatchMessage(message));
         m_response.done();
-        m_ended(); // Destroys this object.
+        const auto notify = m_ended;
+        notify(); // Destroys this object.
     }
 
     void start(std::unique_ptr<Watch> watch)
