Connect the nodes by the gRPC transport

Cause: versions reached a node only through its own store watch, so a zone cut off from the store kept its old version.

Change: the node builds GrpcPeerClient and GrpcPeerServer in place of the transport that answered Unavailable, which is removed.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -5,7 +5,6 @@
 #include "logger.h"
 #include "routingpublisher.h"
 #include "storesync.h"
-#include "unreachablepeers.h"
 #include "watchercandidacy.h"
 
 #include <hornbeam/admin/adminserver.h>
@@ -17,6 +16,8 @@
 #include <hornbeam/membership/failuredetector.h>
 #include <hornbeam/membership/targetregistry.h>
 #include <hornbeam/membership/udptransport.h>
+#include <hornbeam/peer/grpcpeerclient.h>
+#include <hornbeam/peer/grpcpeerserver.h>
 #include <hornbeam/proxy/crashquarantine.h>
 #include <hornbeam/proxy/proxyserver.h>
 #include <hornbeam/settings/settings.h>
@@ -128,8 +129,9 @@
     std::unique_ptr<EtcdStore> m_store;
     std::unique_ptr<UdpTransport> m_datagrams;
     std::unique_ptr<FailureDetector> m_detector;
-    UnreachablePeers m_peers{m_executor};
+    std::unique_ptr<GrpcPeerClient> m_peers;
     std::unique_ptr<Disseminator> m_disseminator;
+    std::unique_ptr<GrpcPeerServer> m_peerServer;
     std::unique_ptr<StoreSync> m_storeSync;
     std::unique_ptr<WatcherCandidacy> m_candidacy;
     std::unique_ptr<CrashRelay> m_crashRelay;
@@ -176,13 +178,30 @@
 
 Result<bool> Node::Impl::buildDistribution()
 {
+    auto peers =
+        GrpcPeerClient::make({.localAddress = m_settings.peer.listen.address()},
+                             {.context = m_control, .control = m_executor, .timers = m_timers, .metrics = m_metrics});
+    if (!peers) {
+        return tl::unexpected(peers.error());
+    }
+    m_peers = std::move(*peers);
     auto disseminator = Disseminator::make(
         disseminatorOptions(m_settings, m_id),
-        {.peers = m_peers, .timers = m_timers, .table = m_members, .config = m_configuration, .metrics = m_metrics});
+        {.peers = *m_peers, .timers = m_timers, .table = m_members, .config = m_configuration, .metrics = m_metrics});
     if (!disseminator) {
         return tl::unexpected(disseminator.error());
     }
     m_disseminator = std::move(*disseminator);
+    auto server = GrpcPeerServer::make({.listen = m_settings.peer.listen},
+                                       {.context = m_control,
+                                        .control = m_executor,
+                                        .timers = m_timers,
+                                        .service = *m_disseminator,
+                                        .metrics = m_metrics});
+    if (!server) {
+        return tl::unexpected(server.error());
+    }
+    m_peerServer = std::move(*server);
     StoreSyncListener &listener = *this;
     m_storeSync = std::make_unique<StoreSync>(*m_store, m_timers, listener);
     auto candidacy = WatcherCandidacy::make(
