Ignore a second start of a lease election

Cause: a second start() began a second sequence of calls in the same election; both shared one lease, and the later one replaced it.

Change: start() does nothing while the election is a candidate, and stop() ends the candidacy before it calls lost().

Without the check, LeaseElection.ignoresASecondStart fails: expected <1> but was <3>.

--- a/libs/store/include/hornbeam/store/leaseelection.h
+++ b/libs/store/include/hornbeam/store/leaseelection.h
@@ -53,7 +53,7 @@
     /** Leaves a held slot to its lease; stop() frees it at once. */
     ~LeaseElection();
 
-    /** Becomes a candidate until stop(). */
+    /** Becomes a candidate until stop(); does nothing when it already is one. */
     void start();
 
     /** Gives up a held role, calls lost() for it and frees the slot as best effort. */
@@ -102,6 +102,7 @@
     LeaseId m_lease = 0;
     TimePoint m_sent; ///< When the running grant or renewal was sent.
     TimePoint m_validUntil;
+    bool m_candidate = false;
     bool m_holder = false;
     TimerHandle m_step; ///< The next retry or renewal.
     TimerHandle m_expiry;
--- a/libs/store/src/leaseelection.cpp
+++ b/libs/store/src/leaseelection.cpp
@@ -54,14 +54,16 @@
 
 void LeaseElection::start()
 {
-    ++*m_round;
-    look();
+    if (!std::exchange(m_candidate, true)) {
+        look();
+    }
 }
 
 void LeaseElection::stop()
 {
-    abandon();
+    m_candidate = false;
     m_step.reset();
+    abandon();
 }
 
 bool LeaseElection::isHolder() const
--- a/libs/store/tests/leaseelectiontest.cpp
+++ b/libs/store/tests/leaseelectiontest.cpp
@@ -175,6 +175,20 @@
     CHECK_EQUAL(2, shared.revision());
 }
 
+// Guards against a second round of calls that gives up the lease of the first one.
+TEST(LeaseElection, ignoresASecondStart)
+{
+    slots = 2;
+    add(1);
+    candidates.at(0)->election->start();
+    pass(1s);
+    candidates.at(0)->election->start();
+    pass(30s);
+    CHECK_EQUAL(1, candidates.at(0)->acquisitions);
+    CHECK_EQUAL(0, candidates.at(0)->losses);
+    CHECK_EQUAL(1, candidates.at(0)->store.calls().reads);
+}
+
 TEST(LeaseElection, freesItsSlotWhenStopped)
 {
     add(2);
