Delay the response to a request that crashed its target

Cause: crash reports spread as rumors, one hop per 5 ms. A caller that received the failure at once sent the same request through the next node before the report arrived there, and a third target of the zone crashed.

Ruled out: quarantine after one crash. Requests that were only in flight on a crashed target would be refused everywhere. Also ruled out: a synchronous report to all nodes, which costs messages in step with the fleet for each failure.

Change: after a broken attempt the response waits 200 ms, which is the time that a report needs to reach 1,700 members (7 hops) with a margin. A caller that does not wait for the response, or sends many copies at the same time, is not slowed by this.

--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -1,11 +1,18 @@
 #include "attemptreport.h"
 
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace Hornbeam {
 
 namespace {
 
+// A report takes one hop per 5 ms and reaches 1,700 members in 7 hops; the rest is for slow processes.
+constexpr std::chrono::milliseconds crashReportTime{200};
+
 /** Whether a response counts against its target. Shedding does not: ejecting overloaded targets overloads the others.
  */
 bool isFailureStatus(int status)
@@ -71,6 +78,16 @@
     }
 }
 
+asio::awaitable<void> waitForCrashReport(CallContext &call, AttemptStatus status)
+{
+    if (status != AttemptStatus::Broken) {
+        co_return;
+    }
+    asio::steady_timer timer(*call.context, crashReportTime);
+    std::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 Refusal refusalFor(AttemptStatus status, CallContext &call)
 {
     switch (status) {
--- a/libs/proxy/src/attemptreport.h
+++ b/libs/proxy/src/attemptreport.h
@@ -16,6 +16,12 @@
 /** Clears a request that a target has answered completely. */
 void clearCrashSuspicion(CallContext &call);
 
+/**
+ * Waits before the response to a request whose target crashed, so that the report of the crash reaches the other nodes
+ * before the caller can send the request again through one of them. Does nothing for other results of an attempt.
+ */
+asio::awaitable<void> waitForCrashReport(CallContext &call, AttemptStatus status);
+
 /** The answer to the caller for an attempt that brought no response. */
 Refusal refusalFor(AttemptStatus status, CallContext &call);
 
--- a/libs/proxy/src/idempotentcall.cpp
+++ b/libs/proxy/src/idempotentcall.cpp
@@ -117,6 +117,7 @@
 asio::awaitable<void> IdempotentCall::answer(UpstreamExchange &exchange, AttemptStatus status)
 {
     if (status != AttemptStatus::Response) {
+        co_await waitForCrashReport(m_call, status);
         co_await refuse(refusalFor(status, m_call));
         co_return;
     }
--- a/libs/proxy/src/oncecall.cpp
+++ b/libs/proxy/src/oncecall.cpp
@@ -159,6 +159,7 @@
         co_return;
     }
     claims.markUnknown(m_ticket);
+    co_await waitForCrashReport(m_call, status);
     auto refusal = refusalFor(status, m_call);
     refusal.status = 504;
     refusal.outcome = RefusalOutcome::Unknown;
