--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -22,6 +22,9 @@
 
     /** Reports that @p target closed its connection while it ran the request with this digest. */
     virtual void targetCrashed(const Digest &request, const Endpoint &target) = 0;
+
+    /** Reports that a target answered a request that was under way during a recent crash; it did not cause that one. */
+    virtual void requestSucceeded(const Digest & /*request*/) {}
 };
 
 /** What the proxy needs from the rest of the process. The referenced objects outlive the server. */
@@ -50,6 +53,7 @@
     /**
      * Starts a graceful shutdown: no new connections, responses carry "Connection: close", running requests finish.
      * Calls @p drained once from a traffic thread when no request is left, at the latest after the drain bound.
+     * The callback must not destroy the server.
      */
     virtual void drain(std::function<void()> drained) = 0;
 
--- a/tests/support/include/hornbeam/testsupport/mesh.h
+++ b/tests/support/include/hornbeam/testsupport/mesh.h
@@ -19,8 +19,10 @@
     int nodesPerZone = 1;
     int targetsPerNode = 1;
     std::string service = "vuorolista";
-    std::vector<std::string> targetArguments; ///< Further arguments of each target stand-in.
-    std::vector<std::string> storeArguments; ///< Further arguments of the store stand-in.
+    /** False announces the targets' own addresses: a stopped target then refuses connections, which a link accepts. */
+    bool targetsThroughProxy = true;
+    std::vector<std::string> targetArguments = {}; ///< Further arguments of each target stand-in.
+    std::vector<std::string> storeArguments = {}; ///< Further arguments of the store stand-in.
     nlohmann::json settings = nlohmann::json::object(); ///< Merged into the settings of each node.
     std::uint64_t seed = 1; ///< Seed of the fault proxy.
 };
@@ -50,6 +52,8 @@
     std::vector<int> nodesOutside(const std::string &zone) const;
     std::vector<int> allNodes() const;
 
+    const std::string &zoneOf(int node) const;
+
     static std::string nodeName(int node);
     static std::string targetName(int target);
 
@@ -101,6 +105,13 @@
     bool controlFaults(const nlohmann::json &request) const;
     bool controlStore(const nlohmann::json &request) const;
 
+    /** Number of keys in the store from @p key up to, but without, @p end; both in base64. */
+    std::uint64_t storedKeys(const std::string &key, const std::string &end) const;
+
+    /** What passed through the fault proxy and what the store stand-in counted. */
+    nlohmann::json faultStatistics() const;
+    nlohmann::json storeStatistics() const;
+
     /** Adds one rule to the fault proxy. */
     bool addRule(const nlohmann::json &rule) const;
 
--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -58,6 +58,9 @@
 
 Result<std::unique_ptr<Mesh>> Mesh::make(MeshOptions options)
 {
+    if (options.zones.empty()) {
+        return makeError(ErrorCode::InvalidArgument, "a mesh needs a zone");
+    }
     std::unique_ptr<Mesh> mesh(new Mesh(std::move(options)));
     auto block = AddressBlock::reserve();
     if (!block) {
@@ -79,9 +82,7 @@
 std::vector<int> Mesh::nodesIn(const std::string &zone) const
 {
     auto nodes = allNodes();
-    std::erase_if(nodes, [&](int node) {
-        return m_options.zones[static_cast<std::size_t>(node) % m_options.zones.size()] != zone;
-    });
+    std::erase_if(nodes, [&](int node) { return zoneOf(node) != zone; });
     return nodes;
 }
 
@@ -102,6 +103,11 @@
     return nodes;
 }
 
+const std::string &Mesh::zoneOf(int node) const
+{
+    return m_options.zones[static_cast<std::size_t>(node) % m_options.zones.size()];
+}
+
 std::string Mesh::nodeName(int node)
 {
     return "node-" + std::to_string(node);
@@ -158,6 +164,9 @@
 
 Endpoint Mesh::advertisedTarget(int target) const
 {
+    if (!m_options.targetsThroughProxy) {
+        return targetListener(target);
+    }
     return m_block->endpoint(targetLinkPart, target + 1, targetPort);
 }
 
@@ -187,7 +196,7 @@
         }
     }
     Json settings = {
-        {"node", {{"zone", m_options.zones[static_cast<std::size_t>(node) % zones]}, {"region", "fi-south"}}},
+        {"node", {{"zone", zoneOf(node)}, {"region", "fi-south"}}},
         {"traffic", {{"listen", traffic(node).toString()}, {"threads", 1}}},
         {"admin", {{"listen", admin(node).toString()}}},
         {"peer",
@@ -288,6 +297,33 @@
     return succeeded(sendHttp(control));
 }
 
+std::uint64_t Mesh::storedKeys(const std::string &key, const std::string &end) const
+{
+    HttpRequest range;
+    range.method = "POST";
+    range.url = "http://" + store().toString() + "/v3/kv/range";
+    range.body = Json{{"key", key}, {"range_end", end}, {"keys_only", true}}.dump();
+    const auto response = sendHttp(range);
+    const auto body = response ? Json::parse(response->body, nullptr, false) : Json();
+    return body.is_object() && body.contains("kvs") ? body["kvs"].size() : 0;
+}
+
+Json Mesh::faultStatistics() const
+{
+    HttpRequest request;
+    request.url = "http://" + faultControl().toString() + "/control/stats";
+    const auto response = sendHttp(request);
+    return response ? Json::parse(response->body, nullptr, false) : Json();
+}
+
+Json Mesh::storeStatistics() const
+{
+    HttpRequest request;
+    request.url = "http://" + store().toString() + "/control/stats";
+    const auto response = sendHttp(request);
+    return response ? Json::parse(response->body, nullptr, false) : Json();
+}
+
 bool Mesh::addRule(const Json &rule) const
 {
     return controlFaults({{"rules", Json::array({rule})}});
@@ -393,7 +429,7 @@
         add(nodeName(node), m_block->endpoint(nodeLinkPart, node + 1, peerPort), {nodeAddress(node), peerPort});
     }
     for (int target = 0; target < nodeCount() * m_options.targetsPerNode; ++target) {
-        add(targetName(target), advertisedTarget(target), targetListener(target));
+        add(targetName(target), m_block->endpoint(targetLinkPart, target + 1, targetPort), targetListener(target));
     }
     return result;
 }
