--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,10 @@
 bench: build
 	./bench/run
 
+fuzz: deps
+	cmake --preset fuzz > /dev/null
+	cmake --build --preset fuzz --target hornbeam_fuzzers
+	./tools/scripts/fuzz
+
 proto:
 	./tools/scripts/generate-proto
