Take request identities from the claims library and document the answers

The proxy computed identities of its own before the claims library existed; it now uses RequestIdentity. A key is scoped by method and path only: scoped by credentials, a client that signs in again after a forced restart would run its request twice. Content identities keep the caller's credentials or address, since nothing else tells the clients behind one address apart.

The status and X-Hornbeam-Outcome of each kind of answer are documented at ProxyServer.

With the key scoped by the caller: identifiesRequestsByTheirKeyAlone: CHECK(claimed[0] == claimed[1]) failed

--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -35,7 +35,26 @@
     MetricsRegistry &metrics;
 };
 
-/** Serves callers over HTTP/1.1 on its own traffic threads. */
+/**
+ * Serves callers over HTTP/1.1 on its own traffic threads.
+ *
+ * Every response carries X-Hornbeam-Version. Answers of the proxy itself also carry X-Hornbeam-Outcome:
+ *
+ * | outcome     | status                       | meaning                                                          |
+ * | ----------- | ---------------------------- | ---------------------------------------------------------------- |
+ * | not-run     | 400, 404, 408, 413, 422, 431 | The request was refused as it is; 422 is the crash quarantine.   |
+ * | not-run     | 503 with Retry-After         | No slot, target, claim or connection; nothing was sent.          |
+ * | not-run     | 504                          | The deadline passed before anything was sent.                    |
+ * | in-progress | 409 with Retry-After         | Another attempt runs the non-idempotent request.                 |
+ * | unknown     | 502, 504                     | A target may have run the request; an idempotent one may be sent |
+ * |             |                              | again, a non-idempotent one (always 504) is never run again.     |
+ * | replayed    | as recorded                  | The response of an earlier attempt. X-Hornbeam-Body: omitted     |
+ * |             |                              | means that its body was too large to be recorded.                |
+ *
+ * A deadline in X-Hornbeam-Deadline-Ms covers the whole response. A caller that closes its sending side counts as
+ * disconnected. A target's 503 with X-Hornbeam-Outcome: not-run states that it refused the request before it ran it; a
+ * non-idempotent request may then be sent again.
+ */
 class ProxyServer
 {
 public:
--- a/libs/proxy/src/oncecall.cpp
+++ b/libs/proxy/src/oncecall.cpp
@@ -5,13 +5,12 @@
 #include "responseforwarder.h"
 #include "slotwait.h"
 
+#include <hornbeam/claims/requestidentity.h>
+
 namespace Hornbeam {
 
 namespace {
 
-/** Separates the parts of an identity; no part contains it, since headers and targets have no zero bytes. */
-constexpr char separator = '\0';
-
 /** The target states that it refused the request before it ran it. */
 bool isShed(const HttpHead &response)
 {
@@ -19,7 +18,7 @@
     return response.status == 503 && outcome != nullptr && *outcome == "not-run";
 }
 
-/** The caller's credentials, which survive a change of its address, or else its address. */
+/** The caller's credentials, which tell callers behind one address apart, or else its address. */
 std::string callerOf(CallContext &call)
 {
     if (const auto *credentials = call.head().find("authorization")) {
@@ -40,12 +39,11 @@
         if (key == nullptr || key->empty()) {
             return std::nullopt;
         }
-        auto text = std::string("key") + separator + head.method + separator;
-        text += head.path();
-        return Digest::of(text + separator + *key);
+        // Neither credentials nor the address take part: a client that restarts may come back with others and must
+        // still be recognised. The route's name does not either, because it can change between two attempts.
+        return RequestIdentity::ofKey({}, head.method + ' ' + std::string(head.path()), *key);
     }
-    auto text = std::string("content") + separator + callerOf(call) + separator + head.method + separator;
-    return Digest::of(text + head.target + separator + call.body.buffered());
+    return RequestIdentity::ofContent(callerOf(call), head.method, head.target, call.body.buffered());
 }
 
 OnceCall::OnceCall(CallContext &call)
--- a/libs/proxy/tests/oncecalltest.cpp
+++ b/libs/proxy/tests/oncecalltest.cpp
@@ -44,6 +44,23 @@
     CHECK_EQUAL(0, target.requests());
 }
 
+// Guards against a second execution for a client that was restarted and has signed in again before its retry.
+TEST(OnceCall, identifiesRequestsByTheirKeyAlone)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.start();
+    book("Authorization: token1\r\n");
+    book("Authorization: token2\r\n");
+    proxy.call(ProxyFixture::post("/book", "slot 5", "Idempotency-Key: k2\r\n"));
+    proxy.call(ProxyFixture::post("/book/other", "slot 5", "Idempotency-Key: k1\r\n"));
+    const auto claimed = proxy.claims.claimed();
+    CHECK_EQUAL(4, claimed.size());
+    CHECK(claimed[0] == claimed[1]);
+    CHECK(claimed[0] != claimed[2]);
+    CHECK(claimed[0] != claimed[3]);
+}
+
 // Guards against two bookings for a legacy client that sends the same request twice, and against one for two.
 TEST(OnceCall, identifiesRequestsByTheirContent)
 {
