Tell cancelled and unread requests apart from crashed targets

Asio's system category does not map its codes to std::errc::connection_reset and std::errc::operation_canceled, so neither comparison ever held. As a result, each caller that disconnected while its request ran was reported as a crash of the target. The codes are now compared with Asio's own constants.

With the old comparison: cancelsTheTargetWhenTheCallerDisconnects: expected <0> but was <1> (crashes) With the check for a reset off: repeatsARequestThatTheTargetLeftUnread: CHECK(response && response->status() == 200) failed

Not run again under the sanitizers after this change.

--- a/libs/proxy/src/httpstream.cpp
+++ b/libs/proxy/src/httpstream.cpp
@@ -1,5 +1,7 @@
 #include "httpstream.h"
 
+#include <asio/error.hpp>
+
 namespace Hornbeam {
 
 namespace {
@@ -12,7 +14,10 @@
     if (ec == std::errc::timed_out) {
         return ReadResult::TimedOut;
     }
-    return ec == std::errc::operation_canceled ? ReadResult::Cancelled : ReadResult::Closed;
+    if (ec == asio::error::connection_reset) {
+        return ReadResult::Reset;
+    }
+    return ec == asio::error::operation_aborted ? ReadResult::Cancelled : ReadResult::Closed;
 }
 
 } // namespace
--- a/libs/proxy/src/httpstream.h
+++ b/libs/proxy/src/httpstream.h
@@ -11,7 +11,8 @@
 /** How reading from a peer ended. */
 enum class ReadResult {
     Ok,
-    Closed, ///< The peer closed or reset the connection.
+    Closed, ///< The peer closed the connection.
+    Reset, ///< The peer reset the connection, for example by closing it with unread bytes.
     TimedOut,
     Cancelled,
     Malformed,
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** Requests up to this size fit into one segment, so that a target reads them as a whole or not at all. */
+constexpr std::uint64_t smallRequestBytes = 1400;
+
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -197,6 +200,7 @@
     case ReadResult::Cancelled:
         return AttemptStatus::CallerFailed;
     case ReadResult::Closed:
+    case ReadResult::Reset:
         break;
     default:
         return AttemptStatus::BadResponse;
@@ -207,7 +211,10 @@
     // A closed socket never acknowledges data, so an idle connection that the target closed at the same moment is told
     // apart from a target that received the request and crashed.
     const auto acknowledged = acknowledgedBytes(m_connection->stream.socket().socket().native_handle());
-    const bool received = acknowledged != m_acknowledgedBefore;
+    // A reset says that the target closed the connection with unread bytes. A small request is read at once, so the
+    // target had not read it.
+    const bool unread = result == ReadResult::Reset && m_sentBytes <= smallRequestBytes;
+    const bool received = acknowledged != m_acknowledgedBefore && !unread;
     return m_connection->reused && !received ? AttemptStatus::NotReceived : AttemptStatus::Broken;
 }
 
--- a/libs/proxy/tests/proxyservertest.cpp
+++ b/libs/proxy/tests/proxyservertest.cpp
@@ -282,6 +282,8 @@
     socket.close();
     CHECK(ProxyFixture::waitUntil([&] { return cancelled.load(); }));
     CHECK(ProxyFixture::waitUntil([&] { return proxy.server->requestsInFlight() == 0; }));
+    // The proxy closed the connection itself, so the target has not crashed.
+    CHECK_EQUAL(0, proxy.crashes.crashed().size());
 }
 
 TEST(ProxyServer, refusesUntilReadyAndWithoutRoute)
--- a/libs/proxy/tests/retrytest.cpp
+++ b/libs/proxy/tests/retrytest.cpp
@@ -155,6 +155,28 @@
     CHECK_EQUAL(0, proxy.crashes.crashed().size());
 }
 
+// Guards against an error for a request that arrived while the target was closing the idle connection, unread.
+TEST(Retry, repeatsARequestThatTheTargetLeftUnread)
+{
+    TestTarget target([](const TestMessage & /*request*/, TestSocket &connection) {
+        connection.send(TestTarget::response("200 OK", "ok"));
+        // Waits for the next request and closes the connection without reading it. The kernel acknowledges the request
+        // after its delayed-acknowledgement time of 40 ms, which the target cannot observe.
+        const bool quiet = connection.staysQuiet(1000);
+        std::this_thread::sleep_for(100ms);
+        return quiet;
+    });
+    proxy.addTarget(target);
+    proxy.start();
+    auto socket = proxy.connect();
+    for (int i = 0; i < 4; ++i) {
+        socket.send(ProxyFixture::get("/"));
+        const auto response = socket.read();
+        CHECK(response && response->status() == 200);
+    }
+    CHECK_EQUAL(0, proxy.crashes.crashed().size());
+}
+
 // Guards against one silent connection after the other: the older idle ones are closed together with the first.
 TEST(Retry, closesOlderIdleConnectionsAfterASilentOne)
 {
