--- a/bench/convergencebench.cpp
+++ b/bench/convergencebench.cpp
@@ -50,7 +50,8 @@
 {
     Counters counters;
     counters.time = Clock::now();
-    for (const auto &flow : mesh.faultStatistics()["flows"]) {
+    const auto statistics = mesh.faultStatistics();
+    for (const auto &flow : statistics["flows"]) {
         const auto link = flow["link"].get<std::string>();
         const auto bytes = flow["bytesForward"].get<std::uint64_t>() + flow["bytesBackward"].get<std::uint64_t>()
             + flow["datagramBytes"].get<std::uint64_t>();
