Test a slow store, a replacement in a cut-off zone and versions after a herd restart

staleStoreReadsNeverMoveANodeBack also cuts the store connections, so that running nodes read the old state, not only the replaced one.

--- a/tests/integration/tests/connectionintegrationtest.cpp
+++ b/tests/integration/tests/connectionintegrationtest.cpp
@@ -1,4 +1,5 @@
 #include "meshtest.h"
+#include "versionwatcher.h"
 
 using namespace Hornbeam;
 using namespace std::chrono_literals;
@@ -72,9 +73,16 @@
     for (const int node : mesh->allNodes()) {
         mesh->processes().kill(Mesh::nodeName(node));
     }
+    std::vector<std::unique_ptr<VersionWatcher>> watchers;
+    for (const int node : mesh->allNodes()) {
+        watchers.push_back(std::make_unique<VersionWatcher>(*mesh, node, version));
+    }
     for (const int node : mesh->allNodes()) {
         require(mesh->startNode(node));
     }
     CHECK(mesh->waitForVersion(version, mesh->allNodes(), patience, "/rota"));
+    for (const auto &watcher : watchers) {
+        CHECK_TEXT(!watcher->regressed(), std::to_string(watcher->regression()).c_str());
+    }
     CHECK(waitForTargets(mesh->allNodes(), allTargets()));
 }
--- a/tests/integration/tests/versionintegrationtest.cpp
+++ b/tests/integration/tests/versionintegrationtest.cpp
@@ -121,6 +121,11 @@
     checkReached(mesh->allNodes(), "a node did not serve the version within 3 s");
     CHECK(mesh->controlStore({{"stale_reads", 20}}));
     const VersionWatcher running(*mesh, 0, version);
+    // The watchers of the store connect again and read the old state.
+    const auto reads = mesh->storeStatistics()["reads"].get<std::uint64_t>();
+    CHECK(mesh->addRule({{"kind", "cut"}, {"links", {"store"}}}));
+    CHECK(mesh->clearRules());
+    CHECK(waitUntil(patience, [&] { return mesh->storeStatistics()["reads"].get<std::uint64_t>() > reads + 6; }));
     mesh->processes().kill(Mesh::nodeName(3));
     const VersionWatcher replaced(*mesh, 3, version);
     require(mesh->startNode(3));
@@ -145,3 +150,28 @@
     CHECK_TEXT(!first.regressed(), std::to_string(first.regression()).c_str());
     CHECK_TEXT(!second.regressed(), std::to_string(second.regression()).c_str());
 }
+
+// Guards invariant 9 against a slow store: the bound counts from the response to the confirm.
+TEST(Version, confirmReachesEveryNodeWithASlowStore)
+{
+    CHECK(mesh->controlStore({{"latency_ms", 150}, {"answer_delay_ms", 150}}));
+    nextVersion(0);
+    checkReached(mesh->allNodes(), "a node did not serve the version within 3 s");
+}
+
+// Guards invariants 1 and 6 against two faults at once: a node is killed and replaced in a zone that is cut off.
+TEST(Version, replacementInACutOffZoneServesTheZonesVersion)
+{
+    const auto inside = mesh->nodesIn("helsinki");
+    CHECK(mesh->cutOffZone("helsinki", true));
+    mesh->processes().kill(Mesh::nodeName(inside.back()));
+    const VersionWatcher watcher(*mesh, inside.back(), version);
+    require(mesh->startNode(inside.back()));
+    CHECK(mesh->waitForVersion(version, {inside.back()}, patience, "/rota"));
+    STRCMP_EQUAL("not-run", outcomeOf(book(inside.back(), "replaced-in-a-cut-off-zone")).c_str());
+    LONGS_EQUAL(0, mesh->executions("replaced-in-a-cut-off-zone"));
+    CHECK(mesh->clearRules());
+    nextVersion(0);
+    checkReached(mesh->allNodes(), "a node did not serve the version within 3 s");
+    CHECK_TEXT(!watcher.regressed(), std::to_string(watcher.regression()).c_str());
+}
