--- a/bench/benchoptions.cpp
+++ b/bench/benchoptions.cpp
@@ -82,7 +82,7 @@
     add("changes", "Number of polled changes (default 100)", cxxopts::value(options.changes));
     add("replace", "Replace a tenth of the nodes with each change", cxxopts::value(options.replace));
     add("churn", "Target announcements per second (default 0)", cxxopts::value(options.churn));
-    add("routes", "Further routes in the configuration, about 120 bytes each", cxxopts::value(options.routes));
+    add("routes", "Further routes in the configuration, about 40 encoded bytes each", cxxopts::value(options.routes));
     add("idle-seconds", "Length of the idle time (default 10)", cxxopts::value(options.idleSeconds));
     add("watchers-per-zone", "Nodes of a zone that watch the store", cxxopts::value(options.watchersPerZone));
     add("seed", "Seed of the random choices (default 1)", cxxopts::value(options.seed));
--- a/bench/latencymeter.cpp
+++ b/bench/latencymeter.cpp
@@ -58,10 +58,10 @@
 
 AddedLatency measureAddedLatency(const Endpoint &node, const Endpoint &target, std::chrono::seconds duration)
 {
-    std::vector<std::unique_ptr<KeepAliveClient>> clients;
     CallSeries throughNode;
     CallSeries direct;
     asio::io_context context(1);
+    std::vector<std::unique_ptr<KeepAliveClient>> clients;
     const auto start = Clock::now() + std::chrono::milliseconds(200);
     for (int i = 0; i < connections; ++i) {
         const auto first = start + connectionPeriod * i / connections;
--- a/bench/versionpoller.cpp
+++ b/bench/versionpoller.cpp
@@ -112,9 +112,8 @@
     std::condition_variable m_ended;
     std::vector<ServedTime> m_served;
     std::size_t m_running = 0;
-    // The event loops are destroyed before the clients, whose coroutines they own.
-    std::vector<std::unique_ptr<KeepAliveClient>> m_clients;
     std::vector<PollThread> m_threads;
+    std::vector<std::unique_ptr<KeepAliveClient>> m_clients; ///< Their sockets refer to the event loops.
 };
 
 VersionPoller::VersionPoller(const std::vector<Endpoint> &nodes)
