Read the settings with the strict JSON reader of the other documents

Cause: settings and intents each had a reader of JSON objects that collects problems with their paths; the same logic stood twice.

Change: JsonReader moves from the config library into a library of its own, and the settings use it. Nodes spread their first join attempt over 100 ms, so that a herd of starting nodes does not reach the seeds in one moment.

--- a/daemons/hornbeamd/main.cpp
+++ b/daemons/hornbeamd/main.cpp
@@ -65,7 +65,7 @@
     auto settings = Settings::parse(content.str());
     if (!settings) {
         for (const auto &problem : settings.error()) {
-            std::cerr << "hornbeamd: " << fileName << ": " << problem.jsonPath << ' ' << problem.text << '\n';
+            std::cerr << "hornbeamd: " << fileName << ": " << problem.path << ' ' << problem.text << '\n';
         }
         return std::nullopt;
     }
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -36,6 +36,9 @@
 // Nodes that start together read the store's head spread over this time.
 constexpr auto storeReadSpread = 200ms;
 
+// Nodes that start together join through the seeds spread over this time.
+constexpr auto joinSpread = 100ms;
+
 ProxyOptions proxyOptions(const Settings &settings)
 {
     const auto &traffic = settings.traffic;
@@ -63,7 +66,8 @@
     return {.id = id,
             .zone = settings.node.zone,
             .advertisedAddress = settings.peer.advertise,
-            .seeds = settings.peer.seeds};
+            .seeds = settings.peer.seeds,
+            .joinSpread = joinSpread};
 }
 
 DisseminatorOptions disseminatorOptions(const Settings &settings, const std::string &id)
--- a/libs/admin/src/adminrequest.h
+++ b/libs/admin/src/adminrequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hornbeam/config/jsonreader.h>
+#include <hornbeam/json/jsonreader.h>
 
 #include <functional>
 #include <string>
--- a/libs/config/include/hornbeam/config/configjson.h
+++ b/libs/config/include/hornbeam/config/configjson.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hornbeam/config/configchange.h>
-#include <hornbeam/config/jsonreader.h>
+#include <hornbeam/json/jsonreader.h>
 
 namespace Hornbeam {
 
--- a/libs/config/include/hornbeam/config/intent.h
+++ b/libs/config/include/hornbeam/config/intent.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <hornbeam/config/jsonreader.h>
 #include <hornbeam/config/snapshot.h>
+#include <hornbeam/json/jsonreader.h>
 
 #include <string>
 #include <string_view>
--- a/libs/config/src/jsonreader.cpp
+++ b/libs/json/src/jsonreader.cpp
@@ -1,4 +1,4 @@
-#include <hornbeam/config/jsonreader.h>
+#include <hornbeam/json/jsonreader.h>
 
 #include <nlohmann/json.hpp>
 
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeam/base/endpoint.h>
+#include <hornbeam/json/jsonreader.h>
 
 #include <tl/expected.hpp>
 
@@ -13,15 +14,6 @@
 
 namespace Hornbeam {
 
-/** One reason why settings were refused. */
-struct SettingsProblem
-{
-    std::string jsonPath; ///< For example "$.traffic.threads".
-    std::string text; ///< For example "must be between 1 and 64".
-
-    friend auto operator<=>(const SettingsProblem &, const SettingsProblem &) = default;
-};
-
 /** Where the process runs. */
 struct NodeSettings
 {
@@ -101,7 +93,7 @@
     LogSettings log;
 
     /** Parses and checks JSON. All problems are reported, not just the first. */
-    static tl::expected<Settings, std::vector<SettingsProblem>> parse(std::string_view json);
+    static tl::expected<Settings, JsonProblems> parse(std::string_view json);
 
     friend auto operator<=>(const Settings &, const Settings &) = default;
 };
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -1,77 +1,164 @@
 #include <hornbeam/settings/settings.h>
 
-#include "jsonobjectreader.h"
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
 
 namespace Hornbeam {
 
 namespace {
 
-using Problems = std::vector<SettingsProblem>;
+constexpr std::size_t maxNameLength = 128;
+const nlohmann::json emptyObject = nlohmann::json::object();
 
-std::uint32_t readCount(JsonObjectReader &reader, const char *key, std::uint32_t defaultValue, IntegerRange range)
+// Names become parts of store keys and metric labels, so their characters are restricted.
+bool isName(const std::string &text)
 {
-    return static_cast<std::uint32_t>(reader.integer(key, defaultValue, range));
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+    };
+    return !text.empty() && text.size() <= maxNameLength && std::all_of(text.begin(), text.end(), allowed);
 }
 
-std::chrono::milliseconds readDuration(JsonObjectReader &reader,
-                                       const char *key,
-                                       std::chrono::milliseconds defaultValue,
-                                       IntegerRange range)
+/** Reads the members of one object of the settings and falls back to their defaults. */
+class Section
 {
-    return std::chrono::milliseconds(reader.integer(key, defaultValue.count(), range));
-}
+public:
+    /** @p value is null when the object is absent, which the parent has reported if it is required. */
+    Section(const nlohmann::json *value, std::string path, JsonProblems &problems)
+        : m_reader(value != nullptr ? *value : emptyObject, std::move(path), problems)
+        , m_present(value != nullptr)
+    {
+    }
+
+    ~Section()
+    {
+        m_reader.finish();
+    }
+
+    Section(const Section &) = delete;
+    Section &operator=(const Section &) = delete;
+
+    std::string name(const char *key)
+    {
+        const auto text = string(key);
+        if (text && !isName(*text)) {
+            m_reader.report(key, "must be a string of 1 to 128 characters of a-z, 0-9 and '-'");
+        }
+        return text.value_or("");
+    }
+
+    Endpoint endpoint(const char *key)
+    {
+        const auto text = string(key);
+        return text ? parseEndpoint(m_reader.pathOf(key), *text) : Endpoint();
+    }
+
+    std::optional<Endpoint> optionalEndpoint(const char *key)
+    {
+        const auto text = m_reader.optionalString(key);
+        return text ? std::optional(parseEndpoint(m_reader.pathOf(key), *text)) : std::nullopt;
+    }
+
+    std::vector<Endpoint> endpoints(const char *key)
+    {
+        std::vector<Endpoint> result;
+        for (const auto &text : m_reader.optionalStrings(key)) {
+            const auto index = "[" + std::to_string(result.size()) + "]";
+            result.push_back(parseEndpoint(m_reader.pathOf(key) + index, text));
+        }
+        return result;
+    }
+
+    std::uint32_t count(const char *key, std::uint32_t defaultValue, UnsignedRange range)
+    {
+        return static_cast<std::uint32_t>(m_reader.optionalUnsigned(key, range).value_or(defaultValue));
+    }
+
+    template <typename D>
+    D duration(const char *key, D defaultValue, UnsignedRange range)
+    {
+        const auto n = m_reader.optionalUnsigned(key, range);
+        return n ? D(static_cast<std::int64_t>(*n)) : defaultValue;
+    }
+
+    JsonReader &reader()
+    {
+        return m_reader;
+    }
 
-NodeSettings readNode(JsonObjectReader reader)
+private:
+    std::optional<std::string> string(const char *key)
+    {
+        if (!m_present) {
+            return std::nullopt;
+        }
+        return m_reader.string(key);
+    }
+
+    Endpoint parseEndpoint(std::string path, const std::string &text)
+    {
+        const auto endpoint = Endpoint::parse(text);
+        if (!endpoint) {
+            m_reader.problems().push_back({.path = std::move(path), .text = endpoint.error().message()});
+        }
+        return endpoint.value_or(Endpoint());
+    }
+
+    JsonReader m_reader;
+    bool m_present;
+};
+
+NodeSettings readNode(Section section)
 {
-    NodeSettings node;
-    node.zone = reader.requiredName("zone");
-    node.region = reader.requiredName("region");
-    return node;
+    return {.zone = section.name("zone"), .region = section.name("region")};
 }
 
-TrafficSettings readTraffic(JsonObjectReader reader)
+TrafficSettings readTraffic(Section section)
 {
     TrafficSettings traffic;
-    traffic.listen = reader.requiredEndpoint("listen");
-    traffic.threads = readCount(reader, "threads", traffic.threads, {1, 64});
-    traffic.maxConnections = readCount(reader, "maxConnections", traffic.maxConnections, {1, 100000});
-    traffic.maxHeaderBytes = readCount(reader, "maxHeaderBytes", traffic.maxHeaderBytes, {1024, 1048576});
-    traffic.maxQueuedRequests = readCount(reader, "maxQueuedRequests", traffic.maxQueuedRequests, {0, 100000});
-    traffic.idleTimeout = readDuration(reader, "idleTimeoutMs", traffic.idleTimeout, {100, 3600000});
-    traffic.drainBound = readDuration(reader, "drainBoundMs", traffic.drainBound, {0, 3600000});
-    traffic.retryBudgetPercent = readCount(reader, "retryBudgetPercent", traffic.retryBudgetPercent, {0, 100});
-    traffic.slowStart = readDuration(reader, "slowStartMs", traffic.slowStart, {0, 600000});
+    traffic.listen = section.endpoint("listen");
+    traffic.threads = section.count("threads", traffic.threads, {1, 64});
+    traffic.maxConnections = section.count("maxConnections", traffic.maxConnections, {1, 100000});
+    traffic.maxHeaderBytes = section.count("maxHeaderBytes", traffic.maxHeaderBytes, {1024, 1048576});
+    traffic.maxQueuedRequests = section.count("maxQueuedRequests", traffic.maxQueuedRequests, {0, 100000});
+    traffic.idleTimeout = section.duration("idleTimeoutMs", traffic.idleTimeout, {100, 3600000});
+    traffic.drainBound = section.duration("drainBoundMs", traffic.drainBound, {0, 3600000});
+    traffic.retryBudgetPercent = section.count("retryBudgetPercent", traffic.retryBudgetPercent, {0, 100});
+    traffic.slowStart = section.duration("slowStartMs", traffic.slowStart, {0, 600000});
     return traffic;
 }
 
-AdminSettings readAdmin(JsonObjectReader reader)
+AdminSettings readAdmin(Section section)
 {
-    return {.listen = reader.requiredEndpoint("listen")};
+    return {.listen = section.endpoint("listen")};
 }
 
-PeerSettings readPeer(JsonObjectReader reader)
+PeerSettings readPeer(Section section)
 {
     PeerSettings peer;
-    peer.listen = reader.requiredEndpoint("listen");
-    peer.advertise = reader.optionalEndpoint("advertise").value_or(peer.listen);
-    peer.seeds = reader.endpoints("seeds", 0);
+    peer.listen = section.endpoint("listen");
+    peer.advertise = section.optionalEndpoint("advertise").value_or(peer.listen);
+    peer.seeds = section.endpoints("seeds");
     return peer;
 }
 
-StoreSettings readStore(JsonObjectReader reader)
+StoreSettings readStore(Section section)
 {
     StoreSettings store;
-    store.endpoints = reader.endpoints("endpoints", 1);
-    store.requestTimeout = readDuration(reader, "requestTimeoutMs", store.requestTimeout, {10, 60000});
-    store.watchersPerZone = readCount(reader, "watchersPerZone", store.watchersPerZone, {1, 16});
-    const auto retention = reader.integer("claimRetentionSeconds", store.claimRetention.count(), {60, 604800});
-    store.claimRetention = std::chrono::seconds(retention);
+    store.endpoints = section.endpoints("endpoints");
+    if (store.endpoints.empty()) {
+        section.reader().report("endpoints", "must be an array of at least one endpoint");
+    }
+    store.requestTimeout = section.duration("requestTimeoutMs", store.requestTimeout, {10, 60000});
+    store.watchersPerZone = section.count("watchersPerZone", store.watchersPerZone, {1, 16});
+    store.claimRetention = section.duration("claimRetentionSeconds", store.claimRetention, {60, 604800});
     return store;
 }
 
-LogSettings readLog(JsonObjectReader reader)
+LogSettings readLog(Section section)
 {
-    const auto level = reader.optionalString("level").value_or("info");
+    const auto level = section.reader().optionalString("level").value_or("info");
     if (level == "debug") {
         return {.level = LogLevel::Debug};
     }
@@ -82,34 +169,38 @@
         return {.level = LogLevel::Error};
     }
     if (level != "info") {
-        reader.report("level", "must be one of debug, info, warning, error");
+        section.reader().report("level", "must be one of debug, info, warning, error");
     }
     return {.level = LogLevel::Info};
 }
 
-Settings readSettings(const nlohmann::json &document, Problems &problems)
+Settings readSettings(const nlohmann::json &document, JsonProblems &problems)
 {
-    JsonObjectReader reader(document, "$", problems);
+    JsonReader reader(document, "$", problems);
+    const auto required = [&](const char *key) {
+        return Section(reader.object(key), reader.pathOf(key), problems);
+    };
     Settings settings;
-    settings.node = readNode(reader.object("node"));
-    settings.traffic = readTraffic(reader.object("traffic"));
-    settings.admin = readAdmin(reader.object("admin"));
-    settings.peer = readPeer(reader.object("peer"));
-    settings.store = readStore(reader.object("store"));
-    settings.log = readLog(reader.optionalObject("log"));
+    settings.node = readNode(required("node"));
+    settings.traffic = readTraffic(required("traffic"));
+    settings.admin = readAdmin(required("admin"));
+    settings.peer = readPeer(required("peer"));
+    settings.store = readStore(required("store"));
+    settings.log = readLog(Section(reader.optionalObject("log"), reader.pathOf("log"), problems));
+    reader.finish();
     return settings;
 }
 
 } // namespace
 
-tl::expected<Settings, std::vector<SettingsProblem>> Settings::parse(std::string_view json)
+tl::expected<Settings, JsonProblems> Settings::parse(std::string_view json)
 {
-    const auto document = nlohmann::json::parse(json, nullptr, false);
-    if (document.is_discarded()) {
-        return tl::unexpected(Problems{{.jsonPath = "$", .text = "is not valid JSON"}});
+    const auto document = parseJson(json);
+    if (!document) {
+        return tl::unexpected(JsonProblems{document.error()});
     }
-    Problems problems;
-    auto settings = readSettings(document, problems);
+    JsonProblems problems;
+    auto settings = readSettings(*document, problems);
     if (!problems.empty()) {
         return tl::unexpected(std::move(problems));
     }
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -31,7 +31,7 @@
         return false;
     }
     const auto &problems = settings.error();
-    return std::any_of(problems.begin(), problems.end(), [&](const auto &it) { return it.jsonPath == path; });
+    return std::any_of(problems.begin(), problems.end(), [&](const auto &it) { return it.path == path; });
 }
 
 } // namespace
