--- a/tools/targetstandin/src/targetconnection.cpp
+++ b/tools/targetstandin/src/targetconnection.cpp
@@ -93,7 +93,9 @@
         co_return false;
     }
     if (startsWith(behaviour, "/slow")) {
-        co_await wait(std::chrono::milliseconds(HttpRequest::queryNumber(behaviour, "ms", 100)));
+        const std::chrono::milliseconds duration(HttpRequest::queryNumber(behaviour, "ms", 100));
+        const auto end = m_server.occupyWorker(duration);
+        co_await wait(std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()));
     }
     co_return co_await sendWhole("200 OK", echo(request, executions));
 }
--- a/tools/targetstandin/src/targetoptions.cpp
+++ b/tools/targetstandin/src/targetoptions.cpp
@@ -16,6 +16,7 @@
     options.add_options()("service", "announced service", cxxopts::value<std::string>()->default_value("echo"));
     options.add_options()("slots", "announced slots", cxxopts::value<std::uint32_t>()->default_value("10"));
     options.add_options()("shed-above", "503 above N requests", cxxopts::value<std::uint32_t>()->default_value("0"));
+    options.add_options()("workers", "run N slow requests", cxxopts::value<std::uint32_t>()->default_value("0"));
     options.add_options()("label", "announced label k=v", cxxopts::value<std::vector<std::string>>());
     options.add_options()("ttl-ms", "time to live", cxxopts::value<std::uint32_t>()->default_value("3000"));
     options.add_options()("cold-start-ms", "slower at first", cxxopts::value<std::uint32_t>()->default_value("0"));
@@ -75,6 +76,7 @@
         options.service = parsed["service"].as<std::string>();
         options.slots = parsed["slots"].as<std::uint32_t>();
         options.shedAbove = parsed["shed-above"].as<std::uint32_t>();
+        options.workers = parsed["workers"].as<std::uint32_t>();
         options.timeToLive = std::chrono::milliseconds(parsed["ttl-ms"].as<std::uint32_t>());
         options.coldStart = std::chrono::milliseconds(parsed["cold-start-ms"].as<std::uint32_t>());
         options.leaveTime = std::chrono::milliseconds(parsed["leave-ms"].as<std::uint32_t>());
--- a/tools/targetstandin/src/targetoptions.h
+++ b/tools/targetstandin/src/targetoptions.h
@@ -20,6 +20,7 @@
     std::string service = "echo";
     std::uint32_t slots = 10; ///< Announced only.
     std::uint32_t shedAbove = 0; ///< Answers 503 above this many concurrent requests; 0 never does.
+    std::uint32_t workers = 0; ///< Slow requests that run at the same time, others queue; 0 runs all of them.
     std::map<std::string, std::string> labels;
     std::chrono::milliseconds timeToLive{3000}; ///< Announcements are renewed at a third of it.
     std::chrono::milliseconds coldStart{0}; ///< Requests are slower for this time after the start.
--- a/tools/targetstandin/src/targetserver.cpp
+++ b/tools/targetstandin/src/targetserver.cpp
@@ -24,6 +24,7 @@
     , m_options(options)
     , m_acceptor(context)
     , m_exitTimer(context)
+    , m_workersFreeAt(options.workers)
     , m_started(std::chrono::steady_clock::now())
 {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(options.listenAddress), options.listenPort);
@@ -101,6 +102,17 @@
     return key.empty() ? 0 : ++m_executions[key];
 }
 
+std::chrono::steady_clock::time_point TargetServer::occupyWorker(std::chrono::milliseconds duration)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_workersFreeAt.empty()) {
+        return now + duration;
+    }
+    const auto worker = std::min_element(m_workersFreeAt.begin(), m_workersFreeAt.end());
+    *worker = std::max(*worker, now) + duration;
+    return *worker;
+}
+
 std::chrono::milliseconds TargetServer::coldStartDelay() const
 {
     const auto age = std::chrono::steady_clock::now() - m_started;
--- a/tools/targetstandin/src/targetserver.h
+++ b/tools/targetstandin/src/targetserver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Hornbeam {
 
@@ -42,6 +43,12 @@
     /** Counts one execution under @p key and returns how often that key has run. An empty key is not counted. */
     std::uint64_t countExecution(const std::string &key);
 
+    /**
+     * Takes the worker that is free first for a request of this duration and returns when the request ends. Requests
+     * whose callers gave up keep their worker, as in a server that does not notice a cancellation.
+     */
+    std::chrono::steady_clock::time_point occupyWorker(std::chrono::milliseconds duration);
+
     /** Extra duration of a request that starts now. */
     std::chrono::milliseconds coldStartDelay() const;
 
@@ -56,6 +63,7 @@
     const TargetOptions &m_options;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_exitTimer;
+    std::vector<std::chrono::steady_clock::time_point> m_workersFreeAt; ///< Empty without a bound of workers.
     std::chrono::steady_clock::time_point m_started;
     std::chrono::steady_clock::time_point m_leaveStarted;
     std::map<std::string, std::uint64_t> m_executions;
