Release expired quarantines on a node without other changes

Cause: the routing state was rebuilt by the quarantine timer only while the quarantine was not empty, so the expiry of its last entry was not published and the request stayed refused until the next change of configuration or membership.

Change: the timer compares the quarantine with the published one.

Result (`build/bin/hornbeamdtests`): before, releasesExpiredQuarantines failed with "expected <0> but was <1>"; after, 4 of 4 tests pass. The tests also guard that a turn's changes are published together, that leaving targets are left out and that the node is not ready before the floor is known.

--- a/daemons/hornbeamd/routingpublisher.cpp
+++ b/daemons/hornbeamd/routingpublisher.cpp
@@ -39,7 +39,7 @@
         }
     });
     m_quarantineTimer = m_parts.timers.every(quarantineCheckPeriod, [this] {
-        if (m_proxy != nullptr && !m_parts.quarantine.quarantined(m_parts.timers.now()).empty()) {
+        if (m_parts.quarantine.quarantined(m_parts.timers.now()) != m_publishedQuarantine) {
             update();
         }
     });
@@ -66,7 +66,9 @@
 void RoutingPublisher::publish()
 {
     m_pending = false;
-    m_proxy->publish(build());
+    const auto state = build();
+    m_publishedQuarantine = state->quarantined;
+    m_proxy->publish(state);
 }
 
 RoutingStatePtr RoutingPublisher::build()
--- a/daemons/hornbeamd/routingpublisher.h
+++ b/daemons/hornbeamd/routingpublisher.h
@@ -53,6 +53,7 @@
     RoutingPublisherDependencies m_parts;
     ProxyServer *m_proxy = nullptr;
     TimerHandle m_quarantineTimer;
+    std::vector<Digest> m_publishedQuarantine;
     bool m_ready = false;
     bool m_pending = false;
 };
