--- a/bench/herd.cpp
+++ b/bench/herd.cpp
@@ -21,8 +21,8 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int zones = 3;
-constexpr int workersPerTarget = 10;
+constexpr std::int64_t zones = 3;
+constexpr std::int64_t workersPerTarget = 10;
 constexpr auto serviceTime = 20ms;
 constexpr auto callerTimeout = 500ms;
 constexpr auto thinkTime = 200ms;
@@ -193,7 +193,7 @@
     const Json document = {{"seed", options.seed},
                            {"steady_callers", options.steadyCallers},
                            {"herd_factor", options.herdFactor},
-                           {"capacity_per_s", zones * workersPerTarget * (1000ms / serviceTime)},
+                           {"capacity_per_s", (1000ms / serviceTime) * zones * workersPerTarget},
                            {"runs", runs}};
     std::cout << document.dump(2) << std::endl;
     return 0;
