Reject queued requests that can no longer finish in time

A queued request was rejected only after its deadline; one with less time left than a request takes was still sent, failed, and used a slot.

Ruled out: the limit of connections (4,000 per node against 667 callers).

Change: the queue rejects a request as "not run" when its remaining time is below the average duration. The estimate on arrival already used that average.

--- a/libs/proxy/src/admissioncontroller.cpp
+++ b/libs/proxy/src/admissioncontroller.cpp
@@ -45,7 +45,8 @@
     for (auto &queue : m_queues) {
         for (auto it = queue.begin(); it != queue.end();) {
             const auto request = *it;
-            const bool expired = request->deadline() <= now;
+            // A request that cannot finish in time would only take a slot from one that can.
+            const bool expired = request->deadline() <= now + m_averageDuration;
             if (!expired && !request->tryStart()) {
                 ++it;
                 continue;
