Make configuration pieces larger and renew watcher leases in time steps

Apart from that, leases were renewed every second: 5 s / 3 was computed in whole seconds.

Ruled out: fewer watchers per zone, which would leave a zone without a watcher after one failure more; a digest list in a value of its own, which costs one more read per version.

Change: one resource in 512 instead of 128 ends a piece. The renewal period is 1.67 s. Two tests of the repository keep their bounds (more than 40 values, less than 64 KB written for one route, more than 3 reads for a fresh load) and use 36,000 instead of 9,000 routes, since their counts depend on the piece size.

--- a/libs/config/src/snapshotpieces.cpp
+++ b/libs/config/src/snapshotpieces.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// One resource in 128 ends a piece. At 80 bytes per route, a piece has 10 KB and a configuration of 1 MB about 100
-// pieces, whose digests take 3 KB of the head.
-constexpr std::uint64_t resourcesPerPiece = 128;
+// One resource in 512 ends a piece. At 80 bytes per route, a piece has 40 KB and a configuration of 1 MB about 25
+// pieces. Their digests are part of each head that watchers receive; with 128, 25,000 routes gave a head of 9 KB.
+constexpr std::uint64_t resourcesPerPiece = 512;
 
 // Ends a piece whose resources are unusually large; far below the store's bound of 1 MB per value.
 constexpr std::size_t maxPieceBytes = 64U << 10;
--- a/libs/config/tests/configrepositorytest.cpp
+++ b/libs/config/tests/configrepositorytest.cpp
@@ -5,6 +5,8 @@
 // CppUTest redefines "new", so it comes after the standard library and nlohmann-json.
 #include "planfixture.h"
 
+#include <algorithm>
+
 using namespace Hornbeam;
 
 namespace {
@@ -42,13 +44,18 @@
     InMemoryStore shared{executor, timers};
     TestNode node{executor, shared};
 
+    /** Adds routes in intents of at most 9,000, whose plans fit into one value of the store. */
     void addRoutes(int n)
     {
-        nlohmann::json operations = {{{"op", "setService"}, {"service", {{"name", "rota"}}}}};
-        for (int i = 0; i < n; ++i) {
-            operations.push_back({{"op", "setRoute"}, {"route", toJson(makeRoute(i))}});
+        constexpr int routesPerIntent = 9000;
+        for (int first = 0; first < n; first += routesPerIntent) {
+            nlohmann::json operations = {{{"op", "setService"}, {"service", {{"name", "rota"}}}}};
+            operations[0]["service"]["attemptTimeoutMs"] = 1000 + first;
+            for (int i = first; i < std::min(n, first + routesPerIntent); ++i) {
+                operations.push_back({{"op", "setRoute"}, {"route", toJson(makeRoute(i))}});
+            }
+            node.change(intentOf(std::move(operations)));
         }
-        node.change(intentOf(std::move(operations)));
     }
 
     std::vector<KeyValue> entries(const std::string &prefix)
@@ -70,12 +77,13 @@
 // Guards the store's bound of 1 MB per value and the cost of a small change in a large configuration.
 TEST(ConfigRepository, rewritesOneSmallPieceForOneChangedRoute)
 {
-    addRoutes(9000);
+    addRoutes(36000);
     CHECK(node.configuration.snapshot->encode().size() > 300000);
+    const auto version = node.configuration.snapshot->version();
     const auto before = entries("/hornbeamring/config/");
     const auto revision = shared.revision();
     CHECK(before.size() > 40);
-    CHECK_EQUAL(2, node.change(setRoute(makeRoute(4711, std::chrono::milliseconds(1234)))));
+    CHECK_EQUAL(version + 1, node.change(setRoute(makeRoute(4711, std::chrono::milliseconds(1234)))));
     std::size_t written = 0;
     for (const auto &entry : entries("/hornbeamring/config/")) {
         CHECK(entry.value.size() < (1U << 20));
@@ -90,14 +98,15 @@
 // Guards against loading everything again when only one piece differs.
 TEST(ConfigRepository, loadsOnlyPiecesThatAreNotKnown)
 {
-    addRoutes(9000);
+    addRoutes(36000);
     const auto known = node.configuration.snapshot;
+    const auto version = known->version() + 1;
     node.change(setRoute(makeRoute(1, std::chrono::milliseconds(1234))));
     TestNode other{executor, shared};
-    CHECK_EQUAL(2, other.loaded(known)->version());
+    CHECK_EQUAL(version, other.loaded(known)->version());
     CHECK_EQUAL(1, other.store.calls().writes);
     TestNode fresh{executor, shared};
-    CHECK_EQUAL(2, fresh.loaded()->version());
+    CHECK_EQUAL(version, fresh.loaded()->version());
     CHECK(fresh.store.calls().writes > 3);
 }
 
--- a/libs/store/src/leaseelection.cpp
+++ b/libs/store/src/leaseelection.cpp
@@ -172,7 +172,7 @@
     m_backoff.reset();
     m_occupiedBackoff.reset();
     armExpiry();
-    m_step = m_timers.once(m_options.timeToLive / renewalsPerTimeToLive, [this] { renew(); });
+    m_step = m_timers.once(Duration(m_options.timeToLive) / renewalsPerTimeToLive, [this] { renew(); });
     m_listener.acquired(m_slot);
 }
 
@@ -195,7 +195,7 @@
     m_backoff.reset();
     m_validUntil = validUntil(m_sent);
     armExpiry();
-    m_step = m_timers.once(m_options.timeToLive / renewalsPerTimeToLive, [this] { renew(); });
+    m_step = m_timers.once(Duration(m_options.timeToLive) / renewalsPerTimeToLive, [this] { renew(); });
 }
 
 void LeaseElection::armExpiry()
