Show cut-off zones in the dump and the metrics

Cause: a node that does not watch the store kept "reachable": true in its dump from the one read at its start, also when it was cut off; and nothing in the dump or metrics named a zone that is cut off.

Change: the dump lists the zones with live and failed members, store watchers and whether they are unreachable; store.reachable is null on a node that does not watch. The gauge hornbeam_zone_members_live has a value per zone.

--- a/daemons/hornbeamd/adminfacade.cpp
+++ b/daemons/hornbeamd/adminfacade.cpp
@@ -2,6 +2,7 @@
 
 #include "routingpublisher.h"
 #include "storesync.h"
+#include "zonesummary.h"
 
 #include <hornbeam/base/metrics.h>
 #include <hornbeam/dissemination/disseminator.h>
@@ -48,6 +49,22 @@
             {"targets", member.targets.size()}};
 }
 
+nlohmann::json toJson(const ZoneSummary &zone)
+{
+    return {{"zone", zone.zone},
+            {"liveMembers", zone.liveMembers},
+            {"failedMembers", zone.failedMembers},
+            {"storeWatchers", zone.storeWatchers},
+            {"unreachable", zone.unreachable()}};
+}
+
+/** A node that does not watch the store does not know whether it is reachable. */
+nlohmann::json toJson(const StoreSync &store)
+{
+    const auto reachable = store.watching() ? nlohmann::json(store.reachable()) : nlohmann::json();
+    return {{"reachable", reachable}, {"watching", store.watching()}};
+}
+
 template <typename T>
 bool containsSorted(const std::vector<T> &sorted, const T &value)
 {
@@ -132,10 +149,15 @@
 
 std::string AdminFacade::dumpJson() const
 {
+    const auto allMembers = m_parts.members.allMembers();
     nlohmann::json members = nlohmann::json::array();
-    for (const auto &listed : m_parts.members.allMembers()) {
+    for (const auto &listed : allMembers) {
         members.push_back(toJson(*listed.member));
     }
+    nlohmann::json zones = nlohmann::json::array();
+    for (const auto &zone : summariseZones(allMembers)) {
+        zones.push_back(toJson(zone));
+    }
     nlohmann::json quarantined = nlohmann::json::array();
     for (const auto &digest : m_parts.quarantine.quarantined(m_parts.timers.now())) {
         quarantined.push_back(digest.hex());
@@ -150,7 +172,8 @@
           {"routes", snapshot->routes().size()},
           {"newestKnownVersion", newestKnownVersion()},
           {"lastRejection", m_parts.configuration.lastRejection()}}},
-        {"store", {{"reachable", m_parts.storeSync.reachable()}, {"watching", m_parts.storeSync.watching()}}},
+        {"store", toJson(m_parts.storeSync)},
+        {"zones", zones},
         {"members", members},
         {"quarantined", quarantined},
         {"proxy", nlohmann::json::parse(m_parts.proxy.dumpJson(), nullptr, false)}};
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -6,6 +6,7 @@
 #include "routingpublisher.h"
 #include "storesync.h"
 #include "watchercandidacy.h"
+#include "zonesummary.h"
 
 #include <hornbeam/admin/adminserver.h>
 #include <hornbeam/base/asioruntime.h>
@@ -116,6 +117,7 @@
     void targetsChanged(std::vector<Target> targets);
     void versionApplied(const SnapshotPtr &snapshot);
     void memberChanged(const MemberPtr &before, const MemberPtr &after);
+    void updateMemberGauges();
     void becameReady();
     void watcherChanged(bool watcher);
 
@@ -343,8 +345,7 @@
     if (!stateChanged || !after || after->id == m_id) {
         return;
     }
-    m_metrics.gauge("hornbeam_members_live", "Alive and suspect members, this node included.")
-        .set(static_cast<std::int64_t>(m_members.liveMembers()->size()));
+    updateMemberGauges();
     if (after->state == MemberState::Failed) {
         m_log.warning("member failed", {{"id", after->id}, {"zone", after->zone}});
     } else if (after->state == MemberState::Left) {
@@ -354,6 +355,16 @@
     }
 }
 
+void Node::Impl::updateMemberGauges()
+{
+    m_metrics.gauge("hornbeam_members_live", "Alive and suspect members, this node included.")
+        .set(static_cast<std::int64_t>(m_members.liveMembers()->size()));
+    for (const auto &zone : summariseZones(m_members.allMembers())) {
+        m_metrics.gauge("hornbeam_zone_members_live", "Alive and suspect members of a zone.", {{"zone", zone.zone}})
+            .set(static_cast<std::int64_t>(zone.liveMembers));
+    }
+}
+
 void Node::Impl::becameReady()
 {
     m_log.info("ready to serve", {{"version", std::to_string(m_configuration.current()->version())}});
--- a/tests/integration/tests/versionintegrationtest.cpp
+++ b/tests/integration/tests/versionintegrationtest.cpp
@@ -17,6 +17,22 @@
     {
         CHECK_TEXT(mesh->waitForVersion(version, nodes, effectBound, "/rota"), what);
     }
+
+    /** Whether the dump of a node shows the zone as unreachable, or not, as given. */
+    bool sees(int node, const std::string &zone, bool unreachable) const
+    {
+        const auto response = mesh->ask(node, {.url = "/dump"});
+        if (!response) {
+            return false;
+        }
+        const auto dump = nlohmann::json::parse(response->body, nullptr, false);
+        for (const auto &known : dump.value("zones", nlohmann::json::array())) {
+            if (known["zone"] == zone) {
+                return known["unreachable"] == unreachable;
+            }
+        }
+        return false;
+    }
 };
 
 TEST_GROUP_BASE(Version, VersionTest){};
@@ -103,6 +119,36 @@
     CHECK_TEXT(!watcher.regressed(), std::to_string(watcher.regression()).c_str());
 }
 
+// Guards invariant 9 against a cut that lasts until both sides have given each other up, and the operator's view of it.
+TEST(Version, zoneCutOffForLongSaysSoAndCatchesUpWhenHealed)
+{
+    const auto inside = mesh->nodesIn("helsinki");
+    const auto outside = mesh->nodesOutside("helsinki");
+    CHECK(mesh->cutOffZone("helsinki", true));
+    CHECK(waitUntil(3 * patience, [&] { return sees(inside.front(), "tampere", true); }));
+    CHECK(waitUntil(3 * patience, [&] { return sees(inside.front(), "turku", true); }));
+    CHECK(waitUntil(3 * patience, [&] { return sees(outside.front(), "helsinki", true); }));
+    nextVersion(outside.front());
+    CHECK(mesh->clearRules());
+    checkReached(inside, "the healed zone did not serve the version within 3 s");
+    CHECK(waitUntil(3 * patience, [&] { return sees(inside.front(), "tampere", false); }));
+}
+
+// Guards invariant 9 against a long cut that ends while the store is down, so that only peers can supply the version.
+TEST(Version, zoneCutOffForLongCatchesUpFromPeersWhileTheStoreIsDown)
+{
+    const auto inside = mesh->nodesIn("helsinki");
+    const auto outside = mesh->nodesOutside("helsinki");
+    CHECK(mesh->cutOffZone("helsinki", true));
+    CHECK(waitUntil(3 * patience, [&] { return sees(inside.front(), "tampere", true); }));
+    CHECK(waitUntil(3 * patience, [&] { return sees(inside.front(), "turku", true); }));
+    CHECK(waitUntil(3 * patience, [&] { return sees(outside.front(), "helsinki", true); }));
+    nextVersion(outside.front());
+    CHECK(mesh->controlStore({{"down", true}}));
+    CHECK(mesh->clearRules());
+    checkReached(inside, "the healed zone did not serve the version within 3 s");
+}
+
 // Guards invariant 9 against a one-way cut: a node that cannot send to the others but hears them still catches up.
 TEST(Version, confirmReachesANodeBehindAOneWayCut)
 {
