Give up a fetch after 1 s and remove an unused function

Cause: a node that fetched a version from a peer which froze in that moment waited 3 s for it, the whole bound in which a version has to be in effect, and asked another peer only then.

Ruled out: two fetches at the same time, which doubles the bytes of every catch- up to help in a rare case.

Change: fetchTimeout is 1 s. RoutingState::targetsOf had no caller and goes.

--- a/libs/dissemination/include/hornbeam/dissemination/disseminatoroptions.h
+++ b/libs/dissemination/include/hornbeam/dissemination/disseminatoroptions.h
@@ -17,7 +17,7 @@
     std::uint32_t fanout = 8; ///< Branches of the tree per node. 1..64.
     std::uint32_t remoteZoneFanout = 2; ///< Members of each other zone that the origin pushes to. 1..64.
     Duration pushTimeout = std::chrono::milliseconds(150); ///< Then the next member of the branch is tried.
-    Duration fetchTimeout = std::chrono::seconds(3);
+    Duration fetchTimeout = std::chrono::seconds(1); ///< Short enough for a second peer within the 3 s of a change.
     Duration fetchJitter = std::chrono::milliseconds(50); ///< A fetch starts uniform in this time.
     Duration watchDelay = std::chrono::milliseconds(20); ///< Shortest time before a watcher pushes a version.
     Duration watchJitter = std::chrono::milliseconds(100); ///< Added uniform to the above.
--- a/libs/dissemination/tests/disseminatortest.cpp
+++ b/libs/dissemination/tests/disseminatortest.cpp
@@ -222,6 +222,21 @@
     CHECK_EQUAL(size, network.countWith(1));
 }
 
+// Guards invariant 9 against a peer that freezes after its heartbeat: the fetch from it must not use up the 3 s.
+TEST(Disseminator, fetchesElsewhereWhenThePeerFreezes)
+{
+    network.makeCluster(3, 1);
+    network.silent.insert(node(2).address.port());
+    confirm(0, 1);
+    network.time.advance(1s);
+    CHECK_EQUAL(2, network.countWith(1));
+    network.silent.clear();
+    node(2).disseminator->heartbeatReceived({.id = node(0).id, .peerAddress = node(0).address, .configVersion = 1});
+    freeze(0);
+    network.time.advance(3s);
+    CHECK_EQUAL(1, node(2).version());
+}
+
 // Guards against a large delta that every node of the tree receives from several peers.
 TEST(Disseminator, announcesLargeDeltas)
 {
--- a/libs/proxy/include/hornbeam/proxy/routingstate.h
+++ b/libs/proxy/include/hornbeam/proxy/routingstate.h
@@ -5,8 +5,6 @@
 #include <hornbeam/membership/target.h>
 
 #include <memory>
-#include <string>
-#include <string_view>
 #include <vector>
 
 namespace Hornbeam {
@@ -21,10 +19,6 @@
     std::vector<Target> targets; ///< Live targets of all services, sorted by service, then address; none leaving.
     std::vector<Digest> quarantined; ///< Sorted digests of requests that crash their targets.
     bool ready = false; ///< False until the node knows the configuration floor; calls are refused until then.
-
-    /** Returns the targets of a service as a range of @c targets. */
-    std::pair<std::vector<Target>::const_iterator, std::vector<Target>::const_iterator> targetsOf(
-        std::string_view service) const;
 };
 
 using RoutingStatePtr = std::shared_ptr<const RoutingState>;
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -68,6 +68,7 @@
     friend auto operator<=>(const StoreSettings &, const StoreSettings &) = default;
 };
 
+/** Lowest severity that is written to the log. */
 enum class LogLevel {
     Debug,
     Info,
@@ -75,6 +76,7 @@
     Error,
 };
 
+/** The process log on standard error. */
 struct LogSettings
 {
     LogLevel level = LogLevel::Info;
