Learn the versions of the peers before the store is asked

Cause: since joins are spread over 100 ms, a replaced node could read the store's head before it knew any peer.

Ruled out: no spread of the joins. The order of join and store answer was a race before as well; the spread only made it likely.

Change: a node reads the store and becomes a watcher candidate after it has joined, or after 1 s without a peer. The floor is then at least the newest version that a member reported.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -37,6 +37,10 @@
 // Nodes that start together read the store's head spread over this time.
 constexpr auto storeReadSpread = 200ms;
 
+// The store may answer with an old head, so the node first learns the versions of its peers. Without a peer in this
+// time it goes on with the store alone.
+constexpr auto joinBound = 1s;
+
 // Nodes that start together join through the seeds spread over this time.
 constexpr auto joinSpread = 100ms;
 
@@ -114,6 +118,7 @@
     Result<bool> buildTraffic();
     Result<bool> buildAdmin();
     void subscribe();
+    void startStoreAccess();
     void targetsChanged(std::vector<Target> targets);
     void versionApplied(const SnapshotPtr &snapshot);
     void memberChanged(const MemberPtr &before, const MemberPtr &after);
@@ -146,6 +151,8 @@
     TargetRegistry m_targets;
     std::unique_ptr<AdminFacade> m_adminFacade;
     std::unique_ptr<AdminServer> m_admin;
+    TimerHandle m_joinTimer;
+    bool m_storeAccessStarted = false;
 };
 
 Result<bool> Node::Impl::build()
@@ -279,14 +286,25 @@
     m_members.subscribe([this](const MemberPtr &before, const MemberPtr &after) { memberChanged(before, after); });
     m_detector->subscribeHeartbeats([this](const Heartbeat &it) { m_disseminator->heartbeatReceived(it); });
     m_detector->subscribeRumors([this](const Rumor &it) { m_crashRelay->received(it); });
-    m_detector->subscribeJoined([this] { m_disseminator->membershipJoined(); });
+    m_detector->subscribeJoined([this] {
+        m_disseminator->membershipJoined();
+        startStoreAccess();
+    });
     m_disseminator->subscribeReady([this] { becameReady(); });
 }
 
 void Node::Impl::start()
 {
     m_publisher.start(*m_proxy);
+    m_joinTimer = m_timers.once(joinBound, [this] { startStoreAccess(); });
     m_detector->start();
+}
+
+void Node::Impl::startStoreAccess()
+{
+    if (std::exchange(m_storeAccessStarted, true)) {
+        return;
+    }
     m_storeSync->start(storeReadSpread);
     m_candidacy->start();
 }
