--- a/daemons/hornbeamd/adminfacade.cpp
+++ b/daemons/hornbeamd/adminfacade.cpp
@@ -5,6 +5,7 @@
 #include "zonesummary.h"
 
 #include <hornbeam/base/metrics.h>
+#include <hornbeam/base/timerservice.h>
 #include <hornbeam/dissemination/disseminator.h>
 #include <hornbeam/membership/membershiptable.h>
 #include <hornbeam/membership/targetregistry.h>
--- a/daemons/hornbeamd/adminfacade.h
+++ b/daemons/hornbeamd/adminfacade.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "watchercandidacy.h"
-
 #include <hornbeam/admin/announcementapi.h>
 #include <hornbeam/admin/operatorapi.h>
 #include <hornbeam/admin/statusapi.h>
@@ -18,6 +16,7 @@
 class RoutingPublisher;
 class StoreSync;
 class TargetRegistry;
+class TimerService;
 class VersionedSnapshot;
 
 /** The parts that the admin API reads and changes; they outlive the facade. */
@@ -32,7 +31,6 @@
     TargetRegistry &targets;
     Disseminator &disseminator;
     StoreSync &storeSync;
-    WatcherCandidacy &candidacy;
     CrashQuarantine &quarantine;
     RoutingPublisher &publisher;
     ProxyServer &proxy;
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -264,7 +264,6 @@
                                                                           .targets = m_targets,
                                                                           .disseminator = *m_disseminator,
                                                                           .storeSync = *m_storeSync,
-                                                                          .candidacy = *m_candidacy,
                                                                           .quarantine = m_quarantine,
                                                                           .publisher = m_publisher,
                                                                           .proxy = *m_proxy,
--- a/daemons/hornbeamd/watchercandidacy.cpp
+++ b/daemons/hornbeamd/watchercandidacy.cpp
@@ -52,11 +52,6 @@
     m_election->stop();
 }
 
-bool WatcherCandidacy::isWatcher() const
-{
-    return m_election->isHolder();
-}
-
 void WatcherCandidacy::acquired(std::uint32_t)
 {
     m_listener(true);
--- a/daemons/hornbeamd/watchercandidacy.h
+++ b/daemons/hornbeamd/watchercandidacy.h
@@ -43,8 +43,6 @@
     /** Gives up the role and frees the lease. */
     void stop();
 
-    bool isWatcher() const;
-
 private:
     WatcherCandidacy(WatcherCandidacyOptions options, MembershipTable &members, Listener listener);
 
--- a/tests/integration/src/meshtest.cpp
+++ b/tests/integration/src/meshtest.cpp
@@ -63,6 +63,13 @@
            });
 }
 
+int MeshTest::stoppedTargets(const std::vector<int> &targets)
+{
+    return static_cast<int>(std::count_if(targets.begin(), targets.end(), [&](int target) {
+        return !mesh->processes().isRunning(Mesh::targetName(target));
+    }));
+}
+
 std::vector<int> MeshTest::allTargets() const
 {
     return mesh->allNodes();
--- a/tests/integration/src/meshtest.h
+++ b/tests/integration/src/meshtest.h
@@ -45,6 +45,9 @@
 
     std::vector<int> allTargets() const;
 
+    /** How many of the targets have ended. */
+    int stoppedTargets(const std::vector<int> &targets);
+
     /** Sends a booking, which must run at most once, through a node. */
     Result<HttpResponse> book(int node, const std::string &key, const std::string &behaviour = {}) const;
 
