--- a/bench/baselinenode/baselinenode.cpp
+++ b/bench/baselinenode/baselinenode.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-class BaselineNode::Impl : private StoreSyncListener
+class BaselineNode::Impl : private ConfigSourceListener
 {
 public:
     Impl(const BaselineNodeOptions &options, asio::io_context &context)
@@ -38,7 +38,7 @@
             return tl::unexpected(store.error());
         }
         m_store = std::move(*store);
-        StoreSyncListener &listener = *this;
+        ConfigSourceListener &listener = *this;
         m_sync = std::make_unique<StoreSync>(*m_store, m_timers, listener);
         try {
             m_server.open_sync();
@@ -90,6 +90,8 @@
 
     void storeAnswered(ConfigVersion) override {}
 
+    void configurationRefused(const Error & /*error*/) override {}
+
     void storeReachable(bool) override {}
 
     const BaselineNodeOptions m_options;
@@ -97,7 +99,7 @@
     AsioTimerService m_timers;
     MetricsRegistry m_metrics;
     SnapshotPtr m_snapshot = Snapshot::empty();
-    std::unique_ptr<EtcdStore> m_store;
+    std::unique_ptr<HttpStore> m_store;
     std::unique_ptr<StoreSync> m_sync;
     Server m_server;
 };
--- a/daemons/hornbeamd/adminfacade.cpp
+++ b/daemons/hornbeamd/adminfacade.cpp
@@ -1,11 +1,11 @@
 #include "adminfacade.h"
 
 #include "routingpublisher.h"
-#include "storesync.h"
 #include "zonesummary.h"
 
 #include <hornbeam/base/metrics.h>
 #include <hornbeam/base/timerservice.h>
+#include <hornbeam/config/configsource.h>
 #include <hornbeam/dissemination/disseminator.h>
 #include <hornbeam/membership/membershiptable.h>
 #include <hornbeam/membership/targetregistry.h>
@@ -60,7 +60,7 @@
 }
 
 /** A node that does not watch the store does not know whether it is reachable. */
-nlohmann::json toJson(const StoreSync &store)
+nlohmann::json toJson(const ConfigSource &store)
 {
     const auto reachable = store.watching() ? nlohmann::json(store.reachable()) : nlohmann::json();
     return {{"reachable", reachable}, {"watching", store.watching()}};
@@ -125,7 +125,8 @@
 {
     auto target = announcement.target;
     target.zone = m_parts.zone;
-    return m_parts.targets.announce(std::move(target), announcement.timeToLive);
+    target.gateway = m_parts.gateway;
+    return m_parts.targets.announce(std::move(target), announcement.timeToLive, announcement.sequence);
 }
 
 Result<Target> AdminFacade::withdraw(const Endpoint &address)
@@ -133,6 +134,11 @@
     return m_parts.targets.withdraw(address);
 }
 
+Result<Target> AdminFacade::withdraw(const std::string &name, std::uint64_t lastInstance)
+{
+    return m_parts.targets.withdraw(name, lastInstance);
+}
+
 std::vector<Target> AdminFacade::knownTargets() const
 {
     std::vector<Target> targets;
@@ -173,7 +179,7 @@
           {"routes", snapshot->routes().size()},
           {"newestKnownVersion", newestKnownVersion()},
           {"lastRejection", m_parts.configuration.lastRejection()}}},
-        {"store", toJson(m_parts.storeSync)},
+        {"store", toJson(m_parts.configSource)},
         {"zones", zones},
         {"members", members},
         {"quarantined", quarantined},
@@ -183,6 +189,9 @@
 
 HealthStatus AdminFacade::health() const
 {
+    if (m_stopping) {
+        return {.ready = false, .reason = "the node stops"};
+    }
     if (m_parts.publisher.ready()) {
         return {.ready = true, .reason = {}};
     }
--- a/daemons/hornbeamd/adminfacade.h
+++ b/daemons/hornbeamd/adminfacade.h
@@ -8,13 +8,13 @@
 
 namespace Hornbeam {
 
+class ConfigSource;
 class CrashQuarantine;
 class Disseminator;
 class MembershipTable;
 class MetricsRegistry;
 class ProxyServer;
 class RoutingPublisher;
-class StoreSync;
 class TargetRegistry;
 class TimerService;
 class VersionedSnapshot;
@@ -24,13 +24,15 @@
 {
     std::string id; ///< Member id of the node.
     std::string zone;
+    Endpoint
+        gateway; ///< Through which other nodes reach the targets of this host; port 0 when they reach them directly.
     KeyValueStore &store;
     TimerService &timers;
     VersionedSnapshot &configuration;
     MembershipTable &members;
     TargetRegistry &targets;
     Disseminator &disseminator;
-    StoreSync &storeSync;
+    ConfigSource &configSource;
     CrashQuarantine &quarantine;
     RoutingPublisher &publisher;
     ProxyServer &proxy;
@@ -55,12 +57,19 @@
 
     Result<Target> announce(const Announcement &announcement) override;
     Result<Target> withdraw(const Endpoint &address) override;
+    Result<Target> withdraw(const std::string &name, std::uint64_t lastInstance) override;
     std::vector<Target> knownTargets() const override;
 
     std::string renderMetrics() const override;
     std::string dumpJson() const override;
     HealthStatus health() const override;
 
+    /** From now on, callers are told to go elsewhere. */
+    void setStopping()
+    {
+        m_stopping = true;
+    }
+
 private:
     SnapshotPtr applied() const override;
     ConfigVersion newestKnownVersion() const override;
@@ -70,6 +79,7 @@
 
     AdminFacadeDependencies m_parts;
     PlanService m_plans;
+    bool m_stopping = false;
 };
 
 } // namespace Hornbeam
--- a/daemons/hornbeamd/crashrelay.cpp
+++ b/daemons/hornbeamd/crashrelay.cpp
@@ -4,6 +4,7 @@
 
 #include <hornbeam/base/executor.h>
 #include <hornbeam/membership/failuredetector.h>
+#include <hornbeam/membership/targetregistry.h>
 #include <hornbeam/proxy/crashquarantine.h>
 
 namespace Hornbeam {
@@ -33,6 +34,11 @@
     m_parts.executor.post([this, request] { m_parts.quarantine.succeeded(request); });
 }
 
+void CrashRelay::targetUnreachable(const Target &target)
+{
+    m_parts.executor.post([this, target] { m_parts.targets.suspend(target.address, target.instance); });
+}
+
 void CrashRelay::received(const Rumor &rumor)
 {
     if (m_parts.quarantine.report(rumor.request, rumor.target, m_parts.timers.now())) {
--- a/daemons/hornbeamd/crashrelay.h
+++ b/daemons/hornbeamd/crashrelay.h
@@ -9,6 +9,7 @@
 class CrashQuarantine;
 class Executor;
 class FailureDetector;
+class TargetRegistry;
 class RoutingPublisher;
 
 /** The parts that crash reports pass through; they outlive the relay. */
@@ -19,6 +20,7 @@
     CrashQuarantine &quarantine;
     FailureDetector &detector;
     RoutingPublisher &publisher;
+    TargetRegistry &targets;
 };
 
 /**
@@ -32,6 +34,7 @@
 
     void targetCrashed(const Digest &request, const Endpoint &target) override;
     void requestSucceeded(const Digest &request) override;
+    void targetUnreachable(const Target &target) override;
 
     /** Takes a report of another node. Control thread only. */
     void received(const Rumor &rumor);
--- a/daemons/hornbeamd/daemon.cpp
+++ b/daemons/hornbeamd/daemon.cpp
@@ -17,8 +17,19 @@
 
 constexpr int exitStartFailed = 1;
 
+/** A changed settings file does not end the process; what it changes takes effect at the next start. */
+void waitForReload(asio::signal_set &signals, const Logger &log)
+{
+    signals.async_wait([&](const std::error_code &ec, int /*signal*/) {
+        if (!ec) {
+            log.info("settings file changed; the settings in effect stay until the next start");
+            waitForReload(signals, log);
+        }
+    });
 }
 
+} // namespace
+
 int runDaemon(const Settings &settings)
 {
     const Logger log("hornbeamd");
@@ -29,6 +40,8 @@
         return exitStartFailed;
     }
     asio::signal_set signals(control, SIGTERM, SIGINT);
+    asio::signal_set reloads(control, SIGHUP);
+    waitForReload(reloads, log);
     signals.async_wait([&](const std::error_code &ec, int signal) {
         if (!ec) {
             log.info("graceful shutdown started", {{"signal", std::to_string(signal)}});
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -13,12 +13,18 @@
 #include <hornbeam/base/metrics.h>
 #include <hornbeam/base/randomid.h>
 #include <hornbeam/claims/storeclaimcoordinator.h>
+#include <hornbeam/config/documentsource.h>
+#include <hornbeam/directory/nodedirectory.h>
 #include <hornbeam/dissemination/disseminator.h>
 #include <hornbeam/membership/failuredetector.h>
 #include <hornbeam/membership/targetregistry.h>
 #include <hornbeam/membership/udptransport.h>
 #include <hornbeam/peer/grpcpeerclient.h>
 #include <hornbeam/peer/grpcpeerserver.h>
+#include <hornbeam/platform/announcements.h>
+#include <hornbeam/platform/configdocument.h>
+#include <hornbeam/platform/headers.h>
+#include <hornbeam/platform/platformstore.h>
 #include <hornbeam/proxy/crashquarantine.h>
 #include <hornbeam/proxy/proxyserver.h>
 #include <hornbeam/settings/settings.h>
@@ -47,19 +53,31 @@
 ProxyOptions proxyOptions(const Settings &settings)
 {
     const auto &traffic = settings.traffic;
-    return {.listen = traffic.listen,
-            .zone = settings.node.zone,
-            .threads = traffic.threads,
-            .maxConnections = traffic.maxConnections,
-            .maxHeaderBytes = traffic.maxHeaderBytes,
-            .maxQueuedRequests = traffic.maxQueuedRequests,
-            .idleTimeout = traffic.idleTimeout,
-            .drainBound = traffic.drainBound,
-            .retryBudgetPercent = traffic.retryBudgetPercent,
-            .slowStart = traffic.slowStart};
+    ProxyOptions options{.listen = traffic.listen,
+                         .zone = settings.node.zone,
+                         .threads = traffic.threads,
+                         .maxConnections = traffic.maxConnections,
+                         .maxHeaderBytes = traffic.maxHeaderBytes,
+                         .maxQueuedRequests = traffic.maxQueuedRequests,
+                         .idleTimeout = traffic.idleTimeout,
+                         .drainBound = traffic.drainBound,
+                         .retryBudgetPercent = traffic.retryBudgetPercent,
+                         .slowStart = traffic.slowStart};
+    options.relayListen = traffic.relayListen;
+    options.hostService = settings.node.targetService;
+    options.retryBudgetRatio = traffic.retryBudgetRatio;
+    options.retryBudgetReserve = traffic.retryBudgetReserve;
+    options.stopNotice = traffic.stopNotice;
+    if (settings.environment == Environment::Platform) {
+        options.headers = Platform::headerNames();
+        options.routeTimeoutBinds = true;
+        options.acceptUnframedResponses = true;
+        options.quarantineStatus = 503;
+    }
+    return options;
 }
 
-EtcdStoreOptions storeOptions(const Settings &settings)
+HttpStoreOptions storeOptions(const Settings &settings)
 {
     return {.endpoints = settings.store.endpoints,
             .localAddress = settings.peer.listen.address(),
@@ -83,7 +101,7 @@
 } // namespace
 
 /** Owns the parts in the order in which they depend on each other. */
-class Node::Impl : private StoreSyncListener
+class Node::Impl : private ConfigSourceListener
 {
 public:
     Impl(const Settings &settings, asio::io_context &control)
@@ -112,6 +130,7 @@
     void receivedSnapshot(const SnapshotPtr &snapshot) override;
     void storeAnswered(ConfigVersion version) override;
     void storeReachable(bool reachable) override;
+    void configurationRefused(const Error &error) override;
 
     Result<bool> buildMembership();
     Result<bool> buildDistribution();
@@ -119,6 +138,7 @@
     Result<bool> buildAdmin();
     void subscribe();
     void startStoreAccess();
+    bool isOnPlatform() const;
     void targetsChanged(std::vector<Target> targets);
     void versionApplied(const SnapshotPtr &snapshot);
     void memberChanged(const MemberPtr &before, const MemberPtr &after);
@@ -137,27 +157,32 @@
     MembershipTable m_members;
     CrashQuarantine m_quarantine;
     RoutingPublisher m_publisher;
-    std::unique_ptr<EtcdStore> m_store;
+    std::unique_ptr<HttpStore> m_store;
     std::unique_ptr<UdpTransport> m_datagrams;
     std::unique_ptr<FailureDetector> m_detector;
     std::unique_ptr<GrpcPeerClient> m_peers;
     std::unique_ptr<Disseminator> m_disseminator;
     std::unique_ptr<GrpcPeerServer> m_peerServer;
-    std::unique_ptr<StoreSync> m_storeSync;
-    std::unique_ptr<WatcherCandidacy> m_candidacy;
+    const Platform::ConfigDocument m_documentDecoder;
+    std::unique_ptr<ConfigSource> m_configSource;
+    std::unique_ptr<WatcherCandidacy> m_candidacy; ///< Null when all nodes watch the store.
+    std::unique_ptr<NodeDirectory> m_directory; ///< Null when the seeds are set.
     std::unique_ptr<CrashRelay> m_crashRelay;
     std::unique_ptr<StoreClaimCoordinator> m_claims;
     std::unique_ptr<ProxyServer> m_proxy;
     TargetRegistry m_targets;
     std::unique_ptr<AdminFacade> m_adminFacade;
+    std::unique_ptr<AdminExtension> m_extension;
     std::unique_ptr<AdminServer> m_admin;
+    std::unique_ptr<AdminServer> m_healthServer;
     TimerHandle m_joinTimer;
     bool m_storeAccessStarted = false;
 };
 
 Result<bool> Node::Impl::build()
 {
-    auto store = EtcdStore::make(storeOptions(m_settings), m_executor, m_metrics);
+    auto store = isOnPlatform() ? Platform::makeStore(storeOptions(m_settings), m_executor, m_metrics)
+                                : EtcdStore::make(storeOptions(m_settings), m_executor, m_metrics);
     if (!store) {
         return tl::unexpected(store.error());
     }
@@ -215,8 +240,18 @@
         return tl::unexpected(server.error());
     }
     m_peerServer = std::move(*server);
-    StoreSyncListener &listener = *this;
-    m_storeSync = std::make_unique<StoreSync>(*m_store, m_timers, listener);
+    ConfigSourceListener &listener = *this;
+    if (isOnPlatform()) {
+        m_configSource = std::make_unique<DocumentSource>(
+            Platform::configurationKey, m_documentDecoder, *m_store, m_timers, listener);
+        m_directory = std::make_unique<NodeDirectory>(
+            NodeDirectoryOptions{.address = m_settings.peer.advertise},
+            *m_store,
+            m_timers,
+            [this](const std::vector<Endpoint> &nodes) { m_detector->setSeeds(nodes); });
+        return true;
+    }
+    m_configSource = std::make_unique<StoreSync>(*m_store, m_timers, listener);
     auto candidacy = WatcherCandidacy::make(
         {.id = m_id, .zone = m_settings.node.zone, .watchersPerZone = m_settings.store.watchersPerZone},
         *m_store,
@@ -243,7 +278,8 @@
                                                                        .timers = m_timers,
                                                                        .quarantine = m_quarantine,
                                                                        .detector = *m_detector,
-                                                                       .publisher = m_publisher});
+                                                                       .publisher = m_publisher,
+                                                                       .targets = m_targets});
     auto proxy = ProxyServer::make(proxyOptions(m_settings),
                                    {.claims = *m_claims, .crashes = *m_crashRelay, .metrics = m_metrics});
     if (!proxy) {
@@ -257,25 +293,40 @@
 {
     m_adminFacade = std::make_unique<AdminFacade>(AdminFacadeDependencies{.id = m_id,
                                                                           .zone = m_settings.node.zone,
+                                                                          .gateway = m_proxy->relayEndpoint(),
                                                                           .store = *m_store,
                                                                           .timers = m_timers,
                                                                           .configuration = m_configuration,
                                                                           .members = m_members,
                                                                           .targets = m_targets,
                                                                           .disseminator = *m_disseminator,
-                                                                          .storeSync = *m_storeSync,
+                                                                          .configSource = *m_configSource,
                                                                           .quarantine = m_quarantine,
                                                                           .publisher = m_publisher,
                                                                           .proxy = *m_proxy,
                                                                           .metrics = m_metrics});
-    auto admin =
-        AdminServer::make(m_control,
-                          {.listen = m_settings.admin.listen},
-                          {.operators = *m_adminFacade, .announcements = *m_adminFacade, .status = *m_adminFacade});
+    if (isOnPlatform()) {
+        m_extension = std::make_unique<Platform::Announcements>(
+            Platform::AnnouncementOptions{.hostAddress = m_settings.traffic.listen.address()},
+            *m_adminFacade,
+            *m_adminFacade);
+    }
+    const AdminDependencies dependencies{.operators = *m_adminFacade,
+                                         .announcements = *m_adminFacade,
+                                         .status = *m_adminFacade,
+                                         .extension = m_extension.get()};
+    auto admin = AdminServer::make(m_control, {.listen = m_settings.admin.listen}, dependencies);
     if (!admin) {
         return tl::unexpected(admin.error());
     }
     m_admin = std::move(*admin);
+    if (m_settings.admin.healthListen) {
+        auto health = AdminServer::make(m_control, {.listen = *m_settings.admin.healthListen}, dependencies);
+        if (!health) {
+            return tl::unexpected(health.error());
+        }
+        m_healthServer = std::move(*health);
+    }
     return true;
 }
 
@@ -297,6 +348,9 @@
     m_publisher.start(*m_proxy);
     m_joinTimer = m_timers.once(joinBound, [this] { startStoreAccess(); });
     m_detector->start();
+    if (m_directory) {
+        m_directory->start();
+    }
 }
 
 void Node::Impl::startStoreAccess()
@@ -304,14 +358,26 @@
     if (std::exchange(m_storeAccessStarted, true)) {
         return;
     }
-    m_storeSync->start(storeReadSpread);
-    m_candidacy->start();
+    m_configSource->start(storeReadSpread);
+    if (m_candidacy) {
+        m_candidacy->start();
+    } else {
+        m_configSource->setWatching(true);
+        m_detector->setStoreWatcher(true);
+    }
 }
 
 void Node::Impl::shutDown(std::function<void()> stopped)
 {
-    m_candidacy->stop();
-    m_storeSync->setWatching(false);
+    m_log.info("stop requested", {{"requestsInFlight", std::to_string(m_proxy->requestsInFlight())}});
+    m_adminFacade->setStopping();
+    if (m_candidacy) {
+        m_candidacy->stop();
+    }
+    if (m_directory) {
+        m_directory->leave();
+    }
+    m_configSource->setWatching(false);
     m_detector->leave();
     m_proxy->drain([this, stopped = std::move(stopped)] { m_executor.post(stopped); });
 }
@@ -342,9 +408,21 @@
     }
 }
 
+void Node::Impl::configurationRefused(const Error &error)
+{
+    m_log.warning("configuration refused; the one in effect stays",
+                  {{"version", std::to_string(m_configuration.current()->version())}, {"error", error.message()}});
+}
+
+bool Node::Impl::isOnPlatform() const
+{
+    return m_settings.environment == Environment::Platform;
+}
+
 void Node::Impl::targetsChanged(std::vector<Target> targets)
 {
     m_log.info("targets of this host changed", {{"count", std::to_string(targets.size())}});
+    m_publisher.setOwnTargets(targets);
     m_detector->setTargets(std::move(targets));
 }
 
@@ -386,13 +464,13 @@
 {
     m_log.info("ready to serve", {{"version", std::to_string(m_configuration.current()->version())}});
     m_publisher.setReady();
-    m_storeSync->stopReading();
+    m_configSource->stopReading();
 }
 
 void Node::Impl::watcherChanged(bool watcher)
 {
     m_log.info(watcher ? "store watcher role acquired" : "store watcher role lost");
-    m_storeSync->setWatching(watcher);
+    m_configSource->setWatching(watcher);
     m_detector->setStoreWatcher(watcher);
 }
 
--- a/daemons/hornbeamd/routingpublisher.cpp
+++ b/daemons/hornbeamd/routingpublisher.cpp
@@ -7,6 +7,7 @@
 #include <hornbeam/proxy/proxyserver.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Hornbeam {
 
@@ -46,6 +47,12 @@
     update();
 }
 
+void RoutingPublisher::setOwnTargets(std::vector<Target> targets)
+{
+    m_ownTargets = std::move(targets);
+    update();
+}
+
 void RoutingPublisher::update()
 {
     if (m_pending) {
@@ -77,13 +84,18 @@
     state->snapshot = m_parts.configuration.current();
     state->ready = m_ready;
     state->quarantined = m_parts.quarantine.quarantined(m_parts.timers.now());
-    for (const auto &listed : *m_parts.members.liveMembers()) {
-        for (const auto &target : listed.member->targets) {
-            if (target.state == TargetState::Serving && !state->snapshot->isLeaving(target.address)) {
-                state->targets.push_back(target);
-            }
-        }
+    const auto takesRequests = [&](const Target &target) {
+        return target.state == TargetState::Serving && !state->snapshot->isLeaving(target.address);
+    };
+    const auto members = m_parts.members.liveMembers();
+    for (const auto &listed : *members) {
+        std::copy_if(listed.member->targets.begin(),
+                     listed.member->targets.end(),
+                     std::back_inserter(state->targets),
+                     takesRequests);
     }
+    state->nodes = std::max<std::size_t>(members->size(), 1);
+    std::copy_if(m_ownTargets.begin(), m_ownTargets.end(), std::back_inserter(state->ownTargets), takesRequests);
     std::sort(state->targets.begin(), state->targets.end(), precedes);
     return state;
 }
--- a/daemons/hornbeamd/routingpublisher.h
+++ b/daemons/hornbeamd/routingpublisher.h
@@ -35,6 +35,9 @@
     /** Starts publishing to @p proxy, which outlives the publisher. */
     void start(ProxyServer &proxy);
 
+    /** Sets the targets on this host, which are certain at once; the membership hears of them as well. */
+    void setOwnTargets(std::vector<Target> targets);
+
     /** Publishes soon; several calls before that are one. */
     void update();
 
@@ -54,6 +57,7 @@
     ProxyServer *m_proxy = nullptr;
     TimerHandle m_quarantineTimer;
     std::vector<Digest> m_publishedQuarantine;
+    std::vector<Target> m_ownTargets;
     bool m_ready = false;
     bool m_pending = false;
 };
--- a/daemons/hornbeamd/storesync.cpp
+++ b/daemons/hornbeamd/storesync.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-StoreSync::StoreSync(KeyValueStore &store, TimerService &timers, StoreSyncListener &listener)
+StoreSync::StoreSync(KeyValueStore &store, TimerService &timers, ConfigSourceListener &listener)
     : m_store(store)
     , m_repository(store)
     , m_timers(timers)
--- a/daemons/hornbeamd/tests/routingpublishertest.cpp
+++ b/daemons/hornbeamd/tests/routingpublishertest.cpp
@@ -29,6 +29,11 @@
         return {};
     }
 
+    Endpoint relayEndpoint() const override
+    {
+        return {};
+    }
+
     void drain(std::function<void()> drained) override
     {
         drained();
--- a/libs/admin/src/adminrequest.h
+++ b/libs/admin/include/hornbeam/admin/adminrequest.h
@@ -12,6 +12,7 @@
 {
     std::string method; ///< "GET", "POST", "PUT", "DELETE", ...
     std::string path; ///< Decoded, without query.
+    std::string query; ///< As sent, without the question mark.
     std::string body;
 };
 
--- a/libs/admin/include/hornbeam/admin/adminserver.h
+++ b/libs/admin/include/hornbeam/admin/adminserver.h
@@ -14,6 +14,7 @@
 
 namespace Hornbeam {
 
+class AdminExtension;
 class AnnouncementApi;
 class OperatorApi;
 class StatusApi;
@@ -32,6 +33,7 @@
     OperatorApi &operators;
     AnnouncementApi &announcements;
     StatusApi &status;
+    AdminExtension *extension = nullptr; ///< Asked first, if there is one.
 };
 
 /**
--- a/libs/admin/include/hornbeam/admin/announcement.h
+++ b/libs/admin/include/hornbeam/admin/announcement.h
@@ -13,6 +13,7 @@
 {
     Target target; ///< Its zone is empty: the node fills in its own. Instance 0 leaves the number to the node.
     std::chrono::milliseconds timeToLive{0}; ///< The target is forgotten without another announcement. 1..3600000.
+    std::uint64_t sequence = 0; ///< Orders the announcements of one start of a target; 0 when it does not count them.
     double load = 0; ///< The target's own figure, 0..1000000. Informative only; it can lag or mislead.
 
     /**
--- a/libs/admin/include/hornbeam/admin/announcementapi.h
+++ b/libs/admin/include/hornbeam/admin/announcementapi.h
@@ -19,6 +19,9 @@
     /** Removes a target. NotFound when it is unknown. */
     virtual Result<Target> withdraw(const Endpoint &address) = 0;
 
+    /** Removes the target of that name, see TargetRegistry::withdraw(). NotFound when it is unknown. */
+    virtual Result<Target> withdraw(const std::string &name, std::uint64_t lastInstance) = 0;
+
     /** The targets of all nodes that this node knows. */
     virtual std::vector<Target> knownTargets() const = 0;
 };
--- a/libs/admin/src/adminrouter.h
+++ b/libs/admin/src/adminrouter.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "adminrequest.h"
-
+#include <hornbeam/admin/adminrequest.h>
 #include <hornbeam/admin/adminserver.h>
 
+#include <optional>
 #include <string>
 
 namespace Hornbeam {
@@ -18,6 +18,7 @@
 
 private:
     void handlePlans(const AdminRequest &request, const std::string &rest, AdminResponder respond);
+    std::optional<AdminResponse> extensionResponse(const AdminRequest &request);
     void createPlan(const AdminRequest &request, AdminResponder respond);
     void confirmPlan(const std::string &id, AdminResponder respond);
     AdminResponse handleTargets(const AdminRequest &request, const std::string &rest);
--- a/libs/admin/src/adminserver.cpp
+++ b/libs/admin/src/adminserver.cpp
@@ -92,8 +92,10 @@
             return restinio::request_rejected();
         }
         const auto path = request->header().path();
+        const auto query = request->header().query();
         const AdminRequest message{.method = request->header().method().c_str(),
                                    .path = decodePath({path.data(), path.size()}),
+                                   .query = {query.data(), query.size()},
                                    .body = request->body()};
         m_router->handle(message, [request](AdminResponse response) { sendResponse(request, std::move(response)); });
         return restinio::request_accepted();
--- a/libs/admin/src/announcement.cpp
+++ b/libs/admin/src/announcement.cpp
@@ -50,6 +50,8 @@
         std::chrono::milliseconds(reader.unsignedNumber("ttlMs", {.minimum = 1, .maximum = maxTimeToLiveMs}));
     announcement.load = reader.optionalNumber("load", {.minimum = 0, .maximum = maxLoad}).value_or(0);
     target.instance = reader.optionalUnsigned("instance", {}).value_or(0);
+    announcement.sequence = reader.optionalUnsigned("sequence", {}).value_or(0);
+    target.name = reader.optionalString("name").value_or("");
     reader.finish();
     return announcement;
 }
@@ -82,7 +84,9 @@
             {"slots", target.slots},
             {"labels", std::move(labels)},
             {"state", stateName(target.state)},
-            {"instance", target.instance}};
+            {"instance", target.instance},
+            {"name", target.name},
+            {"gateway", target.isBehindGateway() ? target.gateway.toString() : std::string()}};
 }
 
 } // namespace Hornbeam
--- a/libs/admin/tests/adminservertest.cpp
+++ b/libs/admin/tests/adminservertest.cpp
@@ -86,6 +86,11 @@
         return target;
     }
 
+    Result<Target> withdraw(const std::string &name, std::uint64_t /*lastInstance*/) override
+    {
+        return makeError(ErrorCode::NotFound, "no target " + name);
+    }
+
     std::vector<Target> knownTargets() const override
     {
         return {target};
--- a/libs/config/include/hornbeam/config/service.h
+++ b/libs/config/include/hornbeam/config/service.h
@@ -14,6 +14,7 @@
     std::uint32_t slotsPerTarget = 0; ///< Concurrent requests per target; 0 uses what the target announces. 0..10000.
     std::chrono::milliseconds attemptTimeout{2000}; ///< Time to the first byte of a response, per attempt. 10..600000.
     std::uint64_t maxRequestBytes = 64ULL << 20; ///< Bound of a request body.
+    std::uint32_t maxConnections = 0; ///< Connections that a target accepts from all nodes together; 0 is no bound.
 
     friend auto operator<=>(const Service &, const Service &) = default;
 };
--- a/libs/config/include/hornbeam/config/snapshot.h
+++ b/libs/config/include/hornbeam/config/snapshot.h
@@ -5,6 +5,7 @@
 #include <hornbeam/config/leavingtarget.h>
 #include <hornbeam/config/route.h>
 #include <hornbeam/config/service.h>
+#include <hornbeam/config/trafficlimits.h>
 
 #include <cstdint>
 #include <memory>
@@ -23,6 +24,7 @@
     std::vector<Service> services = {};
     std::vector<Route> routes = {};
     std::vector<LeavingTarget> leavingTargets = {};
+    TrafficLimits limits = {};
 
     friend bool operator==(const SnapshotContent &, const SnapshotContent &) = default;
 };
@@ -75,6 +77,11 @@
         return m_content.leavingTargets;
     }
 
+    const TrafficLimits &limits() const
+    {
+        return m_content.limits;
+    }
+
     const SnapshotContent &content() const
     {
         return m_content;
--- /dev/null
+++ b/libs/config/include/hornbeam/config/trafficlimits.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace Hornbeam {
+
+/** What the operator allows a caller to send, and for how long. 0 leaves a limit to the settings of the node. */
+struct TrafficLimits
+{
+    std::uint32_t maxHeaderBytes = 0; ///< Request line and headers.
+    std::uint64_t maxBodyBytes = 0; ///< Request body.
+    std::chrono::milliseconds headerTimeout{0}; ///< From the first byte of a request to the end of its headers.
+    std::chrono::milliseconds idleTimeout{0}; ///< Between two requests on a connection.
+
+    friend auto operator<=>(const TrafficLimits &, const TrafficLimits &) = default;
+};
+
+} // namespace Hornbeam
--- a/libs/config/src/configjson.cpp
+++ b/libs/config/src/configjson.cpp
@@ -27,7 +27,15 @@
 
 const char *identityName(RequestIdentitySource source)
 {
-    return source == RequestIdentitySource::Content ? "content" : "header";
+    switch (source) {
+    case RequestIdentitySource::Header:
+        return "header";
+    case RequestIdentitySource::Content:
+        return "content";
+    case RequestIdentitySource::Attempt:
+        return "attempt";
+    }
+    return "header";
 }
 
 const char *changeName(ConfigChange::Kind kind)
@@ -72,6 +80,22 @@
     }
 }
 
+std::vector<RouteSplit> readSplits(const json &values, const std::string &path, JsonProblems &problems)
+{
+    std::vector<RouteSplit> splits;
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        JsonReader reader(values[i], path + "[" + std::to_string(i) + "]", problems);
+        RouteSplit split;
+        split.service = reader.string("service");
+        split.weight =
+            static_cast<std::uint32_t>(reader.unsignedNumber("weight", {.minimum = 0, .maximum = UINT32_MAX}));
+        reader.finish();
+        splits.push_back(std::move(split));
+    }
+    std::sort(splits.begin(), splits.end());
+    return splits;
+}
+
 std::optional<Resource> readResource(ResourceKind kind, const json *value, const std::string &path, JsonProblems &out)
 {
     if (value == nullptr) {
@@ -103,7 +127,8 @@
     return {{"name", service.name},
             {"slotsPerTarget", service.slotsPerTarget},
             {"attemptTimeoutMs", service.attemptTimeout.count()},
-            {"maxRequestBytes", service.maxRequestBytes}};
+            {"maxRequestBytes", service.maxRequestBytes},
+            {"maxConnections", service.maxConnections}};
 }
 
 json toJson(const Route &route)
@@ -112,6 +137,10 @@
     for (const auto &label : route.requiredLabels) {
         labels[label.name] = label.value;
     }
+    json splits = json::array();
+    for (const auto &split : route.splits) {
+        splits.push_back({{"service", split.service}, {"weight", split.weight}});
+    }
     return {{"name", route.name},
             {"host", route.host},
             {"pathPrefix", route.pathPrefix},
@@ -121,7 +150,12 @@
             {"idempotent", route.idempotent},
             {"identity", identityName(route.identity)},
             {"priority", priorityName(route.priority)},
-            {"timeoutMs", route.timeout.count()}};
+            {"timeoutMs", route.timeout.count()},
+            {"splits", std::move(splits)},
+            {"attempts", route.attempts},
+            {"onlyBelow", route.onlyBelow},
+            {"bulk", route.bulk},
+            {"latencyObjectiveMs", route.latencyObjective.count()}};
 }
 
 json toJson(const LeavingTarget &target)
@@ -157,7 +191,12 @@
                    {"digest", snapshot.contentDigest().hex()},
                    {"services", json::array()},
                    {"routes", json::array()},
-                   {"leavingTargets", json::array()}};
+                   {"leavingTargets", json::array()},
+                   {"limits",
+                    {{"maxHeaderBytes", snapshot.limits().maxHeaderBytes},
+                     {"maxBodyBytes", snapshot.limits().maxBodyBytes},
+                     {"headerTimeoutMs", snapshot.limits().headerTimeout.count()},
+                     {"idleTimeoutMs", snapshot.limits().idleTimeout.count()}}}};
     for (const auto &service : snapshot.services()) {
         result["services"].push_back(toJson(service));
     }
@@ -180,6 +219,8 @@
     service.slotsPerTarget = static_cast<std::uint32_t>(slots.value_or(service.slotsPerTarget));
     service.attemptTimeout = readMilliseconds(reader, "attemptTimeoutMs", service.attemptTimeout);
     service.maxRequestBytes = reader.optionalUnsigned("maxRequestBytes", {}).value_or(service.maxRequestBytes);
+    const auto connections = reader.optionalUnsigned("maxConnections", {.minimum = 0, .maximum = UINT32_MAX});
+    service.maxConnections = static_cast<std::uint32_t>(connections.value_or(service.maxConnections));
     reader.finish();
     if (problems.size() == problemsBefore) {
         reportProblems(SnapshotValidator::check(service), reader, problems);
@@ -202,18 +243,26 @@
     }
     route.idempotent = reader.optionalBool("idempotent").value_or(route.idempotent);
     if (const auto identity = reader.optionalString("identity")) {
-        route.identity =
-            readEnum<RequestIdentitySource>(reader,
-                                            "identity",
-                                            *identity,
-                                            {RequestIdentitySource::Header, RequestIdentitySource::Content},
-                                            identityName);
+        route.identity = readEnum<RequestIdentitySource>(
+            reader,
+            "identity",
+            *identity,
+            {RequestIdentitySource::Header, RequestIdentitySource::Content, RequestIdentitySource::Attempt},
+            identityName);
     }
     if (const auto priority = reader.optionalString("priority")) {
         route.priority = readEnum<Priority>(
             reader, "priority", *priority, {Priority::High, Priority::Normal, Priority::Low}, priorityName);
     }
     route.timeout = readMilliseconds(reader, "timeoutMs", route.timeout);
+    if (const auto *splits = reader.optionalArray("splits")) {
+        route.splits = readSplits(*splits, reader.pathOf("splits"), problems);
+    }
+    const auto attempts = reader.optionalUnsigned("attempts", {.minimum = 0, .maximum = UINT32_MAX});
+    route.attempts = static_cast<std::uint32_t>(attempts.value_or(route.attempts));
+    route.onlyBelow = reader.optionalBool("onlyBelow").value_or(route.onlyBelow);
+    route.bulk = reader.optionalBool("bulk").value_or(route.bulk);
+    route.latencyObjective = readMilliseconds(reader, "latencyObjectiveMs", route.latencyObjective);
     reader.finish();
     if (problems.size() == problemsBefore) {
         reportProblems(SnapshotValidator::check(route), reader, problems);
--- a/libs/config/src/delta.cpp
+++ b/libs/config/src/delta.cpp
@@ -97,6 +97,7 @@
                 delta.m_removedLeavingTargets.push_back(*before);
             }
         });
+    delta.m_upserts.limits = target.limits();
     return delta;
 }
 
@@ -180,6 +181,7 @@
     content.services = withUpserts(content.services, m_upserts.services);
     content.routes = withUpserts(content.routes, m_upserts.routes);
     content.leavingTargets = withUpserts(content.leavingTargets, m_upserts.leavingTargets);
+    content.limits = m_upserts.limits;
     auto target = Snapshot::make(m_targetVersion, std::move(content));
     if (target && (*target)->contentDigest() != m_targetDigest) {
         return malformed("the result of the delta has another digest than announced");
--- a/libs/config/src/intent.cpp
+++ b/libs/config/src/intent.cpp
@@ -150,6 +150,7 @@
         : m_services(base.services)
         , m_routes(base.routes)
         , m_leavingTargets(base.leavingTargets)
+        , m_limits(base.limits)
     {
     }
 
@@ -189,13 +190,17 @@
 
     SnapshotContent take()
     {
-        return {.services = m_services.take(), .routes = m_routes.take(), .leavingTargets = m_leavingTargets.take()};
+        return {.services = m_services.take(),
+                .routes = m_routes.take(),
+                .leavingTargets = m_leavingTargets.take(),
+                .limits = m_limits};
     }
 
 private:
     ResourceMap<Service> m_services;
     ResourceMap<Route> m_routes;
     ResourceMap<LeavingTarget> m_leavingTargets;
+    TrafficLimits m_limits;
 };
 
 } // namespace
--- a/libs/config/src/snapshot.cpp
+++ b/libs/config/src/snapshot.cpp
@@ -30,8 +30,11 @@
     });
 }
 
-bool matches(const Route &route, std::string_view host, std::string_view method)
+bool matches(const Route &route, std::string_view host, std::string_view method, std::string_view path)
 {
+    if (route.onlyBelow && path == route.pathPrefix) {
+        return false;
+    }
     if (!route.host.empty() && !hostEquals(host, route.host)) {
         return false;
     }
@@ -159,7 +162,7 @@
                 return candidate.size() != wanted.size() ? candidate.size() > wanted.size() : candidate < wanted;
             });
         for (; it != m_routesBySpecificity.end() && routes[*it].pathPrefix == prefix; ++it) {
-            if (matches(routes[*it], host, method)) {
+            if (matches(routes[*it], host, method, path)) {
                 return &routes[*it];
             }
         }
--- a/libs/config/src/snapshotpieces.cpp
+++ b/libs/config/src/snapshotpieces.cpp
@@ -85,6 +85,11 @@
         toWire(target, message);
         splitter.added("target " + message.address(), message.ByteSizeLong());
     }
+    if (content.limits != TrafficLimits()) {
+        auto &message = *splitter.open().mutable_limits();
+        toWire(content.limits, message);
+        splitter.added("limits", message.ByteSizeLong());
+    }
     return splitter.take();
 }
 
--- a/libs/config/src/snapshotvalidator.cpp
+++ b/libs/config/src/snapshotvalidator.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds minTimeout{10};
 constexpr std::chrono::milliseconds maxAttemptTimeout{600000};
 constexpr std::chrono::milliseconds maxRouteTimeout{3600000};
+constexpr std::uint32_t maxAttempts = 16;
+constexpr std::size_t maxSplits = 64;
+constexpr std::uint32_t maxWeight = 1000000;
+constexpr std::uint32_t maxTargetConnections = 1000000;
 
 bool isLowerAlnum(char c)
 {
@@ -125,6 +129,21 @@
     }
 }
 
+void checkSplits(const Route &route, Collector &collector)
+{
+    collector.require(route.splits.size() <= maxSplits, "splits", "has more than 64 elements");
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < route.splits.size(); ++i) {
+        const auto &split = route.splits[i];
+        collector.require(isResourceName(split.service), indexed("splits", i), "service must be 1..128 of [a-z0-9-]");
+        collector.require(split.weight <= maxWeight, indexed("splits", i), "weight must be 0..1000000");
+        const bool repeated = i > 0 && route.splits[i - 1].service == split.service;
+        collector.require(!repeated, indexed("splits", i), "has the service of another element");
+        total += split.weight;
+    }
+    collector.require(route.splits.empty() || total > 0, "splits", "all weights are 0");
+}
+
 void checkLabels(const Route &route, Collector &collector)
 {
     collector.require(route.requiredLabels.size() <= maxLabels, "requiredLabels", "has more than 16 elements");
@@ -195,13 +214,19 @@
     const auto byName = [](const Service &service, std::string_view name) {
         return service.name < name;
     };
-    for (const auto &route : content.routes) {
-        const auto it = std::lower_bound(content.services.begin(), content.services.end(), route.service, byName);
-        if (it == content.services.end() || it->name != route.service) {
+    const auto requirePresent = [&](const Route &route, const char *field, const std::string &service) {
+        const auto it = std::lower_bound(content.services.begin(), content.services.end(), service, byName);
+        if (it == content.services.end() || it->name != service) {
             problems.push_back({.kind = ResourceKind::Route,
                                 .name = route.name,
-                                .field = "service",
-                                .text = "there is no service \"" + route.service + "\""});
+                                .field = field,
+                                .text = "there is no service \"" + service + "\""});
+        }
+    };
+    for (const auto &route : content.routes) {
+        requirePresent(route, "service", route.service);
+        for (const auto &split : route.splits) {
+            requirePresent(route, "splits", split.service);
         }
     }
 }
@@ -257,6 +282,7 @@
                       "attemptTimeoutMs",
                       "must be 10..600000");
     collector.require(service.maxRequestBytes <= maxRequestBytesBound, "maxRequestBytes", "must be 0..1099511627776");
+    collector.require(service.maxConnections <= maxTargetConnections, "maxConnections", "must be 0..1000000");
     return collector.take();
 }
 
@@ -271,6 +297,11 @@
     collector.require(isResourceName(route.service), "service", "must be 1..128 characters of [a-z0-9-]");
     collector.require(
         route.timeout >= minTimeout && route.timeout <= maxRouteTimeout, "timeoutMs", "must be 10..3600000");
+    collector.require(route.attempts >= 1 && route.attempts <= maxAttempts, "attempts", "must be 1..16");
+    collector.require(route.latencyObjective.count() >= 0 && route.latencyObjective <= maxRouteTimeout,
+                      "latencyObjectiveMs",
+                      "must be 0..3600000");
+    checkSplits(route, collector);
     checkMethods(route, collector);
     checkLabels(route, collector);
     return collector.take();
@@ -316,6 +347,7 @@
     for (auto &route : content.routes) {
         std::sort(route.methods.begin(), route.methods.end());
         std::sort(route.requiredLabels.begin(), route.requiredLabels.end());
+        std::sort(route.splits.begin(), route.splits.end());
     }
     std::sort(content.services.begin(), content.services.end());
     std::sort(content.routes.begin(), content.routes.end());
--- a/libs/config/src/wire.cpp
+++ b/libs/config/src/wire.cpp
@@ -33,6 +33,19 @@
     }
 }
 
+Wire::IdentitySource toWire(RequestIdentitySource source)
+{
+    switch (source) {
+    case RequestIdentitySource::Header:
+        return Wire::IDENTITY_SOURCE_HEADER;
+    case RequestIdentitySource::Content:
+        return Wire::IDENTITY_SOURCE_CONTENT;
+    case RequestIdentitySource::Attempt:
+        return Wire::IDENTITY_SOURCE_ATTEMPT;
+    }
+    return Wire::IDENTITY_SOURCE_HEADER;
+}
+
 Result<RequestIdentitySource> fromWire(Wire::IdentitySource source)
 {
     switch (source) {
@@ -40,6 +53,8 @@
         return RequestIdentitySource::Header;
     case Wire::IDENTITY_SOURCE_CONTENT:
         return RequestIdentitySource::Content;
+    case Wire::IDENTITY_SOURCE_ATTEMPT:
+        return RequestIdentitySource::Attempt;
     default:
         return makeError(ErrorCode::InvalidArgument, "unknown request identity source");
     }
@@ -50,7 +65,8 @@
     return Service{.name = message.name(),
                    .slotsPerTarget = message.slots_per_target(),
                    .attemptTimeout = std::chrono::milliseconds(message.attempt_timeout_ms()),
-                   .maxRequestBytes = message.max_request_bytes()};
+                   .maxRequestBytes = message.max_request_bytes(),
+                   .maxConnections = message.max_connections()};
 }
 
 Result<Route> fromWire(const Wire::Route &message)
@@ -72,7 +88,16 @@
                 .idempotent = !message.not_idempotent(),
                 .identity = *identity,
                 .priority = *priority,
-                .timeout = std::chrono::milliseconds(message.timeout_ms())};
+                .timeout = std::chrono::milliseconds(message.timeout_ms()),
+                .splits = {},
+                // A version written before the field existed has none.
+                .attempts = message.attempts() != 0 ? message.attempts() : Route().attempts,
+                .onlyBelow = message.only_below(),
+                .bulk = message.bulk(),
+                .latencyObjective = std::chrono::milliseconds(message.latency_objective_ms())};
+    for (const auto &split : message.splits()) {
+        route.splits.push_back({.service = split.service(), .weight = split.weight()});
+    }
     for (const auto &label : message.required_labels()) {
         route.requiredLabels.push_back(Label{.name = label.name(), .value = label.value()});
     }
@@ -87,6 +112,7 @@
     message.set_slots_per_target(service.slotsPerTarget);
     message.set_attempt_timeout_ms(static_cast<std::uint32_t>(service.attemptTimeout.count()));
     message.set_max_request_bytes(service.maxRequestBytes);
+    message.set_max_connections(service.maxConnections);
 }
 
 void toWire(const Route &route, Wire::Route &message)
@@ -104,10 +130,26 @@
         added->set_value(label.value);
     }
     message.set_not_idempotent(!route.idempotent);
-    message.set_identity(route.identity == RequestIdentitySource::Content ? Wire::IDENTITY_SOURCE_CONTENT
-                                                                          : Wire::IDENTITY_SOURCE_HEADER);
+    message.set_identity(toWire(route.identity));
     message.set_priority(toWire(route.priority));
     message.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
+    for (const auto &split : route.splits) {
+        auto *added = message.add_splits();
+        added->set_service(split.service);
+        added->set_weight(split.weight);
+    }
+    message.set_attempts(route.attempts);
+    message.set_only_below(route.onlyBelow);
+    message.set_bulk(route.bulk);
+    message.set_latency_objective_ms(static_cast<std::uint32_t>(route.latencyObjective.count()));
+}
+
+void toWire(const TrafficLimits &limits, Wire::TrafficLimits &message)
+{
+    message.set_max_header_bytes(limits.maxHeaderBytes);
+    message.set_max_body_bytes(limits.maxBodyBytes);
+    message.set_header_timeout_ms(static_cast<std::uint32_t>(limits.headerTimeout.count()));
+    message.set_idle_timeout_ms(static_cast<std::uint32_t>(limits.idleTimeout.count()));
 }
 
 void toWire(const LeavingTarget &target, Wire::LeavingTarget &message)
@@ -126,6 +168,9 @@
     for (const auto &target : content.leavingTargets) {
         toWire(target, *message.add_leaving_targets());
     }
+    if (content.limits != TrafficLimits()) {
+        toWire(content.limits, *message.mutable_limits());
+    }
 }
 
 Result<void> appendFromWire(const Wire::Content &message, SnapshotContent &content)
@@ -147,6 +192,13 @@
         }
         content.leavingTargets.push_back(LeavingTarget{.address = *std::move(address)});
     }
+    if (message.has_limits()) {
+        const auto &limits = message.limits();
+        content.limits = {.maxHeaderBytes = limits.max_header_bytes(),
+                          .maxBodyBytes = limits.max_body_bytes(),
+                          .headerTimeout = std::chrono::milliseconds(limits.header_timeout_ms()),
+                          .idleTimeout = std::chrono::milliseconds(limits.idle_timeout_ms())};
+    }
     return {};
 }
 
--- a/libs/config/src/wire.h
+++ b/libs/config/src/wire.h
@@ -11,11 +11,13 @@
 class LeavingTarget;
 class Route;
 class Service;
+class TrafficLimits;
 } // namespace Wire
 
 void toWire(const Service &service, Wire::Service &message);
 void toWire(const Route &route, Wire::Route &message);
 void toWire(const LeavingTarget &target, Wire::LeavingTarget &message);
+void toWire(const TrafficLimits &limits, Wire::TrafficLimits &message);
 void toWire(const SnapshotContent &content, Wire::Content &message);
 
 /** Appends the resources of @p message to @p content. InvalidArgument for values that the model cannot hold. */
--- a/libs/membership/include/hornbeam/membership/failuredetector.h
+++ b/libs/membership/include/hornbeam/membership/failuredetector.h
@@ -51,6 +51,12 @@
     /** Whether the table of a seed or another member was received in full, or there is no other seed. */
     bool joined() const;
 
+    /**
+     * Replaces the seeds. Those that are not the address of a live member are contacted at once and again while they
+     * stay without one, so that nodes find each other after a start, a stop or a partition.
+     */
+    void setSeeds(std::vector<Endpoint> seeds);
+
     /** Sets what this node says about its targets; a change gets a new incarnation and spreads at once. */
     void setTargets(std::vector<Target> targets);
 
--- a/libs/membership/include/hornbeam/membership/target.h
+++ b/libs/membership/include/hornbeam/membership/target.h
@@ -25,7 +25,15 @@
     std::vector<Label> labels{}; ///< Sorted.
     std::uint32_t slots = 1; ///< Requests it runs at the same time. 1..10000.
     TargetState state = TargetState::Serving;
-    std::uint64_t instance = 0; ///< Differs between two starts of a target at the same address.
+    std::uint64_t instance = 0; ///< Higher at each start of a target at the same address.
+    std::string name{}; ///< Name that the target has for itself and checks; empty for none. At most 128 characters.
+    Endpoint gateway{}; ///< Relay listener of its node, if only processes on its host can reach it; else port 0.
+
+    /** Whether nodes on other hosts can reach the target only through its own node. */
+    bool isBehindGateway() const
+    {
+        return gateway.port() != 0;
+    }
 
     friend auto operator<=>(const Target &, const Target &) = default;
 };
--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -106,6 +106,12 @@
         return m_sync.joined();
     }
 
+    void setSeeds(std::vector<Endpoint> seeds)
+    {
+        m_options.seeds = std::move(seeds);
+        m_sync.contactSeeds();
+    }
+
     void setTargets(std::vector<Target> targets)
     {
         std::sort(targets.begin(), targets.end());
@@ -474,7 +480,7 @@
         }
     }
 
-    const FailureDetectorOptions m_options;
+    FailureDetectorOptions m_options;
     DatagramTransport &m_transport;
     TimerService &m_timers;
     MembershipTable &m_table;
@@ -544,6 +550,11 @@
     return m_impl->joined();
 }
 
+void FailureDetector::setSeeds(std::vector<Endpoint> seeds)
+{
+    m_impl->setSeeds(std::move(seeds));
+}
+
 void FailureDetector::setTargets(std::vector<Target> targets)
 {
     m_impl->setTargets(std::move(targets));
--- a/libs/membership/src/membershipcodec.cpp
+++ b/libs/membership/src/membershipcodec.cpp
@@ -38,6 +38,7 @@
 bool isValidTarget(const Wire::Target &target)
 {
     return isValidEndpoint(target.address()) && isValidName(target.service()) && target.zone().size() <= maxNameBytes
+        && target.name().size() <= maxNameBytes && (target.gateway().empty() || isValidEndpoint(target.gateway()))
         && target.slots() >= 1 && target.slots() <= maxSlots && target.labels_size() <= maxLabelsPerTarget
         && std::all_of(target.labels().begin(), target.labels().end(), isValidLabel);
 }
@@ -98,6 +99,10 @@
     wire.set_slots(target.slots);
     wire.set_leaving(target.state == TargetState::Leaving);
     wire.set_instance(target.instance);
+    wire.set_name(target.name);
+    if (target.isBehindGateway()) {
+        wire.set_gateway(target.gateway.toString());
+    }
     return wire;
 }
 
@@ -114,6 +119,10 @@
     target.slots = wire.slots();
     target.state = wire.leaving() ? TargetState::Leaving : TargetState::Serving;
     target.instance = wire.instance();
+    target.name = wire.name();
+    if (!wire.gateway().empty()) {
+        target.gateway = endpointFromWire(wire.gateway());
+    }
     return target;
 }
 
--- a/libs/membership/src/tablesync.cpp
+++ b/libs/membership/src/tablesync.cpp
@@ -1,6 +1,7 @@
 #include "tablesync.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Hornbeam {
@@ -9,6 +10,10 @@
 
 constexpr auto pageTimeout = std::chrono::milliseconds(400);
 constexpr int maxPageAttempts = 4;
+// Seeds without a live member are contacted this often, a few at a time: most of them are gone for good.
+constexpr auto seedPeriod = std::chrono::seconds(1);
+constexpr std::size_t maxSeedsPerPeriod = 4;
+
 constexpr auto budgetPeriod = std::chrono::seconds(1);
 
 // One comparison in this many is with a seed, another zone or a failed member, which merges healed partitions.
@@ -53,9 +58,30 @@
 {
     m_antiEntropyTimer.reset();
     m_joinTimer.reset();
+    m_seedTimer.reset();
     m_pull.reset();
 }
 
+void TableSync::contactSeeds()
+{
+    m_seedTimer = m_timers.once(seedPeriod, [this] { contactSeeds(); });
+    std::set<Endpoint> live;
+    for (const auto &listed : *m_table.liveMembers()) {
+        live.insert(listed.member->peerAddress);
+    }
+    auto seeds = otherSeeds();
+    std::erase_if(seeds, [&](const Endpoint &seed) { return live.contains(seed); });
+    const auto self = m_table.find(m_channel.selfHash());
+    for (std::size_t n = 0; n < maxSeedsPerPeriod && !seeds.empty() && self; ++n) {
+        const auto chosen = seeds.begin() + static_cast<std::ptrdiff_t>(m_channel.randomBelow(seeds.size()));
+        auto datagram = m_channel.makeDatagram();
+        datagram.mutable_table_digest()->set_digest(m_table.digest());
+        appendUpdate(datagram, toWire(*self));
+        m_channel.sendPlain(*chosen, datagram);
+        seeds.erase(chosen);
+    }
+}
+
 void TableSync::requestMember(const Endpoint &peer, MemberHash hash)
 {
     auto datagram = m_channel.makeDatagram();
--- a/libs/membership/src/tablesync.h
+++ b/libs/membership/src/tablesync.h
@@ -29,6 +29,9 @@
         return m_joined;
     }
 
+    /** Compares the table with seeds that are not the address of a live member. */
+    void contactSeeds();
+
     /** Asks @p peer for the state of one member. */
     void requestMember(const Endpoint &peer, MemberHash hash);
 
@@ -88,6 +91,7 @@
     TimePoint m_budgetStart;
     TimerHandle m_antiEntropyTimer;
     TimerHandle m_joinTimer;
+    TimerHandle m_seedTimer;
 };
 
 } // namespace Hornbeam
--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -12,13 +12,20 @@
 constexpr std::uint32_t maxSlots = 10000;
 constexpr auto maxTimeToLive = std::chrono::hours(1);
 
+// An announcement that a partition held back arrives within minutes or not at all.
+constexpr auto tombstoneLifetime = std::chrono::minutes(10);
+
+// More starts on one host than happen within the lifetime of a tombstone.
+constexpr std::size_t maxTombstones = 256;
+
 // Numbers, addresses and field tags of an encoded target.
 constexpr std::size_t fixedBytesPerTarget = 48;
 constexpr std::size_t fixedBytesPerLabel = 6;
 
 std::size_t textBytes(const Target &target)
 {
-    std::size_t n = fixedBytesPerTarget + target.service.size() + target.zone.size();
+    std::size_t n = fixedBytesPerTarget + target.service.size() + target.zone.size() + target.name.size();
+    n += target.isBehindGateway() ? target.gateway.toString().size() : 0;
     for (const auto &label : target.labels) {
         n += fixedBytesPerLabel + label.name.size() + label.value.size();
     }
@@ -51,19 +58,27 @@
 
 TargetRegistry::~TargetRegistry() = default;
 
-Result<Target> TargetRegistry::announce(Target target, Duration timeToLive)
+Result<Target> TargetRegistry::announce(Target target, Duration timeToLive, std::uint64_t sequence)
 {
     std::sort(target.labels.begin(), target.labels.end());
     if (auto valid = validate(target, timeToLive); !valid) {
         return valid;
     }
+    if (isOvertaken(target, sequence)) {
+        return makeError(ErrorCode::Conflict, "a later announcement of the target, or its withdrawal, is known");
+    }
     const auto it = m_entries.find(target.address);
     const bool known = it != m_entries.end();
+    const bool sameStart = known && it->second.target.name == target.name
+        && (target.instance == 0 || it->second.target.instance == target.instance);
+    if (known && !sameStart) {
+        bury(it->second.target.name, it->second.target.instance);
+    }
     if (target.instance == 0) {
-        target.instance = known ? it->second.target.instance : nextInstance();
+        target.instance = sameStart ? it->second.target.instance : nextInstance();
     }
-    const bool changed = !known || it->second.target != target;
-    m_entries[target.address] = {.target = target, .expiry = m_timers.now() + timeToLive};
+    const bool changed = !known || it->second.suspended || it->second.target != target;
+    m_entries[target.address] = {.target = target, .expiry = m_timers.now() + timeToLive, .sequence = sequence};
     scheduleExpiry();
     if (changed) {
         m_listener(targets());
@@ -78,17 +93,73 @@
         return makeError(ErrorCode::NotFound, "no target is announced at " + address.toString());
     }
     auto target = it->second.target;
+    bury(target.name, target.instance);
     m_entries.erase(it);
     scheduleExpiry();
     m_listener(targets());
     return target;
 }
 
+Result<Target> TargetRegistry::withdraw(const std::string &name, std::uint64_t lastInstance)
+{
+    const auto it = std::find_if(
+        m_entries.begin(), m_entries.end(), [&](const auto &entry) { return entry.second.target.name == name; });
+    if (name.empty() || it == m_entries.end()) {
+        bury(name, lastInstance);
+        return makeError(ErrorCode::NotFound, "no target with the name " + name + " is announced");
+    }
+    return withdraw(Endpoint(it->first));
+}
+
+void TargetRegistry::suspend(const Endpoint &address, std::uint64_t instance)
+{
+    const auto it = m_entries.find(address);
+    if (it != m_entries.end() && it->second.target.instance == instance && !it->second.suspended) {
+        it->second.suspended = true;
+        m_listener(targets());
+    }
+}
+
+bool TargetRegistry::isOvertaken(const Target &target, std::uint64_t sequence) const
+{
+    const auto buried = m_tombstones.find(target.name);
+    if (buried != m_tombstones.end() && target.instance <= buried->second.instance) {
+        return true;
+    }
+    const auto it = m_entries.find(target.address);
+    if (it == m_entries.end()) {
+        return false;
+    }
+    const auto &entry = it->second;
+    if (target.instance != 0 && target.instance < entry.target.instance) {
+        return true;
+    }
+    const bool sameStart =
+        target.name == entry.target.name && (target.instance == 0 || target.instance == entry.target.instance);
+    return sameStart && sequence != 0 && sequence < entry.sequence;
+}
+
+void TargetRegistry::bury(const std::string &name, std::uint64_t instance)
+{
+    if (name.empty()) {
+        return;
+    }
+    const auto now = m_timers.now();
+    std::erase_if(m_tombstones, [now](const auto &it) { return it.second.forgetAt <= now; });
+    if (m_tombstones.size() >= maxTombstones) {
+        m_tombstones.erase(m_tombstones.begin());
+    }
+    auto &tombstone = m_tombstones[name];
+    tombstone = {.instance = std::max(tombstone.instance, instance), .forgetAt = now + tombstoneLifetime};
+}
+
 std::vector<Target> TargetRegistry::targets() const
 {
     std::vector<Target> list;
     for (const auto &[address, entry] : m_entries) {
-        list.push_back(entry.target);
+        if (!entry.suspended) {
+            list.push_back(entry.target);
+        }
     }
     return list;
 }
@@ -98,7 +169,8 @@
     if (!Endpoint::parse(target.address.toString())) {
         return makeError(ErrorCode::InvalidArgument, "the target's address is not an IP address and port");
     }
-    if (!isValidName(target.service) || target.zone.size() > maxNameBytes || !hasValidLabels(target)) {
+    if (!isValidName(target.service) || target.zone.size() > maxNameBytes || target.name.size() > maxNameBytes
+        || !hasValidLabels(target)) {
         return makeError(ErrorCode::InvalidArgument, "a name of the target is empty or too long");
     }
     if (target.slots < 1 || target.slots > maxSlots) {
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -25,6 +25,9 @@
 
     /** Reports that a target answered a request that was under way during a recent crash; it did not cause that one. */
     virtual void requestSucceeded(const Digest & /*request*/) {}
+
+    /** Reports that nothing listens at the address of a target on this host: its process has ended. */
+    virtual void targetUnreachable(const Target & /*target*/) {}
 };
 
 /** What the proxy needs from the rest of the process. The referenced objects outlive the server. */
@@ -69,6 +72,9 @@
     /** The bound address, with the port chosen by the system if port 0 was asked for. */
     virtual Endpoint localEndpoint() const = 0;
 
+    /** The bound address of the relay listener; port 0 without one. */
+    virtual Endpoint relayEndpoint() const = 0;
+
     /**
      * Starts a graceful shutdown: no new connections, responses carry "Connection: close", running requests finish.
      * Calls @p drained once from a traffic thread when no request is left, at the latest after the drain bound.
--- a/libs/proxy/include/hornbeam/proxy/routingstate.h
+++ b/libs/proxy/include/hornbeam/proxy/routingstate.h
@@ -18,6 +18,8 @@
     SnapshotPtr snapshot;
     std::vector<Target> targets; ///< Live targets of all services, sorted by service, then address; none leaving.
     std::vector<Digest> quarantined; ///< Sorted digests of requests that crash their targets.
+    std::vector<Target> ownTargets; ///< Targets on this host that take new requests, also through the relay listener.
+    std::size_t nodes = 1; ///< Live nodes, this one included; they share the retry budget.
     bool ready = false; ///< False until the node knows the configuration floor; calls are refused until then.
 };
 
--- a/libs/proxy/src/admissioncontroller.cpp
+++ b/libs/proxy/src/admissioncontroller.cpp
@@ -11,9 +11,10 @@
 
 } // namespace
 
-QueuedRequest::QueuedRequest(Priority priority, TimePoint deadline)
+QueuedRequest::QueuedRequest(Priority priority, TimePoint deadline, TimePoint latestStart)
     : m_priority(priority)
     , m_deadline(deadline)
+    , m_latestStart(latestStart)
 {
 }
 
@@ -30,7 +31,8 @@
     if (queuedAtOrAbove(priority) == 0 && request->tryStart()) {
         return Verdict::Started;
     }
-    if (now + estimatedWait(priority, slots) + m_averageDuration > request->deadline()) {
+    const auto start = now + estimatedWait(priority, slots);
+    if (start + m_averageDuration > request->deadline() || start > request->latestStart()) {
         return Verdict::TooLate;
     }
     if (queued() >= m_maxQueued && !displaceBelow(priority)) {
@@ -46,7 +48,8 @@
         for (auto it = queue.begin(); it != queue.end();) {
             const auto request = *it;
             // A request that cannot finish in time would only take a slot from one that can.
-            const bool expired = request->deadline() <= now + m_averageDuration;
+            const bool expired =
+                request->deadline() <= now + m_averageDuration || request->latestStart() < now || request->isObsolete();
             if (!expired && !request->tryStart()) {
                 ++it;
                 continue;
--- a/libs/proxy/src/admissioncontroller.h
+++ b/libs/proxy/src/admissioncontroller.h
@@ -14,12 +14,19 @@
 class QueuedRequest
 {
 public:
-    QueuedRequest(Priority priority, TimePoint deadline);
+    /** @p latestStart: when the request gives up waiting, although its deadline may be later. */
+    QueuedRequest(Priority priority, TimePoint deadline, TimePoint latestStart = TimePoint::max());
     virtual ~QueuedRequest() = default;
 
     /** Takes a slot of a target that suits the request; false when none is free. */
     virtual bool tryStart() = 0;
 
+    /** Whether the request can no longer get a slot, for example because its target has gone. */
+    virtual bool isObsolete() const
+    {
+        return false;
+    }
+
     /** Told once when the request left the queue without a slot. */
     virtual void rejected() = 0;
 
@@ -33,9 +40,15 @@
         return m_deadline;
     }
 
+    TimePoint latestStart() const
+    {
+        return m_latestStart;
+    }
+
 private:
     Priority m_priority;
     TimePoint m_deadline;
+    TimePoint m_latestStart;
 };
 
 using QueuedRequestPtr = std::shared_ptr<QueuedRequest>;
@@ -74,6 +87,12 @@
 
     std::size_t queued() const;
 
+    /** Mean time that recent requests held their slots. */
+    Duration averageDuration() const
+    {
+        return m_averageDuration;
+    }
+
 private:
     using Queue = std::deque<QueuedRequestPtr>;
 
--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -1,5 +1,7 @@
 #include "attemptreport.h"
 
+#include "slotwait.h"
+
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -35,14 +37,23 @@
     auto &balancer = call.core.balancer;
     switch (status) {
     case AttemptStatus::Response:
-        if (isFailureStatus(exchange.stream().reader().head().status)) {
+        if (exchange.lease().isRemote()) {
+            // The target's own node counts its failures and reports them.
+            balancer.recordReach(exchange.lease(), now);
+        } else if (exchange.statesNotRun()) {
+            // Its node never sends a target more requests than it has slots, so a refusal is a fault of the target.
+            balancer.recordRejection(exchange.lease(), now);
+        } else if (isFailureStatus(exchange.stream().reader().head().status)) {
             balancer.recordFailure(exchange.lease(), now);
         } else {
             balancer.recordSuccess(exchange.lease(), now);
         }
         break;
     case AttemptStatus::Broken:
-        reportCrash(call, exchange.lease().address(), now);
+        // Where targets sign their responses, the call tests with a new connection whether the target has ended.
+        if (!exchange.lease().isRemote() && !call.signedResponses()) {
+            reportCrash(call, exchange.lease().address(), now);
+        }
         balancer.recordFailure(exchange.lease(), now);
         break;
     case AttemptStatus::ConnectFailed:
@@ -55,6 +66,12 @@
     }
 }
 
+void reportEndedTarget(CallContext &call, const Target &target)
+{
+    reportCrash(call, target.address, std::chrono::steady_clock::now());
+    call.core.dependencies.crashes.targetUnreachable(target);
+}
+
 bool isCrashSuspect(CallContext &call)
 {
     return call.core.suspects.any()
@@ -92,9 +109,7 @@
 {
     switch (status) {
     case AttemptStatus::ConnectFailed:
-        return {.status = 503,
-                .reason = "connection failed",
-                .retryAfterSeconds = call.core.balancer.retryAfterSeconds(call.service.name)};
+        return notRunRefusal("connection failed", call);
     case AttemptStatus::DeadlinePassed:
         return {.status = 504, .reason = "deadline passed"};
     case AttemptStatus::Expired:
--- a/libs/proxy/src/attemptreport.h
+++ b/libs/proxy/src/attemptreport.h
@@ -7,6 +7,9 @@
 /** Tells the outlier detector and the crash reporter how an attempt ended. */
 void reportAttempt(CallContext &call, UpstreamExchange &exchange, AttemptStatus status);
 
+/** Reports that the target has ended while it ran the request. */
+void reportEndedTarget(CallContext &call, const Target &target);
+
 /** Whether this node has recently seen the request crash a target. */
 bool isCrashSuspect(CallContext &call);
 
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -14,23 +14,39 @@
 /** Longest deadline that a caller can ask for, the same as the bound of a route's timeout. */
 constexpr std::int64_t maxDeadlineMs = 3600000;
 
+/** Wait at a target that was expected to have a free slot, so that small errors of the estimate cost no round trip. */
+constexpr std::chrono::milliseconds shortWait{40};
+
 /** Time for writing a refusal after the request's deadline has passed. */
 constexpr auto refusalTime = std::chrono::seconds(1);
 
-Duration timeoutOf(const HttpHead &head, const Route &route)
+/** Part of the time until the objective that is kept free for the response of a slower than typical target. */
+constexpr double serviceTimeMargin = 1.25;
+
+/** The time that the caller gives, or nothing. */
+std::optional<std::chrono::milliseconds> callerDeadline(const HttpHead &head, const HeaderNames &names)
 {
-    const auto *value = head.find("x-hornbeam-deadline-ms");
+    const auto *value = head.find(names.deadline);
     std::int64_t ms = 0;
     if (value == nullptr) {
-        return route.timeout;
+        return std::nullopt;
     }
     const auto [end, ec] = std::from_chars(value->data(), value->data() + value->size(), ms);
     if (ec != std::errc() || end != value->data() + value->size() || ms < 0) {
-        return route.timeout;
+        return std::nullopt;
     }
     return std::chrono::milliseconds(std::min(ms, maxDeadlineMs));
 }
 
+Duration timeoutOf(const HttpHead &head, const Route &route, const ProxyOptions &options)
+{
+    const auto given = callerDeadline(head, options.headers);
+    if (!given) {
+        return route.timeout;
+    }
+    return options.routeTimeoutBinds ? std::min(*given, route.timeout) : *given;
+}
+
 } // namespace
 
 CallContext::CallContext(ServerCore &serverCore,
@@ -45,13 +61,95 @@
     , context(threadContext)
     , caller(callerStream)
     , state(std::move(routingState))
+    , origin(CallOrigin::Caller)
     , route(matchedRoute)
     , service(routeService)
     , body(callerStream, routeService.maxRequestBytes)
     , watch(callerStream.socket())
     , started(std::chrono::steady_clock::now())
-    , deadline(started + timeoutOf(callerStream.reader().head(), matchedRoute))
+    , deadline(started + timeoutOf(callerStream.reader().head(), matchedRoute, serverCore.options))
+{
+    if (route.latencyObjective.count() > 0) {
+        const auto given = callerDeadline(head(), core.options.headers);
+        objective = started + route.latencyObjective - core.callerAges.ageOf(route.name, given);
+    }
+    updateLatestStart();
+}
+
+CallContext::CallContext(ServerCore &serverCore,
+                         UpstreamPool &threadPool,
+                         const std::shared_ptr<asio::io_context> &threadContext,
+                         HttpStream &callerStream,
+                         RoutingStatePtr routingState,
+                         const RelayRequest &relayRequest,
+                         const Route &relayRoute,
+                         const Service &targetService)
+    : core(serverCore)
+    , pool(threadPool)
+    , context(threadContext)
+    , caller(callerStream)
+    , state(std::move(routingState))
+    , origin(CallOrigin::Peer)
+    , route(relayRoute)
+    , service(targetService)
+    , relay(relayRequest)
+    , body(callerStream, targetService.maxRequestBytes)
+    , watch(callerStream.socket())
+    , started(std::chrono::steady_clock::now())
+    , deadline(started + relayRequest.left)
+    , latestStart(started + relayRequest.maxWait)
+{
+}
+
+void CallContext::updateLatestStart()
+{
+    if (origin == CallOrigin::Peer || objective == TimePoint::max()) {
+        return;
+    }
+    const auto typical =
+        std::chrono::duration_cast<Duration>(core.balancer.typicalServiceTime(service.name) * serviceTimeMargin);
+    const auto now = std::chrono::steady_clock::now();
+    const auto inTime = std::min(objective, deadline) - typical;
+    // A response that misses the objective is still worth something, so it may wait as long as it can be served.
+    latestStart = inTime >= now ? inTime : std::max(now, deadline - typical);
+}
+
+Duration CallContext::waitToOffer(TimePoint now)
 {
+    const auto latest = std::min(latestStart, deadline);
+    const auto whole = std::max(latest - now, Duration::zero());
+    // A target that was expected to have room may let the request wait a little; if it has more requests than that,
+    // another target is tried first.
+    offeredWholeWait = expectedWait > Duration::zero() || whole <= shortWait;
+    return offeredWholeWait ? whole : Duration(shortWait);
+}
+
+std::vector<std::string_view> CallContext::headersToReplace() const
+{
+    const auto &names = core.options.headers;
+    std::vector<std::string_view> replaced;
+    for (const auto *name : {&names.deadline, &names.expectedTarget}) {
+        if (!name->empty()) {
+            replaced.emplace_back(*name);
+        }
+    }
+    // The node of the caller has set the origin of a request of another node.
+    if (origin == CallOrigin::Caller && !names.originService.empty()) {
+        replaced.emplace_back(names.originService);
+    }
+    return replaced;
+}
+
+std::string CallContext::loadHeader() const
+{
+    if (!relay) {
+        return {};
+    }
+    auto report = core.balancer.reportOf(service.name, relay->target);
+    if (report) {
+        report->arrived = arrivedAtTarget;
+    }
+    return report ? std::string(loadHeaderName) + ": " + report->format() + "\r\n" : std::string();
 }
 
 const Digest &CallContext::crashDigest()
@@ -77,19 +175,20 @@
     }
     watch.stop();
     core.metrics.countResponse(route.name, refusal.status);
-    keepOpen = co_await writeRefusal(core, caller, refusal, state->snapshot->version(), canKeepAlive());
+    RefusalFormat format{.version = state->snapshot->version(), .keepAlive = canKeepAlive(), .headers = loadHeader()};
+    keepOpen = co_await writeRefusal(core, caller, refusal, std::move(format));
 }
 
-asio::awaitable<bool> writeRefusal(
-    ServerCore &core, HttpStream &caller, Refusal refusal, std::uint64_t version, bool keepAlive)
+asio::awaitable<bool> writeRefusal(ServerCore &core, HttpStream &caller, Refusal refusal, RefusalFormat format)
 {
     core.metrics.countRefusal(refusal.reason);
-    const bool withBody = caller.reader().head().method != "HEAD";
-    const auto text = formatRefusal(refusal, version, keepAlive, withBody);
+    format.withBody = caller.reader().head().method != "HEAD";
+    format.fractionalRetryAfter = core.options.headers.fractionalRetryAfter;
+    const auto text = formatRefusal(refusal, format);
     const std::array buffers = {asio::const_buffer(text.data(), text.size())};
     std::size_t n = 0;
     const auto ec = co_await caller.socket().write(buffers, std::chrono::steady_clock::now() + refusalTime, n);
-    co_return keepAlive && !ec;
+    co_return format.keepAlive && !ec;
 }
 
 } // namespace Hornbeam
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -2,6 +2,7 @@
 
 #include "callerwatch.h"
 #include "refusal.h"
+#include "relayheader.h"
 #include "requestbody.h"
 #include "servercore.h"
 #include "upstreampool.h"
@@ -12,12 +13,21 @@
 #include <asio/io_context.hpp>
 
 #include <optional>
+#include <string_view>
+#include <vector>
 
 namespace Hornbeam {
 
+/** Who sent a request to this node. */
+enum class CallOrigin {
+    Caller,
+    Peer, ///< Another node, for a target of this host.
+};
+
 /** One caller's request with everything that its handling needs. Lives as long as the handling. */
 struct CallContext
 {
+    /** A request of a caller. */
     CallContext(ServerCore &serverCore,
                 UpstreamPool &threadPool,
                 const std::shared_ptr<asio::io_context> &threadContext,
@@ -26,17 +36,34 @@
                 const Route &matchedRoute,
                 const Service &routeService);
 
+    /** A request that another node sends for a target of this host; @p relayRoute stands for the route. */
+    CallContext(ServerCore &serverCore,
+                UpstreamPool &threadPool,
+                const std::shared_ptr<asio::io_context> &threadContext,
+                HttpStream &callerStream,
+                RoutingStatePtr routingState,
+                const RelayRequest &relayRequest,
+                const Route &relayRoute,
+                const Service &targetService);
+
     ServerCore &core;
     UpstreamPool &pool;
     const std::shared_ptr<asio::io_context> &context; ///< Not owned: the context owns the handling.
     HttpStream &caller;
     RoutingStatePtr state;
-    const Route &route; ///< Part of the state's snapshot.
-    const Service &service; ///< Part of the state's snapshot.
+    const CallOrigin origin;
+    const Route &route; ///< Part of the state's snapshot, or made from the relay header.
+    const Service &service; ///< The one that the request goes to; part of the state's snapshot or made likewise.
+    std::optional<RelayRequest> relay; ///< For a request of another node.
     RequestBody body;
     CallerWatch watch;
     TimePoint started;
     TimePoint deadline;
+    TimePoint objective = TimePoint::max(); ///< Until then, the response has its full worth.
+    TimePoint latestStart = TimePoint::max(); ///< The request waits for a slot until then.
+    Duration expectedWait = Duration::zero(); ///< At the targets, when the request last looked for one.
+    bool arrivedAtTarget = false; ///< A target has refused the request.
+    bool offeredWholeWait = false; ///< The last target could let the request wait until its latest start.
     Duration waited = Duration::zero(); ///< Time spent waiting for others, which is not the proxy's own time.
     TimePoint firstSend; ///< When the first attempt sent its first byte.
     bool sentToTarget = false; ///< A target may have received a part of the request.
@@ -50,6 +77,24 @@
     /** Digest by which crash reports and the quarantine name the request; valid once the body is buffered. */
     const Digest &crashDigest();
 
+    /** Whether targets sign their responses, so that others are recognised and replaced. */
+    bool signedResponses() const
+    {
+        return !core.options.headers.signature.empty();
+    }
+
+    /** Sets how long the request may wait for a slot, from its objective and the time that targets take. */
+    void updateLatestStart();
+
+    /** The wait that a remote target may let the request have, when it is sent at @p now. */
+    Duration waitToOffer(TimePoint now);
+
+    /** Headers of the request that the proxy writes itself. */
+    std::vector<std::string_view> headersToReplace() const;
+
+    /** Headers for the node that sent the request; empty for a caller. */
+    std::string loadHeader() const;
+
     /** Whether the caller's connection can take another request after this one. */
     bool canKeepAlive() const;
 
@@ -61,7 +106,6 @@
 };
 
 /** Writes a refusal for a request that may have no route. Returns whether the connection can be kept. */
-asio::awaitable<bool> writeRefusal(
-    ServerCore &core, HttpStream &caller, Refusal refusal, std::uint64_t version, bool keepAlive);
+asio::awaitable<bool> writeRefusal(ServerCore &core, HttpStream &caller, Refusal refusal, RefusalFormat format);
 
 } // namespace Hornbeam
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -1,8 +1,8 @@
 #include "callerconnection.h"
 
 #include "attemptreport.h"
-#include "idempotentcall.h"
 #include "oncecall.h"
+#include "routedcall.h"
 
 #include <array>
 
@@ -16,6 +16,12 @@
 /** Bodies up to this size can be identified by their content. */
 constexpr std::size_t identityBytes = std::size_t{1024} * 1024;
 
+/** Another node, or this one in a moment, may have what is missing here. */
+constexpr std::chrono::milliseconds notReadyRetryAfter{1000};
+
+/** Name under which the metrics count requests of other nodes. */
+constexpr const char *relayRouteName = "relay";
+
 /** Time and bytes for which a connection that is closed early still takes what its caller sends. */
 constexpr auto lingerTime = std::chrono::seconds(1);
 constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
@@ -47,11 +53,13 @@
 CallerConnection::CallerConnection(ServerCore &core,
                                    UpstreamPool &pool,
                                    const std::shared_ptr<asio::io_context> &context,
-                                   TimedSocket socket)
+                                   TimedSocket socket,
+                                   CallOrigin origin)
     : m_core(core)
     , m_pool(pool)
     , m_context(context)
     , m_stream(std::move(socket), HttpMessageReader::Kind::Request, core.options.maxHeaderBytes)
+    , m_origin(origin)
 {
 }
 
@@ -66,7 +74,7 @@
     while (open) {
         m_stream.reader().reset();
         m_idle = true;
-        const auto result = co_await m_stream.readHead(std::chrono::steady_clock::now() + m_core.options.idleTimeout);
+        const auto result = co_await m_stream.readHead(std::chrono::steady_clock::now() + idleTimeout());
         m_idle = false;
         if (result != ReadResult::Ok) {
             co_await refuseUnreadable(result);
@@ -78,6 +86,12 @@
     co_await closeGently();
 }
 
+Duration CallerConnection::idleTimeout() const
+{
+    const auto limit = m_core.state()->snapshot->limits().idleTimeout;
+    return m_origin == CallOrigin::Caller && limit.count() > 0 ? limit : m_core.options.idleTimeout;
+}
+
 void CallerConnection::closeIfIdle()
 {
     if (m_idle && !m_stream.reader().started() && m_stream.socket().isQuiet()) {
@@ -111,7 +125,9 @@
     const bool keepAlive = reader.state() == HttpMessageReader::State::Complete && reader.head().keepAlive
         && !m_core.draining.load(std::memory_order_relaxed) && refusal.status != 400;
     m_core.metrics.countResponse({}, refusal.status);
-    co_return co_await writeRefusal(m_core, m_stream, refusal, version, keepAlive);
+    // GCC 12 destroys a temporary aggregate in an awaited call twice.
+    RefusalFormat format{.version = version, .keepAlive = keepAlive};
+    co_return co_await writeRefusal(m_core, m_stream, refusal, std::move(format));
 }
 
 asio::awaitable<bool> CallerConnection::serve()
@@ -122,8 +138,16 @@
     if (const auto *problem = findRequestProblem(head)) {
         co_return co_await refuse({.status = 400, .reason = problem}, version);
     }
+    if (m_origin == CallOrigin::Peer) {
+        const auto *value = head.find(relayHeaderName);
+        const auto relay = value != nullptr ? RelayRequest::parse(*value) : std::nullopt;
+        if (!relay) {
+            co_return co_await refuse({.status = 400, .reason = "no valid relay header"}, version);
+        }
+        co_return co_await serveRelayed(state, *relay);
+    }
     if (!state->ready) {
-        co_return co_await refuse({.status = 503, .reason = "not ready", .retryAfterSeconds = 1}, version);
+        co_return co_await refuse({.status = 503, .reason = "not ready", .retryAfter = notReadyRetryAfter}, version);
     }
     const auto *route = state->snapshot->matchRoute(head.host(), head.method, head.path());
     if (route == nullptr) {
@@ -134,11 +158,34 @@
 
 asio::awaitable<bool> CallerConnection::serveRoute(const RoutingStatePtr &state, const Route &route)
 {
-    const auto *service = state->snapshot->findService(route.service);
+    const auto *service = state->snapshot->findService(m_core.splits.choose(route));
     if (service == nullptr) {
         co_return co_await refuse({.status = 503, .reason = "no service"}, state->snapshot->version());
     }
     CallContext call(m_core, m_pool, m_context, m_stream, state, route, *service);
+    co_return co_await serveCall(call);
+}
+
+asio::awaitable<bool> CallerConnection::serveRelayed(const RoutingStatePtr &state, const RelayRequest &relay)
+{
+    const auto *known = state->snapshot->findService(relay.service);
+    Service service;
+    service.name = relay.service;
+    if (known != nullptr) {
+        service = *known;
+    }
+    Route route;
+    route.name = relayRouteName;
+    route.service = relay.service;
+    route.idempotent = relay.repeatable;
+    route.identity = RequestIdentitySource::Attempt;
+    route.priority = relay.priority;
+    CallContext call(m_core, m_pool, m_context, m_stream, state, relay, route, service);
+    co_return co_await serveCall(call);
+}
+
+asio::awaitable<bool> CallerConnection::serveCall(CallContext &call)
+{
     const bool prepared = co_await prepare(call);
     if (!prepared) {
         co_return call.keepOpen;
@@ -146,9 +193,9 @@
     if (call.body.isComplete()) {
         call.watch.start();
     }
-    if (route.idempotent) {
-        IdempotentCall idempotent(call);
-        co_await idempotent.run();
+    if (call.route.idempotent || call.route.identity == RequestIdentitySource::Attempt) {
+        RoutedCall routed(call);
+        co_await routed.run();
     } else {
         OnceCall once(call);
         co_await once.run();
@@ -172,7 +219,8 @@
         co_return false;
     }
     if (isCrashCulprit(call)) {
-        co_await call.refuse({.status = 422, .reason = "quarantined after crashes"});
+        const auto status = m_core.options.quarantineStatus;
+        co_await call.refuse({.status = status, .reason = "quarantined after crashes"});
         co_return false;
     }
     co_return true;
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -6,7 +6,7 @@
 
 namespace Hornbeam {
 
-/** Serves the requests of one caller's connection, one after the other. */
+/** Serves the requests of a connection of a caller or of another node, one after the other. */
 class CallerConnection
 {
 public:
@@ -14,7 +14,8 @@
     CallerConnection(ServerCore &core,
                      UpstreamPool &pool,
                      const std::shared_ptr<asio::io_context> &context,
-                     TimedSocket socket);
+                     TimedSocket socket,
+                     CallOrigin origin);
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
     ~CallerConnection();
@@ -28,6 +29,9 @@
 private:
     asio::awaitable<bool> serve();
     asio::awaitable<bool> serveRoute(const RoutingStatePtr &state, const Route &route);
+    asio::awaitable<bool> serveRelayed(const RoutingStatePtr &state, const RelayRequest &relay);
+    asio::awaitable<bool> serveCall(CallContext &call);
+    Duration idleTimeout() const;
     asio::awaitable<bool> prepare(CallContext &call);
     asio::awaitable<bool> refuse(Refusal refusal, std::uint64_t version);
     asio::awaitable<void> refuseUnreadable(ReadResult result);
@@ -37,6 +41,7 @@
     UpstreamPool &m_pool;
     const std::shared_ptr<asio::io_context> &m_context;
     HttpStream m_stream;
+    const CallOrigin m_origin;
     bool m_idle = false;
 };
 
--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -61,7 +61,7 @@
     return names;
 }
 
-bool contains(const std::vector<std::string_view> &names, std::string_view name)
+bool contains(std::span<const std::string_view> names, std::string_view name)
 {
     return std::any_of(names.begin(), names.end(), [&](auto it) { return equalsIgnoringCase(it, name); });
 }
@@ -183,12 +183,12 @@
     return malformed ? "malformed header" : nullptr;
 }
 
-void appendEndToEndHeaders(const HttpHead &head, std::string &out)
+void appendEndToEndHeaders(const HttpHead &head, std::string &out, std::span<const std::string_view> replaced)
 {
     const auto ofThisHop = connectionOptions(head);
     for (const auto &header : head.headers) {
         if (isHopByHop(header.name) || startsWithIgnoringCase(header.name, "x-hornbeam-")
-            || contains(ofThisHop, header.name)) {
+            || contains(ofThisHop, header.name) || contains(replaced, header.name)) {
             continue;
         }
         out += header.name;
--- a/libs/proxy/src/httphead.h
+++ b/libs/proxy/src/httphead.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,8 +57,11 @@
  */
 const char *findRequestProblem(const HttpHead &head);
 
-/** Appends the end-to-end headers of @p head to @p out; skips hop-by-hop headers, framing and X-Hornbeam-*. */
-void appendEndToEndHeaders(const HttpHead &head, std::string &out);
+/**
+ * Appends the end-to-end headers of @p head to @p out; skips hop-by-hop headers, framing, X-Hornbeam-* and those that
+ * are @p replaced.
+ */
+void appendEndToEndHeaders(const HttpHead &head, std::string &out, std::span<const std::string_view> replaced = {});
 
 /** Whether a response with this status has no body whatever its headers say. */
 bool statusHasNoBody(int status);
--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -129,6 +129,15 @@
     return used;
 }
 
+bool HttpMessageReader::finish()
+{
+    if (m_state == State::Body && m_endsWithConnection) {
+        http_parser_pause(&m_parser, 0);
+        http_parser_execute(&m_parser, &Callbacks::settings(), nullptr, 0);
+    }
+    return m_state == State::Complete;
+}
+
 bool HttpMessageReader::countHeaderBytes(std::size_t n)
 {
     m_headerBytes += n;
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -39,6 +39,9 @@
      */
     std::size_t feed(std::string_view bytes);
 
+    /** Ends the message with the end of the connection; true when it is complete by that. */
+    bool finish();
+
     State state() const
     {
         return m_state;
--- a/libs/proxy/src/httpstream.h
+++ b/libs/proxy/src/httpstream.h
@@ -3,8 +3,8 @@
 #include "httpmessagereader.h"
 #include "timedsocket.h"
 
-#include <array>
-#include <vector>
+#include <string>
+#include <string_view>
 
 namespace Hornbeam {
 
@@ -19,7 +19,7 @@
     HeadTooLarge,
 };
 
-/** One side of the proxy: a connection with its parser and a bounded buffer. */
+/** One side of the proxy: a connection with its parser. Idle connections hold no buffer. */
 class HttpStream
 {
 public:
@@ -41,25 +41,28 @@
     /** Reads until reader().body() has bytes or the message is complete. */
     asio::awaitable<ReadResult> readBody(TimePoint deadline);
 
+    /** Reads more of the body, also when reader().body() has bytes already, or until the message is complete. */
+    asio::awaitable<ReadResult> readMore(TimePoint deadline);
+
     /** Whether bytes after the current message were received. */
     bool hasUnparsedBytes() const
     {
-        return m_begin != m_end;
+        return !m_unparsed.empty();
     }
 
     /** Forgets received bytes; returns whether there were any. */
     bool discardUnparsed();
 
 private:
-    asio::awaitable<ReadResult> readUntilProgress(TimePoint deadline);
-    bool parse();
+    /** @p waitFirst: nothing is expected to have arrived yet. */
+    asio::awaitable<ReadResult> readUntilProgress(TimePoint deadline, bool waitFirst);
+    bool parseUnparsed();
+    bool parse(std::string_view bytes);
     ReadResult failure() const;
 
     TimedSocket m_socket;
     HttpMessageReader m_reader;
-    std::vector<char> m_buffer;
-    std::size_t m_begin = 0;
-    std::size_t m_end = 0;
+    std::string m_unparsed; ///< Received bytes that belong to a later message.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -20,6 +20,17 @@
 /** Longest wait that Retry-After asks for on top of the jitter, so that a recovered service is found soon. */
 constexpr int maxRetryAfterSeconds = 5;
 
+/** Weight of a new sample in the moving means of a target: follows a change within some tens of requests. */
+constexpr int serviceTimeWeight = 16;
+constexpr double failureWeight = 1.0 / 16;
+
+/** Part of the fleet's retry budget that the nodes use; the rest covers what they do not know of each other. */
+constexpr double budgetShare = 0.7;
+
+/** Bounds of a fractional Retry-After: at least long enough for some slots to become free. */
+constexpr std::chrono::milliseconds shortestRetryAfter{150};
+constexpr std::chrono::milliseconds retryAfterSpread{300};
+
 } // namespace
 
 LoadBalancer::ServiceState::ServiceState(std::uint32_t maxQueued, std::uint32_t retryPercent)
@@ -28,10 +39,24 @@
 {
 }
 
+bool LoadBalancer::ServiceState::hasGateways() const
+{
+    return std::any_of(targets.begin(), targets.end(), [](const auto &load) { return load->target.isBehindGateway(); });
+}
+
+TargetLoadPtr LoadBalancer::ServiceState::findOwn(const std::string &name) const
+{
+    const auto it = std::find_if(targets.begin(), targets.end(), [&](const auto &load) {
+        return load->own && !load->withdrawn && load->target.name == name;
+    });
+    return it == targets.end() ? nullptr : *it;
+}
+
 LoadBalancer::LoadBalancer(const ProxyOptions &options, MetricsRegistry &metrics)
     : m_options(options)
     , m_ejections(metrics.counter("hornbeam_proxy_ejections_total", "Targets ejected for consecutive failures."))
     , m_selector({.zone = options.zone, .slowStart = options.slowStart})
+    , m_placement({.zone = options.zone})
     , m_outliers({})
     , m_random(std::random_device()())
 {
@@ -43,8 +68,13 @@
     rebuild(state, now);
     // Targets that a new node learns at first are not new themselves; only later ones start slowly.
     m_seenTargets = m_seenTargets || !state.targets.empty();
+    const auto reserve =
+        m_options.retryBudgetReserve * budgetShare / static_cast<double>(std::max<std::size_t>(state.nodes, 1));
     for (auto &[name, service] : m_services) {
         service.admission.slotsChanged(now);
+        if (m_options.retryBudgetRatio > 0) {
+            service.retries.setReserve(std::max(1U, static_cast<std::uint32_t>(reserve)));
+        }
     }
 }
 
@@ -52,17 +82,28 @@
 {
     std::map<std::string_view, std::vector<TargetLoadPtr>> targets;
     for (const auto &target : state.targets) {
+        const bool own = std::find(state.ownTargets.begin(), state.ownTargets.end(), target) != state.ownTargets.end();
         const auto known = m_services.find(target.service);
         auto load =
             loadOf(target, known == m_services.end() ? std::vector<TargetLoadPtr>() : known->second.targets, now);
         const auto *service = state.snapshot ? state.snapshot->findService(target.service) : nullptr;
         load->slots = service != nullptr && service->slotsPerTarget != 0 ? service->slotsPerTarget : target.slots;
         load->target = target;
+        load->own = own;
+        load->withdrawn = false;
         targets[target.service].push_back(std::move(load));
     }
     for (auto &[name, service] : m_services) {
+        for (const auto &load : service.targets) {
+            load->withdrawn = true;
+        }
         service.targets.clear();
     }
+    for (auto &[name, loads] : targets) {
+        for (const auto &load : loads) {
+            load->withdrawn = false;
+        }
+    }
     for (auto &[name, loads] : targets) {
         serviceState(std::string(name)).targets = std::move(loads);
     }
@@ -83,7 +124,14 @@
 
 LoadBalancer::ServiceState &LoadBalancer::serviceState(const std::string &name)
 {
-    return m_services.try_emplace(name, m_options.maxQueuedRequests, m_options.retryBudgetPercent).first->second;
+    const auto known = m_services.find(name);
+    if (known != m_services.end()) {
+        return known->second;
+    }
+    const auto percent = m_options.retryBudgetRatio > 0
+        ? static_cast<std::uint32_t>(m_options.retryBudgetRatio * budgetShare * 100)
+        : m_options.retryBudgetPercent;
+    return m_services.try_emplace(name, m_options.maxQueuedRequests, percent).first->second;
 }
 
 TargetSelector::Selection LoadBalancer::select(const std::string &service, const TargetQuery &query, TimePoint now)
@@ -95,6 +143,17 @@
 {
     const std::lock_guard lock(m_mutex);
     auto &service = serviceState(request->m_options.service);
+    if (!request->m_options.ownTarget.empty()) {
+        const auto load = service.findOwn(request->m_options.ownTarget);
+        if (!load) {
+            request->m_result = SlotResult::NoTarget;
+            return false;
+        }
+        return acquireOwn(request, service, load, now);
+    }
+    if (service.hasGateways()) {
+        return place(request, service, now);
+    }
     const TargetQuery query{.requiredLabels = request->m_options.requiredLabels,
                             .excluded = request->m_options.excluded};
     if (!m_selector.hasSuitable(service.targets, query)) {
@@ -102,20 +161,63 @@
         request->m_result = SlotResult::NoTarget;
         return false;
     }
-    switch (service.admission.admit(request, totalSlots(service.targets), now)) {
+    return applyVerdict(service.admission.admit(request, totalSlots(service.targets), now), *request);
+}
+
+bool LoadBalancer::acquireOwn(const SlotRequestPtr &request,
+                              ServiceState &service,
+                              const TargetLoadPtr &load,
+                              TimePoint now)
+{
+    request->m_pinned = load;
+    request->m_expectedWait = service.admission.estimatedWait(request->priority(), load->slots);
+    return applyVerdict(service.admission.admit(request, load->slots, now), *request);
+}
+
+bool LoadBalancer::place(const SlotRequestPtr &request, ServiceState &service, TimePoint now)
+{
+    const auto &options = request->m_options;
+    const auto latest = std::min(options.latestStart, options.deadline);
+    const PlacementQuery query{.requiredLabels = options.requiredLabels,
+                               .excluded = options.excluded,
+                               .maxWait = std::max(latest - now, Duration::zero()),
+                               .bulk = options.bulk};
+    auto placement = m_placement.choose(service.targets, query, service.admission.queued(), now);
+    request->m_expectedWait = placement.expectedWait;
+    switch (placement.verdict) {
+    case PlacementPolicy::Verdict::NoTarget:
+        request->m_result = SlotResult::NoTarget;
+        return false;
+    case PlacementPolicy::Verdict::NoRoom:
+        request->m_result = SlotResult::NoRoom;
+        return false;
+    case PlacementPolicy::Verdict::Free:
+    case PlacementPolicy::Verdict::Wait:
+        break;
+    }
+    if (!placement.target->isRemote()) {
+        return acquireOwn(request, service, placement.target, now);
+    }
+    request->grant(std::move(placement.target));
+    return false;
+}
+
+bool LoadBalancer::applyVerdict(AdmissionController::Verdict verdict, SlotRequest &request)
+{
+    switch (verdict) {
     case AdmissionController::Verdict::Started:
         break;
     case AdmissionController::Verdict::Queued:
-        request->m_queued = true;
+        request.m_queued = true;
         break;
     case AdmissionController::Verdict::QueueFull:
-        request->m_result = SlotResult::QueueFull;
+        request.m_result = SlotResult::QueueFull;
         break;
     case AdmissionController::Verdict::TooLate:
-        request->m_result = SlotResult::TooLate;
+        request.m_result = SlotResult::TooLate;
         break;
     }
-    return request->m_queued;
+    return request.m_queued;
 }
 
 SlotResult LoadBalancer::finish(const SlotRequestPtr &request)
@@ -146,16 +248,107 @@
 {
     const std::lock_guard lock(m_mutex);
     m_outliers.succeeded(*lease.m_load, now);
+    recordOutcome(*lease.m_load, false);
+}
+
+void LoadBalancer::recordReach(const SlotLease &lease, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_outliers.succeeded(*lease.m_load, now);
+}
+
+void LoadBalancer::recordRejection(const SlotLease &lease, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_outliers.succeeded(*lease.m_load, now);
+    recordOutcome(*lease.m_load, true);
 }
 
 void LoadBalancer::recordFailure(const SlotLease &lease, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
+    recordOutcome(*lease.m_load, true);
     if (m_outliers.failed(*lease.m_load, serviceState(lease.m_service).targets, now)) {
         m_ejections.add();
     }
 }
 
+void LoadBalancer::recordOutcome(TargetLoad &load, bool failed)
+{
+    load.failureRate += ((failed ? 1.0 : 0.0) - load.failureRate) * failureWeight;
+}
+
+void LoadBalancer::recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &load = *lease.m_load;
+    load.report = report;
+    load.reportedAt = now;
+    // The report does not count the request that it comes with, which this node still holds.
+    load.outstandingAtReport = load.outstanding > 0 ? load.outstanding - 1 : 0;
+    load.slots = report.slots;
+    load.serviceTime = report.serviceTime;
+    load.failureRate = report.failuresPerMille / 1000.0;
+}
+
+LoadReport LoadBalancer::reportOf(const SlotLease &lease, bool arrived) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto service = m_services.find(lease.m_service);
+    if (service == m_services.end()) {
+        return {};
+    }
+    auto report = makeReport(*lease.m_load, service->second);
+    report.running -= std::min(report.running, 1U);
+    report.arrived = arrived;
+    return report;
+}
+
+std::optional<LoadReport> LoadBalancer::reportOf(const std::string &service, const std::string &ownTarget) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_services.find(service);
+    const auto load = it == m_services.end() ? nullptr : it->second.findOwn(ownTarget);
+    return load ? std::optional(makeReport(*load, it->second)) : std::nullopt;
+}
+
+LoadReport LoadBalancer::makeReport(const TargetLoad &load, const ServiceState &service) const
+{
+    constexpr double perMille = 1000;
+    return {.running = load.outstanding,
+            .waiting = static_cast<std::uint32_t>(service.admission.queued()),
+            .slots = load.slots,
+            .serviceTime = std::chrono::duration_cast<std::chrono::milliseconds>(load.serviceTime),
+            .failuresPerMille = static_cast<std::uint32_t>(load.failureRate * perMille)};
+}
+
+Duration LoadBalancer::typicalServiceTime(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return Duration::zero();
+    }
+    Duration sum = Duration::zero();
+    int n = 0;
+    for (const auto &load : it->second.targets) {
+        if (load->serviceTime > Duration::zero()) {
+            sum += load->serviceTime;
+            ++n;
+        }
+    }
+    return n > 0 ? sum / n : it->second.admission.averageDuration();
+}
+
+std::chrono::milliseconds LoadBalancer::retryAfter(const std::string &service, Duration expectedWait)
+{
+    const std::lock_guard lock(m_mutex);
+    static_cast<void>(service);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(expectedWait);
+    const auto spread = std::uniform_int_distribution<std::int64_t>(0, retryAfterSpread.count())(m_random);
+    return std::max(shortestRetryAfter, wait) + std::chrono::milliseconds(spread);
+}
+
 int LoadBalancer::retryAfterSeconds(const std::string &service)
 {
     const std::lock_guard lock(m_mutex);
@@ -171,6 +364,11 @@
     const std::lock_guard lock(m_mutex);
     const auto now = std::chrono::steady_clock::now();
     --load.outstanding;
+    if (load.isRemote()) {
+        return;
+    }
+    const bool first = load.serviceTime == Duration::zero();
+    load.serviceTime += (now - started - load.serviceTime) / (first ? 1 : serviceTimeWeight);
     auto &state = serviceState(service);
     state.admission.recordDuration(now - started);
     state.admission.slotsChanged(now);
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -2,6 +2,7 @@
 
 #include "admissioncontroller.h"
 #include "outlierdetector.h"
+#include "placementpolicy.h"
 #include "retrybudget.h"
 #include "slotlease.h"
 #include "slotrequest.h"
@@ -13,6 +14,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,12 +44,31 @@
     bool tryTakeRetry(const std::string &service);
 
     void recordSuccess(const SlotLease &lease, TimePoint now);
+    /** Records that a target or its node answered, which says nothing about how the target runs requests. */
+    void recordReach(const SlotLease &lease, TimePoint now);
+    /** Records that a target refused a request although it has a free slot. */
+    void recordRejection(const SlotLease &lease, TimePoint now);
     void recordFailure(const SlotLease &lease, TimePoint now);
 
+    /** Takes over what the target's own node reports with a response to this node. */
+    void recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now);
+
+    /** The load of a target on this host for the other nodes, without the request that @p lease belongs to. */
+    LoadReport reportOf(const SlotLease &lease, bool arrived) const;
+
+    /** The load of the target of that name on this host; nothing when there is none. */
+    std::optional<LoadReport> reportOf(const std::string &service, const std::string &ownTarget) const;
+
+    /** Mean time of a request at the targets of a service. */
+    Duration typicalServiceTime(const std::string &service) const;
+
     /** Random whole seconds after which a refused caller may try again, spread so that callers do not return at once.
      */
     int retryAfterSeconds(const std::string &service);
 
+    /** Like retryAfterSeconds(), for callers that understand a fraction. */
+    std::chrono::milliseconds retryAfter(const std::string &service, Duration expectedWait);
+
     /** Targets and queue lengths as JSON members, for the dump. */
     std::string dumpJson(TimePoint now) const;
 
@@ -59,11 +80,20 @@
     {
         ServiceState(std::uint32_t maxQueued, std::uint32_t retryPercent);
 
+        /** Whether nodes admit the requests of their own targets, instead of each node those that it sends. */
+        bool hasGateways() const;
+        TargetLoadPtr findOwn(const std::string &name) const;
+
         std::vector<TargetLoadPtr> targets;
         AdmissionController admission;
         RetryBudget retries;
     };
 
+    bool acquireOwn(const SlotRequestPtr &request, ServiceState &service, const TargetLoadPtr &load, TimePoint now);
+    bool place(const SlotRequestPtr &request, ServiceState &service, TimePoint now);
+    bool applyVerdict(AdmissionController::Verdict verdict, SlotRequest &request);
+    void recordOutcome(TargetLoad &load, bool failed);
+    LoadReport makeReport(const TargetLoad &load, const ServiceState &service) const;
     ServiceState &serviceState(const std::string &name);
     TargetLoadPtr loadOf(const Target &target, const std::vector<TargetLoadPtr> &known, TimePoint now) const;
     void rebuild(const RoutingState &state, TimePoint now);
@@ -74,6 +104,7 @@
     Counter &m_ejections;
     mutable std::mutex m_mutex;
     TargetSelector m_selector;
+    PlacementPolicy m_placement;
     OutlierDetector m_outliers;
     std::map<std::string, ServiceState, std::less<>> m_services;
     std::mt19937_64 m_random;
--- a/libs/proxy/src/oncecall.cpp
+++ b/libs/proxy/src/oncecall.cpp
@@ -60,7 +60,7 @@
     }
     auto grant = co_await waitForSlot(m_call, {});
     if (!grant.lease) {
-        co_await m_call.refuse(refusalFor(grant.result, m_call));
+        co_await m_call.refuse(refusalFor(grant, m_call));
         co_return;
     }
     const auto decision = co_await waitForClaim(m_call, *identity);
@@ -79,16 +79,16 @@
         co_await replayResponse(m_call, decision.response);
         co_return;
     case ClaimOutcome::InProgress:
-        co_await m_call.refuse(
-            {.status = 409, .outcome = RefusalOutcome::InProgress, .reason = "in progress", .retryAfterSeconds = 1});
+        co_await m_call.refuse({.status = 409,
+                                .outcome = RefusalOutcome::InProgress,
+                                .reason = "in progress",
+                                .retryAfter = std::chrono::seconds(1)});
         co_return;
     case ClaimOutcome::Unknown:
         co_await m_call.refuse({.status = 504, .outcome = RefusalOutcome::Unknown, .reason = "outcome unknown"});
         co_return;
     default:
-        co_await m_call.refuse({.status = 503,
-                                .reason = "no claim",
-                                .retryAfterSeconds = m_call.core.balancer.retryAfterSeconds(m_call.service.name)});
+        co_await m_call.refuse(notRunRefusal("no claim", m_call));
     }
 }
 
--- /dev/null
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -0,0 +1,143 @@
+#include "placementpolicy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Hornbeam {
+
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// A target without requests of this node for this long is preferred a little, so that its state stays known and a
+// target that has recovered or joined is found.
+constexpr auto longestUnused = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds unusedBonus{60};
+
+double milliseconds(Duration duration)
+{
+    return Milliseconds(duration).count();
+}
+
+bool isSuitable(const TargetLoad &load, const PlacementQuery &query)
+{
+    const auto &labels = load.target.labels;
+    return !load.withdrawn
+        && std::includes(labels.begin(), labels.end(), query.requiredLabels.begin(), query.requiredLabels.end())
+        && std::find(query.excluded.begin(), query.excluded.end(), load.target.address) == query.excluded.end();
+}
+
+/** Requests of other nodes that the last report counts. */
+double requestsOfOthers(const TargetLoad &load)
+{
+    const auto reported = load.report.running + load.report.waiting;
+    return reported > load.outstandingAtReport ? reported - load.outstandingAtReport : 0;
+}
+
+} // namespace
+
+PlacementPolicy::PlacementPolicy(PlacementOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed != 0 ? m_options.seed : std::random_device()())
+{
+}
+
+PlacementPolicy::Placement PlacementPolicy::choose(std::span<const TargetLoadPtr> targets,
+                                                   const PlacementQuery &query,
+                                                   std::size_t ownWaiting,
+                                                   TimePoint now)
+{
+    updateMeanOccupancy(targets, now);
+    Placement best;
+    double lowest = std::numeric_limits<double>::max();
+    Duration shortest = Duration::max();
+    // Ejected targets take part only when there is no other one.
+    for (const bool ejected : {false, true}) {
+        for (const auto &load : targets) {
+            if (load->isEjected(now) != ejected || !isSuitable(*load, query)) {
+                continue;
+            }
+            const auto requests = expectedRequests(*load, ownWaiting, now);
+            const auto wait = expectedWait(*load, requests);
+            shortest = std::min(shortest, wait);
+            const auto cost = costOf(*load, query, requests, now);
+            if (wait <= query.maxWait && cost < lowest) {
+                lowest = cost;
+                best = {.verdict = wait == Duration::zero() ? Verdict::Free : Verdict::Wait,
+                        .target = load,
+                        .expectedWait = wait};
+            }
+        }
+        if (shortest != Duration::max()) {
+            break;
+        }
+    }
+    if (!best.target && shortest != Duration::max()) {
+        return {.verdict = Verdict::NoRoom, .target = nullptr, .expectedWait = shortest};
+    }
+    return best;
+}
+
+Duration PlacementPolicy::expectedWait(const TargetLoad &load, double requests) const
+{
+    const auto ahead = requests + 1 - load.slots;
+    if (ahead <= 0) {
+        return Duration::zero();
+    }
+    const auto wait = Milliseconds(milliseconds(serviceTimeOf(load)) * ahead / load.slots);
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+double PlacementPolicy::expectedRequests(const TargetLoad &load, std::size_t ownWaiting, TimePoint now) const
+{
+    if (!load.isRemote()) {
+        return load.outstanding + static_cast<double>(load.own ? ownWaiting : 0);
+    }
+    const auto mean = m_meanOccupancy * load.slots;
+    if (load.reportedAt == TimePoint::min()) {
+        return load.outstanding + mean;
+    }
+    const auto weight = std::exp(-milliseconds(now - load.reportedAt) / milliseconds(m_options.reportLifetime));
+    return load.outstanding + weight * requestsOfOthers(load) + (1 - weight) * mean;
+}
+
+double PlacementPolicy::costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now)
+{
+    const auto slots = static_cast<double>(load.slots);
+    auto cost = milliseconds(expectedWait(load, requests)) + milliseconds(serviceTimeOf(load));
+    cost += milliseconds(m_options.busyCost) * std::min(requests / slots, 1.0);
+    cost += milliseconds(m_options.failureCost) * load.failureRate;
+    if (load.isRemote()) {
+        cost += milliseconds(m_options.hopCost);
+    }
+    if (load.target.zone != m_options.zone) {
+        cost += milliseconds(query.bulk ? m_options.bulkZoneCost : m_options.zoneCost);
+    }
+    const bool unused = load.lastUsed == TimePoint::min() || now - load.lastUsed >= longestUnused;
+    if (unused && !query.bulk) {
+        cost -= milliseconds(unusedBonus);
+    }
+    return cost + std::uniform_real_distribution<double>(0, milliseconds(m_options.noise))(m_random);
+}
+
+void PlacementPolicy::updateMeanOccupancy(std::span<const TargetLoadPtr> targets, TimePoint now)
+{
+    double requests = 0;
+    double slots = 0;
+    for (const auto &load : targets) {
+        if (load->isRemote() && load->reportedAt != TimePoint::min()
+            && now - load->reportedAt <= 2 * m_options.reportLifetime) {
+            requests += requestsOfOthers(*load);
+            slots += load->slots;
+        }
+    }
+    m_meanOccupancy = slots > 0 ? requests / slots : 0;
+}
+
+Duration PlacementPolicy::serviceTimeOf(const TargetLoad &load) const
+{
+    return load.serviceTime > Duration::zero() ? load.serviceTime : Duration(m_options.defaultServiceTime);
+}
+
+} // namespace Hornbeam
--- a/libs/proxy/src/proxymetrics.cpp
+++ b/libs/proxy/src/proxymetrics.cpp
@@ -8,6 +8,8 @@
     , silentConnections(registry.counter("hornbeam_proxy_silent_total", "Attempts that timed out without a response."))
     , truncatedResponses(registry.counter("hornbeam_proxy_truncated_total", "Responses that a target left incomplete."))
     , cancelled(registry.counter("hornbeam_proxy_cancelled_total", "Requests whose caller disconnected."))
+    , strayResponses(registry.counter("hornbeam_proxy_stray_responses_total",
+                                      "Responses to other requests than the one that was sent last."))
     , addedTime(registry.latency("hornbeam_proxy_added_seconds", "Time that the proxy itself adds to a call."))
     , m_registry(registry)
 {
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -71,31 +71,46 @@
     if (!isValid(options)) {
         return makeError(ErrorCode::InvalidArgument, "proxy option out of range");
     }
-    std::error_code ec;
-    const auto address = asio::ip::make_address(options.listen.address(), ec);
-    if (ec) {
-        return makeError(ErrorCode::InvalidArgument, "invalid listen address " + options.listen.address());
-    }
     raiseParserLimit();
-    asio::ip::tcp::endpoint endpoint(address, options.listen.port());
-    ec = endpoint.port() == 0 ? std::error_code() : probeAddress(endpoint);
-    for (std::uint32_t i = 0; i < options.threads && !ec; ++i) {
+    for (std::uint32_t i = 0; i < options.threads; ++i) {
         m_threads.push_back(std::make_unique<TrafficThread>(m_core));
-        ec = m_threads.back()->listen(endpoint);
-        if (!ec) {
-            endpoint = m_threads.back()->localEndpoint();
-        }
     }
-    if (ec) {
-        return makeError(ErrorCode::Unavailable, "cannot listen on " + options.listen.toString() + ": " + ec.message());
+    auto local = listen(options.listen, CallOrigin::Caller);
+    if (!local) {
+        return tl::unexpected(local.error());
+    }
+    m_localEndpoint = *local;
+    if (options.relayListen) {
+        local = listen(*options.relayListen, CallOrigin::Peer);
+        if (!local) {
+            return tl::unexpected(local.error());
+        }
+        m_relayEndpoint = *local;
     }
-    m_localEndpoint = Endpoint(endpoint.address().to_string(), endpoint.port());
     for (const auto &thread : m_threads) {
         thread->start();
     }
     return true;
 }
 
+Result<Endpoint> ProxyServerImpl::listen(const Endpoint &where, CallOrigin origin)
+{
+    std::error_code ec;
+    const auto address = asio::ip::make_address(where.address(), ec);
+    if (ec) {
+        return makeError(ErrorCode::InvalidArgument, "invalid listen address " + where.address());
+    }
+    asio::ip::tcp::endpoint endpoint(address, where.port());
+    ec = endpoint.port() == 0 ? std::error_code() : probeAddress(endpoint);
+    for (std::size_t i = 0; i < m_threads.size() && !ec; ++i) {
+        ec = m_threads[i]->listen(endpoint, origin);
+    }
+    if (ec) {
+        return makeError(ErrorCode::Unavailable, "cannot listen on " + where.toString() + ": " + ec.message());
+    }
+    return Endpoint(endpoint.address().to_string(), endpoint.port());
+}
+
 void ProxyServerImpl::publish(RoutingStatePtr state)
 {
     m_core.publish(std::move(state));
@@ -106,6 +121,11 @@
     return m_localEndpoint;
 }
 
+Endpoint ProxyServerImpl::relayEndpoint() const
+{
+    return m_relayEndpoint;
+}
+
 void ProxyServerImpl::drain(std::function<void()> drained)
 {
     m_core.draining = true;
@@ -113,8 +133,8 @@
         thread->drain();
     }
     const auto bound = std::chrono::steady_clock::now() + m_core.options.drainBound;
-    m_threads.front()->runAfter(drainCheckPeriod,
-                                [this, bound, drained = std::move(drained)] { checkDrained(bound, drained); });
+    const auto first = m_core.options.relayListen ? m_core.options.stopNotice : drainCheckPeriod;
+    m_threads.front()->runAfter(first, [this, bound, drained = std::move(drained)] { checkDrained(bound, drained); });
 }
 
 void ProxyServerImpl::checkDrained(TimePoint bound, const std::function<void()> &drained)
--- a/libs/proxy/src/proxyserverimpl.h
+++ b/libs/proxy/src/proxyserverimpl.h
@@ -20,16 +20,19 @@
 
     void publish(RoutingStatePtr state) override;
     Endpoint localEndpoint() const override;
+    Endpoint relayEndpoint() const override;
     void drain(std::function<void()> drained) override;
     std::size_t requestsInFlight() const override;
     std::string dumpJson() const override;
 
 private:
+    Result<Endpoint> listen(const Endpoint &where, CallOrigin origin);
     void checkDrained(TimePoint bound, const std::function<void()> &drained);
 
     ServerCore m_core;
     std::vector<std::unique_ptr<TrafficThread>> m_threads;
     Endpoint m_localEndpoint;
+    Endpoint m_relayEndpoint;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/refusal.cpp
+++ b/libs/proxy/src/refusal.cpp
@@ -1,7 +1,22 @@
 #include "refusal.h"
 
+#include <fmt/format.h>
+
 namespace Hornbeam {
 
+namespace {
+
+std::string formatSeconds(std::chrono::milliseconds time, bool fractional)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(time);
+    if (!fractional || seconds == time) {
+        return std::to_string(seconds.count());
+    }
+    return fmt::format("{:.3f}", std::chrono::duration<double>(time).count());
+}
+
+} // namespace
+
 const char *outcomeName(RefusalOutcome outcome)
 {
     switch (outcome) {
@@ -45,18 +60,19 @@
     }
 }
 
-std::string formatRefusal(const Refusal &refusal, std::uint64_t version, bool keepAlive, bool withBody)
+std::string formatRefusal(const Refusal &refusal, const RefusalFormat &format)
 {
     const auto body = std::string("{\"error\":\"") + refusal.reason + "\"}\n";
     std::string out = "HTTP/1.1 " + std::to_string(refusal.status) + ' ' + statusText(refusal.status) + "\r\n";
     out += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-    out += "X-Hornbeam-Version: " + std::to_string(version) + "\r\n";
+    out += "X-Hornbeam-Version: " + std::to_string(format.version) + "\r\n";
     out += std::string("X-Hornbeam-Outcome: ") + outcomeName(refusal.outcome) + "\r\n";
-    if (refusal.retryAfterSeconds > 0) {
-        out += "Retry-After: " + std::to_string(refusal.retryAfterSeconds) + "\r\n";
+    if (refusal.retryAfter.count() > 0) {
+        out += "Retry-After: " + formatSeconds(refusal.retryAfter, format.fractionalRetryAfter) + "\r\n";
     }
-    out += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
-    return withBody ? out + body : out;
+    out += format.headers;
+    out += format.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    return format.withBody ? out + body : out;
 }
 
 } // namespace Hornbeam
--- a/libs/proxy/src/refusal.h
+++ b/libs/proxy/src/refusal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -18,7 +19,7 @@
     int status = 503;
     RefusalOutcome outcome = RefusalOutcome::NotRun;
     const char *reason = ""; ///< Short constant text: metric label and part of the response body.
-    int retryAfterSeconds = 0; ///< 0 sends no Retry-After.
+    std::chrono::milliseconds retryAfter{0}; ///< 0 sends no Retry-After.
 };
 
 const char *outcomeName(RefusalOutcome outcome);
@@ -26,7 +27,17 @@
 /** The reason phrase of a status, or an empty string. */
 const char *statusText(int status);
 
-/** Serialises the response, with headers and a JSON body. @p withBody is false for HEAD. */
-std::string formatRefusal(const Refusal &refusal, std::uint64_t version, bool keepAlive, bool withBody);
+/** How a refusal is written. */
+struct RefusalFormat
+{
+    std::uint64_t version = 0; ///< Configuration version in effect.
+    bool keepAlive = true;
+    bool withBody = true; ///< False for the response to HEAD.
+    bool fractionalRetryAfter = false; ///< Otherwise Retry-After is rounded up to whole seconds.
+    std::string headers{}; ///< Further headers, each ending in CRLF.
+};
+
+/** Serialises the response, with headers and a JSON body. */
+std::string formatRefusal(const Refusal &refusal, const RefusalFormat &format);
 
 } // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/relayheader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <hornbeam/base/timerservice.h>
+#include <hornbeam/config/route.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Hornbeam {
+
+/** Header of a request between nodes; its value is a RelayRequest. */
+inline constexpr std::string_view relayHeaderName = "X-Hornbeam-Relay";
+
+/** Header of a response between nodes; its value is a LoadReport. */
+inline constexpr std::string_view loadHeaderName = "X-Hornbeam-Load";
+
+/** What a node tells the node of a target about the request that it sends there. */
+struct RelayRequest
+{
+    std::string target; ///< Name of the target; it must be the one on the receiving host.
+    std::string service; ///< Service that the target must belong to.
+    std::chrono::milliseconds left{0}; ///< Until the response is of no use.
+    std::chrono::milliseconds maxWait{0}; ///< Longest time in the queue of the target.
+    std::chrono::milliseconds objective{0}; ///< Until the response is worth less; 0 for none or when it has passed.
+    Priority priority = Priority::Normal;
+    bool repeatable = true; ///< The request may run more than once.
+
+    std::string format() const;
+
+    /** Nothing for text that format() does not write. */
+    static std::optional<RelayRequest> parse(std::string_view text);
+
+    friend bool operator==(const RelayRequest &, const RelayRequest &) = default;
+};
+
+/** The load of a target as its own node sees it. */
+struct LoadReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1; ///< Requests that run at the same time. 1..10000.
+    std::chrono::milliseconds serviceTime{0}; ///< Mean time of a recent request; 0 when there was none.
+    std::uint32_t failuresPerMille = 0; ///< Share of recent requests that failed at the target. 0..1000.
+    bool arrived = false; ///< The request reached the target, which refused it.
+
+    std::string format() const;
+
+    /** Nothing for text that format() does not write. */
+    static std::optional<LoadReport> parse(std::string_view text);
+
+    friend bool operator==(const LoadReport &, const LoadReport &) = default;
+};
+
+} // namespace Hornbeam
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -72,6 +72,9 @@
         out += "Content-Length: " + std::to_string(*head.contentLength) + "\r\n";
     }
     out += "X-Hornbeam-Version: " + std::to_string(m_call.state->snapshot->version()) + "\r\n";
+    if (m_call.relay) {
+        out += std::string(loadHeaderName) + ": " + m_exchange.report().format() + "\r\n";
+    }
     out += connectionHeader(m_call, m_keepAlive);
     return out + "\r\n";
 }
--- a/libs/proxy/src/retrybudget.cpp
+++ b/libs/proxy/src/retrybudget.cpp
@@ -8,20 +8,24 @@
 
 constexpr std::uint32_t retryCost = 100;
 
-/** Credit that quiet times can save up: enough for a few failures in a row, too little for a retry storm. */
-constexpr std::uint32_t maxCredit = 10 * retryCost;
-
 } // namespace
 
-RetryBudget::RetryBudget(std::uint32_t percent)
+RetryBudget::RetryBudget(std::uint32_t percent, std::uint32_t reserve)
     : m_percent(percent)
-    , m_credit(percent == 0 ? 0 : maxCredit)
+    , m_maxCredit(reserve * retryCost)
+    , m_credit(percent == 0 ? 0 : m_maxCredit)
+{
+}
+
+void RetryBudget::setReserve(std::uint32_t reserve)
 {
+    m_maxCredit = reserve * retryCost;
+    m_credit = std::min(m_credit, m_maxCredit);
 }
 
 void RetryBudget::requestStarted()
 {
-    m_credit = std::min(m_credit + m_percent, maxCredit);
+    m_credit = std::min(m_credit + m_percent, m_maxCredit);
 }
 
 bool RetryBudget::tryTakeRetry()
--- a/libs/proxy/src/retrybudget.h
+++ b/libs/proxy/src/retrybudget.h
@@ -11,8 +11,14 @@
 class RetryBudget
 {
 public:
-    /** @p percent: retries per hundred requests, 0..100. */
-    explicit RetryBudget(std::uint32_t percent);
+    /** Retries that quiet times can save up by default: enough for a few failures, too little for a retry storm. */
+    static constexpr std::uint32_t defaultReserve = 10;
+
+    /** @p percent: retries per hundred requests, 0..100. @p reserve: most retries that quiet times can save up. */
+    explicit RetryBudget(std::uint32_t percent, std::uint32_t reserve = defaultReserve);
+
+    /** Changes the reserve; what is saved up beyond it is lost. */
+    void setReserve(std::uint32_t reserve);
 
     /** Credits one first attempt. */
     void requestStarted();
@@ -22,6 +28,7 @@
 
 private:
     std::uint32_t m_percent;
+    std::uint32_t m_maxCredit;
     std::uint32_t m_credit; ///< In hundredths of a retry.
 };
 
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "callerages.h"
 #include "crashsuspects.h"
 #include "loadbalancer.h"
 #include "proxymetrics.h"
+#include "splitchooser.h"
 
 #include <hornbeam/proxy/proxyserver.h>
 
@@ -23,6 +25,8 @@
     LoadBalancer balancer;
     CrashSuspects suspects;
     ProxyMetrics metrics;
+    CallerAges callerAges;
+    SplitChooser splits;
     std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::size_t> connections = 0;
     std::atomic<bool> draining = false;
--- a/libs/proxy/src/slotlease.h
+++ b/libs/proxy/src/slotlease.h
@@ -24,6 +24,17 @@
         return m_load->target.address;
     }
 
+    const Target &target() const
+    {
+        return m_load->target;
+    }
+
+    /** Whether the target's own node, another one, admits the request and passes it on. */
+    bool isRemote() const
+    {
+        return m_load->isRemote();
+    }
+
     explicit operator bool() const
     {
         return m_load != nullptr;
--- a/libs/proxy/src/slotrequest.cpp
+++ b/libs/proxy/src/slotrequest.cpp
@@ -5,7 +5,7 @@
 namespace Hornbeam {
 
 SlotRequest::SlotRequest(LoadBalancer &balancer, SlotRequestOptions options)
-    : QueuedRequest(options.priority, options.deadline)
+    : QueuedRequest(options.priority, options.deadline, options.latestStart)
     , m_balancer(balancer)
     , m_options(std::move(options))
 {
@@ -13,13 +13,22 @@
 
 bool SlotRequest::tryStart()
 {
+    if (m_pinned) {
+        return m_pinned->hasFreeSlot() && grant(m_pinned);
+    }
     const TargetQuery query{.requiredLabels = m_options.requiredLabels, .excluded = m_options.excluded};
     auto selection = m_balancer.select(m_options.service, query, std::chrono::steady_clock::now());
     if (selection.verdict != TargetSelector::Verdict::Selected) {
         return false;
     }
-    m_target = std::move(selection.target);
+    return grant(std::move(selection.target));
+}
+
+bool SlotRequest::grant(TargetLoadPtr target)
+{
+    m_target = std::move(target);
     ++m_target->outstanding;
+    m_target->lastUsed = std::chrono::steady_clock::now();
     m_result = SlotResult::Granted;
     if (m_queued && m_options.wake) {
         m_options.wake();
@@ -27,6 +36,11 @@
     return true;
 }
 
+bool SlotRequest::isObsolete() const
+{
+    return m_pinned && m_pinned->withdrawn;
+}
+
 void SlotRequest::rejected()
 {
     m_result = SlotResult::Expired;
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -18,6 +18,9 @@
                                              .excluded = std::move(excluded),
                                              .priority = call.route.priority,
                                              .deadline = call.deadline,
+                                             .latestStart = call.latestStart,
+                                             .ownTarget = call.relay ? call.relay->target : std::string(),
+                                             .bulk = call.route.bulk,
                                              .wake = std::move(wake),
                                          });
 }
@@ -49,6 +52,8 @@
 {
     SlotGrant grant;
     grant.result = call.core.balancer.finish(request);
+    grant.expectedWait = request->expectedWait();
+    call.expectedWait = grant.expectedWait;
     if (grant.result == SlotResult::Granted) {
         const auto now = std::chrono::steady_clock::now();
         grant.lease = SlotLease(call.core.balancer, call.service.name, request->target(), now);
@@ -60,7 +65,10 @@
 
 asio::awaitable<SlotGrant> waitForSlot(CallContext &call, std::vector<Endpoint> excluded)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(*call.context, call.deadline);
+    if (excluded.empty()) {
+        call.updateLatestStart();
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(*call.context, std::min(call.deadline, call.latestStart));
     const auto request = makeRequest(call, std::move(excluded), [timer, context = std::weak_ptr(call.context)] {
         if (const auto running = context.lock()) {
             asio::post(*running, [timer] { timer->cancel(); });
@@ -85,19 +93,29 @@
     return finishRequest(call, request);
 }
 
-Refusal refusalFor(SlotResult result, CallContext &call)
+Refusal refusalFor(const SlotGrant &grant, CallContext &call)
 {
-    const auto retryAfter = call.core.balancer.retryAfterSeconds(call.service.name);
-    switch (result) {
+    switch (grant.result) {
     case SlotResult::NoTarget:
-        return {.status = 503, .reason = "no target", .retryAfterSeconds = retryAfter};
+        return notRunRefusal("no target", call);
+    case SlotResult::NoRoom:
+        return notRunRefusal("no room at any target", call);
     case SlotResult::QueueFull:
-        return {.status = 503, .reason = "queue full", .retryAfterSeconds = retryAfter};
+        return notRunRefusal("queue full", call);
     case SlotResult::TooLate:
-        return {.status = 503, .reason = "deadline before a slot", .retryAfterSeconds = retryAfter};
+        return notRunRefusal("deadline before a slot", call);
     default:
-        return {.status = 503, .reason = "no slot in time", .retryAfterSeconds = retryAfter};
+        return notRunRefusal("no slot in time", call);
     }
 }
 
+Refusal notRunRefusal(const char *reason, CallContext &call)
+{
+    auto &balancer = call.core.balancer;
+    const auto retryAfter = call.core.options.headers.fractionalRetryAfter
+        ? balancer.retryAfter(call.service.name, call.expectedWait)
+        : std::chrono::seconds(balancer.retryAfterSeconds(call.service.name));
+    return {.status = 503, .reason = reason, .retryAfter = retryAfter};
+}
+
 } // namespace Hornbeam
--- a/libs/proxy/src/slotwait.h
+++ b/libs/proxy/src/slotwait.h
@@ -13,6 +13,7 @@
 {
     SlotResult result = SlotResult::NoTarget;
     SlotLease lease;
+    Duration expectedWait = Duration::zero(); ///< At the granted target, or the shortest one without a slot.
 };
 
 /** Waits for a slot of a target that is not in @p excluded, at the latest until the call's deadline. */
@@ -22,6 +23,9 @@
 SlotGrant takeFreeSlot(CallContext &call, std::vector<Endpoint> excluded);
 
 /** The refusal for a request that got no slot. */
-Refusal refusalFor(SlotResult result, CallContext &call);
+Refusal refusalFor(const SlotGrant &grant, CallContext &call);
+
+/** The refusal of a request that did not run, with the time after which its caller should come back. */
+Refusal notRunRefusal(const char *reason, CallContext &call);
 
 } // namespace Hornbeam
--- a/libs/proxy/src/timedsocket.cpp
+++ b/libs/proxy/src/timedsocket.cpp
@@ -109,6 +109,28 @@
     co_return state->end(ec);
 }
 
+asio::awaitable<std::error_code> TimedSocket::waitReadable(TimePoint deadline)
+{
+    const auto state = m_state;
+    std::error_code ec;
+    state->begin(deadline);
+    co_await state->socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
+    co_return state->end(ec);
+}
+
+std::error_code TimedSocket::readNow(asio::mutable_buffer buffer, std::size_t &n)
+{
+    const auto result = ::recv(m_state->socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    n = result > 0 ? static_cast<std::size_t>(result) : 0;
+    if (result > 0) {
+        return {};
+    }
+    if (result == 0) {
+        return asio::error::eof;
+    }
+    return {errno, asio::error::get_system_category()};
+}
+
 asio::awaitable<std::error_code> TimedSocket::write(std::span<const asio::const_buffer> buffers,
                                                     TimePoint deadline,
                                                     std::size_t &n)
--- a/libs/proxy/src/timedsocket.h
+++ b/libs/proxy/src/timedsocket.h
@@ -31,6 +31,12 @@
     /** Reads at least one byte; @p n receives the number of bytes. */
     asio::awaitable<std::error_code> readSome(asio::mutable_buffer buffer, TimePoint deadline, std::size_t &n);
 
+    /** Waits until the peer has sent something or closed the connection. */
+    asio::awaitable<std::error_code> waitReadable(TimePoint deadline);
+
+    /** Reads what has arrived without waiting; operation_would_block when there is nothing. */
+    std::error_code readNow(asio::mutable_buffer buffer, std::size_t &n);
+
     /** Writes all buffers; @p n receives the number of bytes handed to the kernel, also after an error. */
     asio::awaitable<std::error_code> write(std::span<const asio::const_buffer> buffers,
                                            TimePoint deadline,
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -17,9 +17,6 @@
 /** How soon an acceptor at the connection limit looks for a free place. */
 constexpr auto fullRetryPeriod = std::chrono::milliseconds(5);
 
-/** How long idle connections stay open during a drain: requests that are on their way still arrive. */
-constexpr auto idleGrace = std::chrono::milliseconds(500);
-
 constexpr auto idleCheckPeriod = std::chrono::milliseconds(50);
 constexpr auto purgePeriod = std::chrono::seconds(5);
 
@@ -37,7 +34,6 @@
     : m_core(core)
     , m_context(std::make_shared<asio::io_context>(1))
     , m_pool({})
-    , m_acceptor(std::make_unique<asio::ip::tcp::acceptor>(*m_context))
 {
 }
 
@@ -46,7 +42,7 @@
     stop();
     m_connections.clear();
     m_pool.clear();
-    m_acceptor.reset();
+    m_listeners.clear();
     // Another thread may hold the context for the moment in which it posts to it.
     while (m_context.use_count() > 1) {
         std::this_thread::yield();
@@ -54,37 +50,39 @@
     m_context.reset();
 }
 
-std::error_code TrafficThread::listen(const asio::ip::tcp::endpoint &endpoint)
+std::error_code TrafficThread::listen(asio::ip::tcp::endpoint &endpoint, CallOrigin origin)
 {
+    auto listener = std::make_unique<Listener>(Listener{asio::ip::tcp::acceptor(*m_context), origin});
+    auto &acceptor = listener->acceptor;
     std::error_code ec;
-    m_acceptor->open(endpoint.protocol(), ec);
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
     if (!ec) {
-        m_acceptor->set_option(asio::socket_base::reuse_address(true), ec);
+        ec = sharePort(acceptor);
     }
     if (!ec) {
-        ec = sharePort(*m_acceptor);
+        acceptor.bind(endpoint, ec);
     }
     if (!ec) {
-        m_acceptor->bind(endpoint, ec);
+        acceptor.non_blocking(true, ec);
     }
     if (!ec) {
-        m_acceptor->non_blocking(true, ec);
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
     }
     if (!ec) {
-        m_acceptor->listen(asio::socket_base::max_listen_connections, ec);
+        endpoint = acceptor.local_endpoint(ec);
     }
+    m_listeners.push_back(std::move(listener));
     return ec;
 }
 
-asio::ip::tcp::endpoint TrafficThread::localEndpoint() const
-{
-    std::error_code ignored;
-    return m_acceptor->local_endpoint(ignored);
-}
-
 void TrafficThread::start()
 {
-    asio::co_spawn(*m_context, accept(), asio::detached);
+    for (const auto &listener : m_listeners) {
+        asio::co_spawn(*m_context, accept(*listener), asio::detached);
+    }
     runAfter(purgePeriod, [this] { purgePool(); });
     m_thread = std::thread([this] { m_context->run(); });
 }
@@ -97,16 +95,17 @@
     }
 }
 
-asio::awaitable<void> TrafficThread::accept()
+asio::awaitable<void> TrafficThread::accept(Listener &listener)
 {
-    while (m_acceptor->is_open()) {
+    while (listener.acceptor.is_open()) {
         std::error_code ec;
-        co_await m_acceptor->async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, ec));
+        co_await listener.acceptor.async_wait(asio::socket_base::wait_read,
+                                              asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted) {
             co_return;
         }
         // At the limit, further connections wait in the listen backlog.
-        if (ec || !acceptOne()) {
+        if (ec || !acceptOne(listener)) {
             co_await sleep(fullRetryPeriod);
         }
     }
@@ -119,28 +118,28 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-bool TrafficThread::acceptOne()
+bool TrafficThread::acceptOne(Listener &listener)
 {
     if (m_core.connections.fetch_add(1) >= m_core.options.maxConnections) {
         --m_core.connections;
         return false;
     }
     std::error_code ec;
-    auto socket = m_acceptor->accept(ec);
+    auto socket = listener.acceptor.accept(ec);
     if (ec) {
         --m_core.connections;
         return ec == asio::error::would_block || ec == asio::error::connection_aborted;
     }
-    serve(std::move(socket));
+    serve(std::move(socket), listener.origin);
     return true;
 }
 
-void TrafficThread::serve(asio::ip::tcp::socket socket)
+void TrafficThread::serve(asio::ip::tcp::socket socket, CallOrigin origin)
 {
     std::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const auto connection =
-        std::make_shared<CallerConnection>(m_core, m_pool, m_context, TimedSocket(std::move(socket)));
+        std::make_shared<CallerConnection>(m_core, m_pool, m_context, TimedSocket(std::move(socket)), origin);
     m_connections.insert(connection);
     asio::co_spawn(*m_context, connection->run(), [this, connection](const std::exception_ptr & /*error*/) {
         m_connections.erase(connection);
@@ -149,22 +148,32 @@
 
 void TrafficThread::drain()
 {
-    asio::post(*m_context, [this] { acceptWaiting(); });
-    runAfter(idleGrace, [this] { closeIdleConnections(); });
+    // Callers that have not heard of the stop still connect, and requests are on their way.
+    runAfter(m_core.options.stopNotice, [this] {
+        stopListening();
+        closeIdleConnections();
+    });
+}
+
+void TrafficThread::stopListening()
+{
+    for (const auto &listener : m_listeners) {
+        acceptWaiting(*listener);
+    }
 }
 
-void TrafficThread::acceptWaiting()
+void TrafficThread::acceptWaiting(Listener &listener)
 {
     // Closing the socket would reset the connections that the kernel has already accepted for it.
     std::error_code ec;
     while (!ec) {
-        auto socket = m_acceptor->accept(ec);
+        auto socket = listener.acceptor.accept(ec);
         if (!ec) {
             ++m_core.connections;
-            serve(std::move(socket));
+            serve(std::move(socket), listener.origin);
         }
     }
-    m_acceptor->close(ec);
+    listener.acceptor.close(ec);
 }
 
 void TrafficThread::closeIdleConnections()
--- a/libs/proxy/src/trafficthread.h
+++ b/libs/proxy/src/trafficthread.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <system_error>
 #include <thread>
+#include <vector>
 
 namespace Hornbeam {
 
@@ -23,9 +24,11 @@
     TrafficThread &operator=(const TrafficThread &) = delete;
     ~TrafficThread();
 
-    /** Binds a listening socket that shares its port with the other threads. Call it before start(). */
-    std::error_code listen(const asio::ip::tcp::endpoint &endpoint);
-    asio::ip::tcp::endpoint localEndpoint() const;
+    /**
+     * Binds a listening socket for requests of that origin, which shares its port with the other threads; returns the
+     * bound address in @p endpoint. Call it before start().
+     */
+    std::error_code listen(asio::ip::tcp::endpoint &endpoint, CallOrigin origin);
 
     void start();
 
@@ -42,18 +45,25 @@
     void runAfter(Duration delay, std::function<void()> work);
 
 private:
-    asio::awaitable<void> accept();
+    struct Listener
+    {
+        asio::ip::tcp::acceptor acceptor;
+        CallOrigin origin = CallOrigin::Caller;
+    };
+
+    asio::awaitable<void> accept(Listener &listener);
     asio::awaitable<void> sleep(Duration duration);
-    bool acceptOne();
-    void serve(asio::ip::tcp::socket socket);
-    void acceptWaiting();
+    bool acceptOne(Listener &listener);
+    void serve(asio::ip::tcp::socket socket, CallOrigin origin);
+    void stopListening();
+    void acceptWaiting(Listener &listener);
     void closeIdleConnections();
     void purgePool();
 
     ServerCore &m_core;
     std::shared_ptr<asio::io_context> m_context;
     UpstreamPool m_pool;
-    std::unique_ptr<asio::ip::tcp::acceptor> m_acceptor;
+    std::vector<std::unique_ptr<Listener>> m_listeners;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
     std::thread m_thread;
 };
--- a/libs/proxy/src/upstreamconnection.h
+++ b/libs/proxy/src/upstreamconnection.h
@@ -18,9 +18,13 @@
     {
     }
 
+    /** Takes the idle time that the target grants from its response. */
+    void noteResponse(TimePoint now);
+
     Endpoint target;
     HttpStream stream;
     TimePoint lastAlive; ///< When the target last answered on it.
+    Duration idleTimeout = Duration::max(); ///< How long the target keeps it open without a request.
     bool reused = false; ///< It has served a request before.
 };
 
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -13,6 +13,16 @@
 /** Requests up to this size fit into one segment, so that a target reads them as a whole or not at all. */
 constexpr std::uint64_t smallRequestBytes = 1400;
 
+/** A request that must not be repeated uses an idle connection only if it answered within this time. */
+constexpr auto maxIdleForOnce = std::chrono::seconds(1);
+
+/** Nodes and targets on the own host are some milliseconds away; a lost packet costs a second. */
+constexpr auto connectTimeout = std::chrono::milliseconds(300);
+
+/** Responses to earlier requests that are skipped before a connection is given up, and the bytes of one of them. */
+constexpr int maxSkippedResponses = 3;
+constexpr std::size_t maxSkippedBytes = std::size_t{1024} * 1024;
+
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -45,21 +55,30 @@
 
 asio::awaitable<bool> UpstreamExchange::connect(bool fresh)
 {
-    const auto &target = m_lease.address();
+    const auto &target = m_lease.isRemote() ? m_lease.target().gateway : m_lease.address();
     if (!fresh) {
-        m_connection = m_call.pool.take(target, now());
+        // An idle connection that its target closes at this moment leaves it open whether the request ran.
+        const auto maxIdle = m_call.route.idempotent || m_lease.isRemote() ? Duration::max() : maxIdleForOnce;
+        m_connection = m_call.pool.take(target, now(), maxIdle);
         if (m_connection) {
             co_return true;
         }
     }
+    co_return co_await open(target);
+}
+
+asio::awaitable<bool> UpstreamExchange::open(const Endpoint &target)
+{
     std::error_code ec;
     const auto address = asio::ip::make_address(target.address(), ec);
     if (ec) {
         co_return false;
     }
     TimedSocket socket{asio::ip::tcp::socket(*m_call.context)};
-    ec = co_await socket.connect({address, target.port()}, attemptDeadline());
+    const auto bound = m_call.core.options.relayListen ? now() + connectTimeout : TimePoint::max();
+    ec = co_await socket.connect({address, target.port()}, std::min(attemptDeadline(), bound));
     if (ec) {
+        m_refused = ec == asio::error::connection_refused;
         co_return false;
     }
     const auto maxHeaderBytes = m_call.core.options.maxHeaderBytes;
@@ -67,6 +86,15 @@
     co_return true;
 }
 
+asio::awaitable<bool> UpstreamExchange::isRefusedBy(const Endpoint &target)
+{
+    const bool opened = co_await open(target);
+    if (opened) {
+        m_call.pool.put(std::move(m_connection));
+    }
+    co_return m_refused;
+}
+
 asio::awaitable<AttemptStatus> UpstreamExchange::run(bool cancellable)
 {
     if (m_call.watch.isGone()) {
@@ -90,7 +118,7 @@
     std::string out;
     out.reserve(1024);
     out += head.method + ' ' + head.target + " HTTP/1.1\r\n";
-    appendEndToEndHeaders(head, out);
+    appendEndToEndHeaders(head, out, m_call.headersToReplace());
     if (m_call.body.isReplayable() && head.chunked) {
         out += "Content-Length: " + std::to_string(m_call.body.buffered().size()) + "\r\n";
     } else if (head.contentLength) {
@@ -98,11 +126,41 @@
     } else if (head.chunked) {
         out += "Transfer-Encoding: chunked\r\n";
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.deadline - now());
-    out += "X-Hornbeam-Deadline-Ms: " + std::to_string(left.count()) + "\r\n\r\n";
+    appendHopHeaders(out);
+    out += "\r\n";
     return out;
 }
 
+void UpstreamExchange::appendHopHeaders(std::string &out) const
+{
+    const auto &names = m_call.core.options.headers;
+    const auto &target = m_lease.target();
+    const auto start = now();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.deadline - start);
+    if (m_call.origin == CallOrigin::Caller && !names.originService.empty()) {
+        out += names.originService + ": " + m_call.core.options.hostService + "\r\n";
+    }
+    if (m_lease.isRemote()) {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.waitToOffer(start));
+        const auto objective = m_call.objective == TimePoint::max()
+            ? std::chrono::milliseconds(0)
+            : std::chrono::duration_cast<std::chrono::milliseconds>(m_call.objective - start);
+        const RelayRequest relay{.target = target.name,
+                                 .service = target.service,
+                                 .left = left,
+                                 .maxWait = wait,
+                                 .objective = objective,
+                                 .priority = m_call.route.priority,
+                                 .repeatable = m_call.route.idempotent};
+        out += std::string(relayHeaderName) + ": " + relay.format() + "\r\n";
+        return;
+    }
+    out += names.deadline + ": " + std::to_string(left.count()) + "\r\n";
+    if (!names.expectedTarget.empty() && !target.name.empty()) {
+        out += names.expectedTarget + ": " + target.name + "\r\n";
+    }
+}
+
 asio::awaitable<AttemptStatus> UpstreamExchange::send()
 {
     m_sendStarted = now();
@@ -177,7 +235,7 @@
 asio::awaitable<AttemptStatus> UpstreamExchange::readHead()
 {
     auto &reader = stream().reader();
-    for (;;) {
+    for (int skipped = 0; skipped <= maxSkippedResponses;) {
         const auto result = co_await stream().readHead(attemptDeadline());
         if (result != ReadResult::Ok) {
             co_return result == ReadResult::TimedOut ? handleTimeout() : statusOf(result);
@@ -188,10 +246,125 @@
             reader.reset(m_call.head().method == "HEAD");
             continue;
         }
-        m_connection->lastAlive = now();
-        const bool usable = status != 101 && !reader.endsWithConnection();
-        co_return usable ? AttemptStatus::Response : AttemptStatus::BadResponse;
+        if (answersOther(reader.head())) {
+            ++skipped;
+            m_call.core.metrics.strayResponses.add();
+            const bool complete = co_await skipResponse();
+            if (!complete) {
+                co_return AttemptStatus::BadResponse;
+            }
+            continue;
+        }
+        m_connection->noteResponse(now());
+        takeReport();
+        const bool framed = !reader.endsWithConnection() || m_call.core.options.acceptUnframedResponses;
+        co_return status != 101 && framed &&isGenuine(reader.head()) ? AttemptStatus::Response
+                                                                     : AttemptStatus::BadResponse;
+    }
+    co_return AttemptStatus::BadResponse;
+}
+
+asio::awaitable<bool> UpstreamExchange::skipResponse()
+{
+    auto &reader = stream().reader();
+    std::size_t bytes = 0;
+    while (reader.state() != HttpMessageReader::State::Complete) {
+        const auto result = co_await stream().readBody(attemptDeadline());
+        bytes += reader.body().size();
+        reader.body().clear();
+        if (result != ReadResult::Ok || bytes > maxSkippedBytes) {
+            co_return false;
+        }
+    }
+    if (!reader.head().keepAlive) {
+        co_return false;
+    }
+    reader.reset(m_call.head().method == "HEAD");
+    co_return true;
+}
+
+bool UpstreamExchange::answersOther(const HttpHead &response) const
+{
+    const auto &name = m_call.core.options.headers.requestId;
+    if (name.empty()) {
+        return false;
+    }
+    const auto *asked = m_call.head().find(name);
+    const auto *answered = response.find(name);
+    return asked != nullptr && answered != nullptr && *asked != *answered;
+}
+
+bool UpstreamExchange::isGenuine(const HttpHead &response) const
+{
+    const auto &names = m_call.core.options.headers;
+    if (names.signature.empty() || response.status < 200 || response.status >= 300) {
+        return true;
+    }
+    // The proxy asks for the body without an encoding, so an encoded one is not what the target was asked for.
+    return response.find(names.signature) != nullptr && response.find("content-encoding") == nullptr
+        && (names.requestId.empty() || response.find(names.requestId) != nullptr);
+}
+
+void UpstreamExchange::takeReport()
+{
+    if (!m_lease.isRemote()) {
+        return;
+    }
+    const auto *value = stream().reader().head().find(loadHeaderName);
+    const auto report = value != nullptr ? LoadReport::parse(*value) : std::nullopt;
+    m_reachedTarget = !report || report->arrived;
+    if (report) {
+        m_call.core.balancer.recordReport(m_lease, *report, now());
+    }
+}
+
+LoadReport UpstreamExchange::report() const
+{
+    return m_call.core.balancer.reportOf(m_lease, statesNotRun());
+}
+
+bool UpstreamExchange::statesNotRun() const
+{
+    const auto &head = m_connection->stream.reader().head();
+    if (m_lease.isRemote()) {
+        const auto *outcome = head.find("x-hornbeam-outcome");
+        return outcome != nullptr && *outcome == "not-run";
+    }
+    const auto &name = m_call.core.options.headers.notExecuted;
+    return !name.empty() && (head.find(name) != nullptr || head.status == 421);
+}
+
+bool UpstreamExchange::reachedTarget() const
+{
+    return !m_lease.isRemote() || m_reachedTarget;
+}
+
+bool UpstreamExchange::isFailureOfPeer() const
+{
+    return m_lease.isRemote() && m_connection->stream.reader().head().find("x-hornbeam-outcome") != nullptr;
+}
+
+asio::awaitable<AttemptStatus> UpstreamExchange::readWhole(std::size_t limit)
+{
+    auto &reader = stream().reader();
+    if (m_call.head().method == "HEAD" || statusHasNoBody(reader.head().status)
+        || reader.head().contentLength.value_or(0) > limit) {
+        co_return AttemptStatus::Response;
+    }
+    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit) {
+        const auto result = co_await stream().readMore(attemptDeadline());
+        if (result == ReadResult::TimedOut) {
+            co_return handleTimeout();
+        }
+        if (result == ReadResult::Cancelled) {
+            co_return AttemptStatus::CallerFailed;
+        }
+        if (result != ReadResult::Ok) {
+            m_call.core.metrics.truncatedResponses.add();
+            co_return AttemptStatus::BadResponse;
+        }
     }
+    co_return AttemptStatus::Response;
 }
 
 AttemptStatus UpstreamExchange::statusOf(ReadResult result) const
@@ -238,7 +411,7 @@
     auto &reader = stream().reader();
     const bool complete = reader.state() == HttpMessageReader::State::Complete;
     if (complete && m_bodySent && reader.head().keepAlive && !stream().hasUnparsedBytes()) {
-        m_connection->lastAlive = now();
+        m_connection->noteResponse(now());
         m_call.watch.setCancel(nullptr);
         m_call.pool.put(std::move(m_connection));
     }
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -47,6 +47,33 @@
         return m_lease;
     }
 
+    /**
+     * Reads the rest of the response if it has at most @p limit bytes; a longer one stays to be streamed. Returns
+     * Response, or why the response is not complete.
+     */
+    asio::awaitable<AttemptStatus> readWhole(std::size_t limit);
+
+    /** The load of the target, for the node that sent the request. */
+    LoadReport report() const;
+
+    /** Opens a connection to @p target; true when nothing listens there. The connection is kept for later requests. */
+    asio::awaitable<bool> isRefusedBy(const Endpoint &target);
+
+    /** Whether nothing listened at the target's address. */
+    bool isRefused() const
+    {
+        return m_refused;
+    }
+
+    /** Whether the response states that the request did not run and will not. */
+    bool statesNotRun() const;
+
+    /** Whether the request got as far as the target, although the target refused it. */
+    bool reachedTarget() const;
+
+    /** Whether the response was made by the target's node because the target gave none. */
+    bool isFailureOfPeer() const;
+
     /** Whether the target may have received any part of the request. */
     bool hasSent() const
     {
@@ -57,7 +84,13 @@
     void finish();
 
 private:
+    asio::awaitable<bool> open(const Endpoint &target);
     std::string formatHead() const;
+    void appendHopHeaders(std::string &out) const;
+    void takeReport();
+    bool isGenuine(const HttpHead &response) const;
+    bool answersOther(const HttpHead &response) const;
+    asio::awaitable<bool> skipResponse();
     asio::awaitable<AttemptStatus> send();
     asio::awaitable<AttemptStatus> streamBody(bool chunked);
     asio::awaitable<AttemptStatus> readHead();
@@ -73,6 +106,8 @@
     std::uint64_t m_acknowledgedBefore = 0;
     std::uint64_t m_sentBytes = 0;
     bool m_bodySent = false;
+    bool m_refused = false;
+    bool m_reachedTarget = false;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/upstreampool.cpp
+++ b/libs/proxy/src/upstreampool.cpp
@@ -1,5 +1,7 @@
 #include "upstreampool.h"
 
+#include <algorithm>
+
 namespace Hornbeam {
 
 UpstreamPool::UpstreamPool(UpstreamPoolOptions options)
@@ -7,17 +9,18 @@
 {
 }
 
-UpstreamConnectionPtr UpstreamPool::take(const Endpoint &target, TimePoint now)
+UpstreamConnectionPtr UpstreamPool::take(const Endpoint &target, TimePoint now, Duration maxIdle)
 {
     const auto idle = m_idle.find(target);
     if (idle == m_idle.end()) {
         return nullptr;
     }
     auto &connections = idle->second;
-    while (!connections.empty()) {
+    // The last one rested least, so none of the others is fresh enough when it is not.
+    while (!connections.empty() && now - connections.back()->lastAlive <= maxIdle) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        const bool fresh = connection->lastAlive + m_options.idleTimeout > now;
+        const bool fresh = !isExpired(*connection, now);
         // Bytes on an idle connection would be taken for the next response.
         if (fresh && connection->stream.socket().isQuiet()) {
             connection->reused = true;
@@ -47,12 +50,16 @@
 void UpstreamPool::closeExpired(TimePoint now)
 {
     for (auto &[target, connections] : m_idle) {
-        std::erase_if(connections,
-                      [&](const auto &connection) { return connection->lastAlive + m_options.idleTimeout <= now; });
+        std::erase_if(connections, [&](const auto &connection) { return isExpired(*connection, now); });
     }
     std::erase_if(m_idle, [](const auto &it) { return it.second.empty(); });
 }
 
+bool UpstreamPool::isExpired(const UpstreamConnection &connection, TimePoint now) const
+{
+    return now - connection.lastAlive >= std::min<Duration>(m_options.idleTimeout, connection.idleTimeout);
+}
+
 void UpstreamPool::clear()
 {
     m_idle.clear();
--- a/libs/proxy/src/upstreampool.h
+++ b/libs/proxy/src/upstreampool.h
@@ -19,8 +19,9 @@
 public:
     explicit UpstreamPool(UpstreamPoolOptions options);
 
-    /** Takes the most recently used idle connection that its target has not closed, or null. */
-    UpstreamConnectionPtr take(const Endpoint &target, TimePoint now);
+    /** Takes the most recently used idle connection that its target has not closed, or null. @p maxIdle: longest rest.
+     */
+    UpstreamConnectionPtr take(const Endpoint &target, TimePoint now, Duration maxIdle = Duration::max());
 
     void put(UpstreamConnectionPtr connection);
 
@@ -38,6 +39,8 @@
     std::size_t size() const;
 
 private:
+    bool isExpired(const UpstreamConnection &connection, TimePoint now) const;
+
     UpstreamPoolOptions m_options;
     std::map<Endpoint, std::vector<UpstreamConnectionPtr>> m_idle; ///< The most recently used one is last.
 };
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,8 @@
 {
     std::string zone; ///< Availability zone. Required.
     std::string region; ///< Region of the zone. Required.
+    std::string targetService; ///< Service of the target on this host; empty for none.
+    std::optional<Endpoint> targetAddress; ///< Its address, if only processes on this host can reach it.
 
     friend auto operator<=>(const NodeSettings &, const NodeSettings &) = default;
 };
@@ -35,6 +38,10 @@
     std::chrono::milliseconds drainBound{30000}; ///< Longest graceful shutdown. 0..3600000.
     std::uint32_t retryBudgetPercent = 10; ///< 0..100.
     std::chrono::milliseconds slowStart{10000}; ///< 0..600000.
+    std::optional<Endpoint> relayListen; ///< Where other nodes send requests for the targets of this host.
+    double retryBudgetRatio = 0; ///< Retries of all nodes per request of a service, 0..1; 0 uses the percentage.
+    std::uint32_t retryBudgetReserve = 0; ///< Further retries of all nodes in the budget's window. 0..100000.
+    std::chrono::milliseconds stopNotice{500}; ///< Requests are still taken for this time after a stop. 0..60000.
 
     friend auto operator<=>(const TrafficSettings &, const TrafficSettings &) = default;
 };
@@ -43,6 +50,7 @@
 struct AdminSettings
 {
     Endpoint listen; ///< Required.
+    std::optional<Endpoint> healthListen; ///< A second listener, for those who only ask whether the node is ready.
 
     friend auto operator<=>(const AdminSettings &, const AdminSettings &) = default;
 };
@@ -84,9 +92,16 @@
     friend auto operator<=>(const LogSettings &, const LogSettings &) = default;
 };
 
+/** Whose interfaces the process uses towards its environment. */
+enum class Environment {
+    Standalone, ///< The project's own ones and an etcd store.
+    Platform, ///< Those of the users' platform, see platform/.
+};
+
 /** The settings of a hornbeamd process. */
 struct Settings
 {
+    Environment environment = Environment::Standalone;
     NodeSettings node;
     TrafficSettings traffic;
     AdminSettings admin;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -111,7 +111,10 @@
 
 NodeSettings readNode(Section section)
 {
-    return {.zone = section.name("zone"), .region = section.name("region")};
+    NodeSettings node{.zone = section.name("zone"), .region = section.name("region")};
+    node.targetService = section.reader().optionalString("targetService").value_or("");
+    node.targetAddress = section.optionalEndpoint("targetAddress");
+    return node;
 }
 
 TrafficSettings readTraffic(Section section)
@@ -125,13 +128,21 @@
     traffic.idleTimeout = section.duration("idleTimeoutMs", traffic.idleTimeout, {100, 3600000});
     traffic.drainBound = section.duration("drainBoundMs", traffic.drainBound, {0, 3600000});
     traffic.retryBudgetPercent = section.count("retryBudgetPercent", traffic.retryBudgetPercent, {0, 100});
+    traffic.relayListen = section.optionalEndpoint("relayListen");
+    traffic.retryBudgetRatio =
+        section.reader().optionalNumber("retryBudgetRatio", {.minimum = 0, .maximum = 1}).value_or(0);
+    traffic.retryBudgetReserve = section.count("retryBudgetReserve", traffic.retryBudgetReserve, {0, 100000});
+    traffic.stopNotice = section.duration("stopNoticeMs", traffic.stopNotice, {0, 60000});
     traffic.slowStart = section.duration("slowStartMs", traffic.slowStart, {0, 600000});
     return traffic;
 }
 
 AdminSettings readAdmin(Section section)
 {
-    return {.listen = section.endpoint("listen")};
+    AdminSettings admin;
+    admin.listen = section.endpoint("listen");
+    admin.healthListen = section.optionalEndpoint("healthListen");
+    return admin;
 }
 
 PeerSettings readPeer(Section section)
@@ -174,6 +185,15 @@
     return {.level = LogLevel::Info};
 }
 
+Environment readEnvironment(JsonReader &reader)
+{
+    const auto text = reader.optionalString("environment").value_or("standalone");
+    if (text != "standalone" && text != "platform") {
+        reader.report("environment", "must be one of standalone, platform");
+    }
+    return text == "platform" ? Environment::Platform : Environment::Standalone;
+}
+
 Settings readSettings(const nlohmann::json &document, JsonProblems &problems)
 {
     JsonReader reader(document, "$", problems);
@@ -181,6 +201,7 @@
         return Section(reader.object(key), reader.pathOf(key), problems);
     };
     Settings settings;
+    settings.environment = readEnvironment(reader);
     settings.node = readNode(required("node"));
     settings.traffic = readTraffic(required("traffic"));
     settings.admin = readAdmin(required("admin"));
--- a/libs/store/include/hornbeam/store/etcdprotocol.h
+++ b/libs/store/include/hornbeam/store/etcdprotocol.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/base/error.h>
 #include <hornbeam/store/keyvaluestore.h>
+#include <hornbeam/store/storeprotocol.h>
 #include <hornbeam/store/transaction.h>
 
 #include <chrono>
@@ -23,17 +24,6 @@
 inline constexpr const char *leaseRevokePath = "/v3/lease/revoke";
 inline constexpr const char *watchPath = "/v3/watch";
 
-/** One message of a watch stream. */
-struct WatchMessage
-{
-    std::int64_t revision = 0; ///< Revision of the store when it sent the message.
-    bool created = false; ///< The watch has started.
-    bool cancelled = false; ///< The store ended the watch.
-    std::int64_t compactRevision = 0; ///< Set when the start revision is no longer available.
-    std::string cancelReason;
-    std::vector<KeyValue> changes; ///< As WatchListener::changed() receives them.
-};
-
 std::string encodeRangeRequest(const RangeRequest &request);
 std::string encodeTransaction(const Transaction &transaction);
 std::string encodeLeaseGrantRequest(std::chrono::seconds timeToLive);
--- a/libs/store/include/hornbeam/store/etcdstore.h
+++ b/libs/store/include/hornbeam/store/etcdstore.h
@@ -1,60 +1,19 @@
 #pragma once
 
-#include <hornbeam/base/endpoint.h>
-#include <hornbeam/store/keyvaluestore.h>
-
-#include <chrono>
-#include <cstdint>
-#include <memory>
-#include <string>
-#include <vector>
+#include <hornbeam/store/httpstore.h>
 
 namespace Hornbeam {
 
-class Executor;
-class MetricsRegistry;
-
-struct EtcdStoreOptions
-{
-    std::vector<Endpoint> endpoints; ///< At least one; a failure moves on to the next one.
-    std::string localAddress{}; ///< Numeric source address of the connections; empty lets the system choose.
-    std::chrono::milliseconds connectTimeout{500}; ///< 1 ms or more.
-    std::chrono::milliseconds requestTimeout{2000}; ///< Bound of a call, connecting included. 1 ms or more.
-    /**
-     * A watch without any message for this time ends with Unavailable, since its connection may be silent. The store's
-     * progress interval should be well below it; otherwise an idle watch is restarted once per timeout.
-     */
-    std::chrono::milliseconds watchIdleTimeout{6000};
-    std::uint32_t maxCallsInFlight = 64; ///< Further calls are refused with Overloaded; watches do not count.
-};
+using EtcdStoreOptions = HttpStoreOptions;
 
-/**
- * The platform's store over the etcd v3 JSON gateway. One I/O thread runs all transfers.
- * Functions may be called from any thread; callbacks and listeners run through the executor. Destroying the store, on
- * the executor's thread, drops the callbacks that have not run yet. A write is never sent twice.
- */
-class EtcdStore : public KeyValueStore
+/** Makes stores that speak the etcd v3 JSON gateway. */
+class EtcdStore
 {
 public:
-    /** Starts the I/O thread. InvalidArgument for options out of range. Connects with the first call. */
-    static Result<std::unique_ptr<EtcdStore>> make(EtcdStoreOptions options,
+    /** As HttpStore::make(). */
+    static Result<std::unique_ptr<HttpStore>> make(EtcdStoreOptions options,
                                                    Executor &executor,
                                                    MetricsRegistry &metrics);
-
-    ~EtcdStore() override;
-
-    void range(RangeRequest request, Callback<RangeResult> callback) override;
-    void commit(Transaction transaction, Callback<TransactionResult> callback) override;
-    void grantLease(std::chrono::seconds timeToLive, Callback<LeaseGrant> callback) override;
-    void keepLeaseAlive(LeaseId lease, Callback<LeaseGrant> callback) override;
-    void revokeLease(LeaseId lease, Callback<bool> callback) override;
-    [[nodiscard]] std::unique_ptr<Watch> watch(WatchRequest request, WatchListener &listener) override;
-
-private:
-    class Impl;
-    explicit EtcdStore(std::shared_ptr<Impl> impl);
-
-    std::shared_ptr<Impl> m_impl;
 };
 
 } // namespace Hornbeam
--- a/libs/store/include/hornbeam/store/keyvaluestore.h
+++ b/libs/store/include/hornbeam/store/keyvaluestore.h
@@ -45,12 +45,15 @@
     bool prefix = false;
     std::int64_t limit = 0; ///< Maximum number of keys; 0 is no limit.
     bool keysOnly = false;
+    bool mayBeStale = false; ///< The answer may be seconds old; cheaper where the store offers such reads.
+    std::string after{}; ///< Only keys after this one; empty for all.
 };
 
 struct RangeResult
 {
     std::vector<KeyValue> entries;
     std::int64_t revision = 0; ///< Revision of the store when it answered.
+    bool more = false; ///< Further keys follow after the last entry. KeyValueStore::range() reads them all.
 };
 
 struct LeaseGrant
--- a/libs/store/src/etcdstore.cpp
+++ b/libs/store/src/etcdstore.cpp
@@ -1,563 +1,109 @@
-#include <hornbeam/base/executor.h>
-#include <hornbeam/base/metrics.h>
 #include <hornbeam/store/etcdprotocol.h>
 #include <hornbeam/store/etcdstore.h>
-
-#include "transfer.h"
-
-#include <arpa/inet.h>
-
-#include <algorithm>
-#include <array>
-#include <atomic>
-#include <map>
-#include <mutex>
-#include <thread>
-#include <utility>
+#include <hornbeam/store/storeprotocol.h>
 
 namespace Hornbeam {
 
 namespace {
 
-/** Idle connections are closed after this time, well below the idle timeout of common servers. */
-constexpr std::chrono::seconds maxIdleAge(30);
-
-/**
- * After a failed transfer, new connections are used for this time. Other pooled connections may be as silent as the
- * one that failed, and each would cost a call its whole timeout.
- */
-constexpr std::chrono::seconds freshConnectionTime(3);
-
-/** Pooled connections; one call in flight uses one connection. */
-constexpr long maxPooledConnections = 8;
+constexpr int statusOk = 200;
 
-/** Longest wait of the I/O thread; also the resolution of the watch idle timeout. */
-constexpr int pollMilliseconds = 250;
-
-enum class CallKind {
-    Range,
-    Commit,
-    GrantLease,
-    KeepLeaseAlive,
-    RevokeLease,
-    Watch,
-};
-
-constexpr std::size_t callKinds = 6;
-constexpr std::array<const char *, callKinds> callNames = {
-    "range", "commit", "grant_lease", "keep_lease_alive", "revoke_lease", "watch"};
-
-struct CallMetrics
-{
-    Counter *calls = nullptr;
-    Counter *failures = nullptr;
-    LatencyRecorder *latency = nullptr;
-};
-
-/** Shared by the owner of a watch and the I/O thread. */
-struct WatchState
-{
-    WatchListener *listener = nullptr; ///< Executor's thread only; null once the watch has ended.
-    std::uint64_t transfer = 0;
-};
-
-using WatchStatePtr = std::shared_ptr<WatchState>;
-
-Error toError(const TransferResult &result, bool write)
-{
-    if (result.code == CURLE_OK) {
-        return EtcdProtocol::decodeError(result.status, result.body, write);
-    }
-    const auto code = write && result.sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
-    return {code, std::string("store call failed: ") + curl_easy_strerror(result.code)};
-}
-
-bool isNumericAddress(const std::string &address)
-{
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    return inet_pton(AF_INET, address.c_str(), buffer.data()) == 1
-        || inet_pton(AF_INET6, address.c_str(), buffer.data()) == 1;
-}
-
-void initCurl()
-{
-    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
-    static_cast<void>(initialised);
-}
-
-} // namespace
-
-class EtcdStore::Impl : public std::enable_shared_from_this<Impl>
+/** Maps the operations to the messages of EtcdProtocol. */
+class EtcdStoreProtocol : public StoreProtocol
 {
 public:
-    Impl(EtcdStoreOptions options, Executor &executor, MetricsRegistry &metrics);
-    ~Impl();
-
-    void start();
-    void stop();
-
-    template <typename T>
-    void call(
-        CallKind kind, const char *path, std::string body, Result<T> (*decode)(std::string_view), Callback<T> done);
-
-    std::unique_ptr<Watch> watch(const WatchRequest &request, WatchListener &listener);
-    void endWatch(const WatchState &state);
-
-private:
-    class WatchHandle;
-
-    struct Running
+    WatchStyle watchStyle() const override
     {
-        CallKind kind = CallKind::Range;
-        std::unique_ptr<Transfer> transfer;
-        std::function<void(TransferResult)> finished;
-        std::uint64_t bytesReceived = 0; ///< Part of the transfer's bytes that the counter already includes.
-        bool sentCounted = false;
-    };
-
-    using Finished = std::function<void(TransferResult)>;
-
-    void submit(std::function<void()> command);
-    void post(std::function<void()> work);
-    void run();
-    void runCommands();
-    void begin(std::uint64_t id, CallKind kind, const char *path, std::string body, Finished finished);
-    void beginWatch(std::uint64_t id, std::string body, const WatchStatePtr &state);
-    void watchBytes(const WatchStatePtr &state, std::string &buffer, std::string_view bytes);
-    void watchMessage(const WatchStatePtr &state, std::string_view line);
-    void postEnded(const WatchStatePtr &state, Error error);
-    void finishCompleted();
-    void finishIdleWatches();
-    void finish(std::uint64_t id, CURLcode code);
-    void countBytes(Running &running);
-    void noteFailure();
-    TransferOptions transferOptions(CallKind kind, const char *path, std::string body) const;
-
-    EtcdStoreOptions m_options;
-    Executor &m_executor;
-    std::array<CallMetrics, callKinds> m_metrics;
-    Counter &m_bytesSent;
-    Counter &m_bytesReceived;
-    std::atomic<std::uint32_t> m_inFlight = 0;
-    std::atomic<std::uint64_t> m_nextTransfer = 1;
-
-    CURLM *m_multi;
-    std::map<std::uint64_t, Running> m_running;
-    std::size_t m_endpoint = 0;
-    TimePoint m_lastFailure;
-
-    std::mutex m_mutex;
-    std::vector<std::function<void()>> m_commands;
-    bool m_stopping = false;
-    std::thread m_thread;
-};
+        return WatchStyle::Stream;
+    }
 
-class EtcdStore::Impl::WatchHandle : public Watch
-{
-public:
-    WatchHandle(std::weak_ptr<Impl> impl, WatchStatePtr state)
-        : m_impl(std::move(impl))
-        , m_state(std::move(state))
+    std::chrono::milliseconds watchWait() const override
     {
+        return std::chrono::milliseconds(0);
     }
 
-    ~WatchHandle() override
+    StoreCall rangeCall(const RangeRequest &request) const override
     {
-        m_state->listener = nullptr;
-        if (const auto impl = m_impl.lock()) {
-            impl->endWatch(*m_state);
-        }
+        return {.path = EtcdProtocol::rangePath, .body = EtcdProtocol::encodeRangeRequest(request)};
     }
 
-private:
-    std::weak_ptr<Impl> m_impl;
-    WatchStatePtr m_state;
-};
-
-EtcdStore::Impl::Impl(EtcdStoreOptions options, Executor &executor, MetricsRegistry &metrics)
-    : m_options(std::move(options))
-    , m_executor(executor)
-    , m_bytesSent(metrics.counter("hornbeam_store_bytes_sent_total", "Bytes sent to the store, HTTP framing included."))
-    , m_bytesReceived(metrics.counter("hornbeam_store_bytes_received_total",
-                                      "Bytes received from the store, HTTP framing included."))
-    , m_multi(curl_multi_init())
-{
-    for (std::size_t i = 0; i < callKinds; ++i) {
-        const std::vector<MetricLabel> labels = {{.name = "call", .value = callNames[i]}};
-        m_metrics[i] = {
-            .calls = &metrics.counter("hornbeam_store_calls_total", "Calls to the store.", labels),
-            .failures = &metrics.counter("hornbeam_store_failures_total", "Calls to the store that failed.", labels),
-            .latency = &metrics.latency("hornbeam_store_call_seconds", "Time until the store answered.", labels)};
+    Result<StoreCall> commitCall(const Transaction &transaction) const override
+    {
+        return StoreCall{.path = EtcdProtocol::transactionPath, .body = EtcdProtocol::encodeTransaction(transaction)};
     }
-    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxPooledConnections);
-}
 
-EtcdStore::Impl::~Impl()
-{
-    for (const auto &[id, running] : m_running) {
-        curl_multi_remove_handle(m_multi, running.transfer->handle());
+    StoreCall grantLeaseCall(std::chrono::milliseconds timeToLive) const override
+    {
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeToLive);
+        return {.path = EtcdProtocol::leaseGrantPath, .body = EtcdProtocol::encodeLeaseGrantRequest(seconds)};
     }
-    m_running.clear();
-    curl_multi_cleanup(m_multi);
-}
-
-void EtcdStore::Impl::start()
-{
-    m_thread = std::thread([this] { run(); });
-}
 
-void EtcdStore::Impl::stop()
-{
+    StoreCall keepLeaseAliveCall(LeaseId lease) const override
     {
-        const std::lock_guard lock(m_mutex);
-        m_stopping = true;
+        return {.path = EtcdProtocol::leaseKeepAlivePath, .body = EtcdProtocol::encodeLeaseRequest(lease)};
     }
-    curl_multi_wakeup(m_multi);
-    m_thread.join();
-}
 
-template <typename T>
-void EtcdStore::Impl::call(
-    CallKind kind, const char *path, std::string body, Result<T> (*decode)(std::string_view), Callback<T> done)
-{
-    const bool write = kind != CallKind::Range;
-    const auto &metrics = m_metrics[static_cast<std::size_t>(kind)];
-    metrics.calls->add();
-    if (m_inFlight.fetch_add(1) >= m_options.maxCallsInFlight) {
-        m_inFlight.fetch_sub(1);
-        metrics.failures->add();
-        post([done = std::move(done)] { done(makeError(ErrorCode::Overloaded, "too many store calls in flight")); });
-        return;
+    StoreCall revokeLeaseCall(LeaseId lease) const override
+    {
+        return {.path = EtcdProtocol::leaseRevokePath, .body = EtcdProtocol::encodeLeaseRequest(lease)};
     }
-    const auto started = std::chrono::steady_clock::now();
-    auto finished = [this, write, &metrics, started, decode, done = std::move(done)](const TransferResult &transfer) {
-        m_inFlight.fetch_sub(1);
-        metrics.latency->record(std::chrono::steady_clock::now() - started);
-        Result<T> result = tl::make_unexpected(toError(transfer, write));
-        if (transfer.code == CURLE_OK && transfer.status == 200) {
-            result = decode(transfer.body);
-            if (!result && result.error().code() == ErrorCode::InvalidArgument) {
-                const auto code = write ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
-                result = makeError(code, "unreadable answer of the store: " + result.error().message());
-            }
-        }
-        if (!result) {
-            metrics.failures->add();
-        }
-        post([done, result = std::move(result)]() mutable { done(std::move(result)); });
-    };
-    const auto id = m_nextTransfer.fetch_add(1);
-    submit([this, id, kind, path, body = std::move(body), finished = std::move(finished)]() mutable {
-        begin(id, kind, path, std::move(body), std::move(finished));
-    });
-}
-
-std::unique_ptr<Watch> EtcdStore::Impl::watch(const WatchRequest &request, WatchListener &listener)
-{
-    m_metrics[static_cast<std::size_t>(CallKind::Watch)].calls->add();
-    const auto state = std::make_shared<WatchState>();
-    state->listener = &listener;
-    state->transfer = m_nextTransfer.fetch_add(1);
-    submit([this, state, body = EtcdProtocol::encodeWatchRequest(request)]() mutable {
-        beginWatch(state->transfer, std::move(body), state);
-    });
-    return std::make_unique<WatchHandle>(weak_from_this(), state);
-}
 
-void EtcdStore::Impl::endWatch(const WatchState &state)
-{
-    submit([this, id = state.transfer] {
-        if (const auto it = m_running.find(id); it != m_running.end()) {
-            countBytes(it->second);
-            curl_multi_remove_handle(m_multi, it->second.transfer->handle());
-            m_running.erase(it);
-        }
-    });
-}
-
-void EtcdStore::Impl::submit(std::function<void()> command)
-{
+    StoreCall watchCall(const WatchRequest &request) const override
     {
-        const std::lock_guard lock(m_mutex);
-        m_commands.push_back(std::move(command));
+        return {.path = EtcdProtocol::watchPath, .body = EtcdProtocol::encodeWatchRequest(request)};
     }
-    curl_multi_wakeup(m_multi);
-}
 
-void EtcdStore::Impl::post(std::function<void()> work)
-{
-    m_executor.post([alive = weak_from_this(), work = std::move(work)] {
-        if (!alive.expired()) {
-            work();
-        }
-    });
-}
-
-void EtcdStore::Impl::run()
-{
-    while (true) {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_stopping) {
-                return;
-            }
-        }
-        runCommands();
-        int stillRunning = 0;
-        curl_multi_perform(m_multi, &stillRunning);
-        finishCompleted();
-        finishIdleWatches();
-        for (auto &[id, running] : m_running) {
-            countBytes(running);
-        }
-        curl_multi_poll(m_multi, nullptr, 0, pollMilliseconds, nullptr);
+    Result<RangeResult> decodeRange(const RangeRequest & /*request*/, const StoreReply &reply) const override
+    {
+        return reply.status == statusOk ? EtcdProtocol::decodeRangeResult(reply.body) : failure<RangeResult>(reply);
     }
-}
 
-void EtcdStore::Impl::runCommands()
-{
-    std::vector<std::function<void()>> commands;
+    Result<TransactionResult> decodeCommit(const Transaction & /*transaction*/, const StoreReply &reply) const override
     {
-        const std::lock_guard lock(m_mutex);
-        commands.swap(m_commands);
+        return reply.status == statusOk ? EtcdProtocol::decodeTransactionResult(reply.body)
+                                        : failure<TransactionResult>(reply, true);
     }
-    for (const auto &command : commands) {
-        command();
-    }
-}
 
-void EtcdStore::Impl::begin(std::uint64_t id, CallKind kind, const char *path, std::string body, Finished finished)
-{
-    Running running;
-    running.kind = kind;
-    running.transfer = std::make_unique<Transfer>(transferOptions(kind, path, std::move(body)));
-    running.finished = std::move(finished);
-    curl_multi_add_handle(m_multi, running.transfer->handle());
-    m_running.emplace(id, std::move(running));
-}
-
-void EtcdStore::Impl::beginWatch(std::uint64_t id, std::string body, const WatchStatePtr &state)
-{
-    begin(id, CallKind::Watch, EtcdProtocol::watchPath, std::move(body), [this, state](const TransferResult &result) {
-        if (result.code == CURLE_OK && result.status == 200) {
-            postEnded(state, Error(ErrorCode::Unavailable, "the store closed the watch"));
-        } else {
-            postEnded(state, toError(result, false));
-        }
-    });
-    auto *transfer = m_running.at(id).transfer.get();
-    transfer->setBodySink([this, state, transfer, buffer = std::string()](std::string_view bytes) mutable {
-        if (transfer->status() == 200) {
-            watchBytes(state, buffer, bytes);
-        }
-    });
-}
-
-void EtcdStore::Impl::watchBytes(const WatchStatePtr &state, std::string &buffer, std::string_view bytes)
-{
-    buffer.append(bytes);
-    std::size_t begin = 0;
-    for (auto end = buffer.find('\n'); end != std::string::npos; end = buffer.find('\n', begin)) {
-        watchMessage(state, std::string_view(buffer).substr(begin, end - begin));
-        begin = end + 1;
+    Result<LeaseGrant> decodeLeaseGrant(const StoreReply &reply) const override
+    {
+        return reply.status == statusOk ? EtcdProtocol::decodeLeaseGrant(reply.body) : failure<LeaseGrant>(reply, true);
     }
-    buffer.erase(0, begin);
-}
 
-void EtcdStore::Impl::watchMessage(const WatchStatePtr &state, std::string_view line)
-{
-    auto message = EtcdProtocol::decodeWatchMessage(line);
-    if (!message) {
-        postEnded(state, Error(ErrorCode::Unavailable, message.error().message()));
-        return;
-    }
-    if (message->cancelled) {
-        const auto code = message->compactRevision != 0 ? ErrorCode::Conflict : ErrorCode::Unavailable;
-        postEnded(state, Error(code, "the store cancelled the watch: " + message->cancelReason));
-        return;
-    }
-    if (!message->changes.empty()) {
-        post([state, changes = std::move(message->changes)] {
-            if (state->listener != nullptr) {
-                state->listener->changed(changes);
-            }
-        });
+    Result<LeaseGrant> decodeKeepAlive(LeaseId /*lease*/, const StoreReply &reply) const override
+    {
+        return reply.status == statusOk ? EtcdProtocol::decodeKeepAlive(reply.body) : failure<LeaseGrant>(reply, true);
     }
-}
 
-void EtcdStore::Impl::postEnded(const WatchStatePtr &state, Error error)
-{
-    m_metrics[static_cast<std::size_t>(CallKind::Watch)].failures->add();
-    post([this, state, error = std::move(error)] {
-        if (auto *listener = std::exchange(state->listener, nullptr)) {
-            endWatch(*state);
-            listener->ended(error);
-        }
-    });
-}
-
-void EtcdStore::Impl::finishCompleted()
-{
-    int queued = 0;
-    while (const auto *message = curl_multi_info_read(m_multi, &queued)) {
-        if (message->msg != CURLMSG_DONE) {
-            continue;
-        }
-        const auto it = std::find_if(m_running.begin(), m_running.end(), [message](const auto &entry) {
-            return entry.second.transfer->handle() == message->easy_handle;
-        });
-        if (it != m_running.end()) {
-            finish(it->first, message->data.result);
-        }
+    Result<bool> decodeRevoke(const StoreReply &reply) const override
+    {
+        return reply.status == statusOk ? Result<bool>(true) : failure<bool>(reply, true);
     }
-}
 
-void EtcdStore::Impl::finishIdleWatches()
-{
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<std::uint64_t> idle;
-    for (const auto &[id, running] : m_running) {
-        if (running.kind == CallKind::Watch && now - running.transfer->lastActivity() >= m_options.watchIdleTimeout) {
-            idle.push_back(id);
-        }
-    }
-    for (const auto id : idle) {
-        finish(id, CURLE_OPERATION_TIMEDOUT);
+    Result<WatchMessage> decodeWatch(const StoreReply &reply) const override
+    {
+        return EtcdProtocol::decodeWatchMessage(reply.body);
     }
-}
 
-void EtcdStore::Impl::finish(std::uint64_t id, CURLcode code)
-{
-    auto node = m_running.extract(id);
-    auto &running = node.mapped();
-    curl_multi_remove_handle(m_multi, running.transfer->handle());
-    countBytes(running);
-    if (!running.sentCounted) {
-        m_bytesSent.add(running.transfer->bytesSent());
-    }
-    if (code != CURLE_OK) {
-        noteFailure();
+    Error decodeError(const StoreReply &reply) const override
+    {
+        return EtcdProtocol::decodeError(reply.status, reply.body, false);
     }
-    running.finished(running.transfer->finish(code));
-}
 
-// Watches run for a long time, so bytes are counted while they arrive. The request is counted with the first byte of
-// the response, or when the transfer ends.
-void EtcdStore::Impl::countBytes(Running &running)
-{
-    const auto received = running.transfer->bytesReceived();
-    m_bytesReceived.add(received - running.bytesReceived);
-    running.bytesReceived = received;
-    if (received > 0 && !running.sentCounted) {
-        running.sentCounted = true;
-        m_bytesSent.add(running.transfer->bytesSent());
+private:
+    template <typename T>
+    static Result<T> failure(const StoreReply &reply, bool write = false)
+    {
+        return tl::unexpected(EtcdProtocol::decodeError(reply.status, reply.body, write));
     }
-}
-
-void EtcdStore::Impl::noteFailure()
-{
-    m_lastFailure = std::chrono::steady_clock::now();
-    m_endpoint = (m_endpoint + 1) % m_options.endpoints.size();
-}
+};
 
-TransferOptions EtcdStore::Impl::transferOptions(CallKind kind, const char *path, std::string body) const
-{
-    const auto sinceFailure =
-        std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now() - m_lastFailure);
-    // Connections last used before the failure stay excluded after the first seconds, by their idle age.
-    const auto ageBound = std::clamp(sinceFailure - std::chrono::seconds(1), std::chrono::seconds(1), maxIdleAge);
-    return {.url = "http://" + m_options.endpoints[m_endpoint].toString() + path,
-            .body = std::move(body),
-            .localAddress = m_options.localAddress,
-            .connectTimeout = m_options.connectTimeout,
-            .timeout = kind == CallKind::Watch ? std::chrono::milliseconds(0) : m_options.requestTimeout,
-            .freshConnection = kind == CallKind::Watch || sinceFailure < freshConnectionTime,
-            .maxIdleAge = ageBound,
-            .repeatable = kind == CallKind::Range};
-}
+} // namespace
 
-Result<std::unique_ptr<EtcdStore>> EtcdStore::make(EtcdStoreOptions options,
+Result<std::unique_ptr<HttpStore>> EtcdStore::make(EtcdStoreOptions options,
                                                    Executor &executor,
                                                    MetricsRegistry &metrics)
 {
-    const std::chrono::milliseconds shortest(1);
-    if (options.endpoints.empty()) {
-        return makeError(ErrorCode::InvalidArgument, "the store needs at least one endpoint");
-    }
-    if (!options.localAddress.empty() && !isNumericAddress(options.localAddress)) {
-        return makeError(ErrorCode::InvalidArgument, "the local address of the store is not an IP address");
-    }
-    if (options.connectTimeout < shortest || options.requestTimeout < shortest || options.watchIdleTimeout < shortest) {
-        return makeError(ErrorCode::InvalidArgument, "the timeouts of the store are at least 1 ms");
-    }
-    if (options.maxCallsInFlight == 0) {
-        return makeError(ErrorCode::InvalidArgument, "the store needs at least one call in flight");
-    }
-    initCurl();
-    auto impl = std::make_shared<Impl>(std::move(options), executor, metrics);
-    impl->start();
-    return std::unique_ptr<EtcdStore>(new EtcdStore(std::move(impl)));
-}
-
-EtcdStore::EtcdStore(std::shared_ptr<Impl> impl)
-    : m_impl(std::move(impl))
-{
-}
-
-EtcdStore::~EtcdStore()
-{
-    m_impl->stop();
-}
-
-void EtcdStore::range(RangeRequest request, Callback<RangeResult> callback)
-{
-    m_impl->call<RangeResult>(CallKind::Range,
-                              EtcdProtocol::rangePath,
-                              EtcdProtocol::encodeRangeRequest(request),
-                              &EtcdProtocol::decodeRangeResult,
-                              std::move(callback));
-}
-
-void EtcdStore::commit(Transaction transaction, Callback<TransactionResult> callback)
-{
-    m_impl->call<TransactionResult>(CallKind::Commit,
-                                    EtcdProtocol::transactionPath,
-                                    EtcdProtocol::encodeTransaction(transaction),
-                                    &EtcdProtocol::decodeTransactionResult,
-                                    std::move(callback));
-}
-
-void EtcdStore::grantLease(std::chrono::seconds timeToLive, Callback<LeaseGrant> callback)
-{
-    m_impl->call<LeaseGrant>(CallKind::GrantLease,
-                             EtcdProtocol::leaseGrantPath,
-                             EtcdProtocol::encodeLeaseGrantRequest(timeToLive),
-                             &EtcdProtocol::decodeLeaseGrant,
-                             std::move(callback));
-}
-
-void EtcdStore::keepLeaseAlive(LeaseId lease, Callback<LeaseGrant> callback)
-{
-    m_impl->call<LeaseGrant>(CallKind::KeepLeaseAlive,
-                             EtcdProtocol::leaseKeepAlivePath,
-                             EtcdProtocol::encodeLeaseRequest(lease),
-                             &EtcdProtocol::decodeKeepAlive,
-                             std::move(callback));
-}
-
-void EtcdStore::revokeLease(LeaseId lease, Callback<bool> callback)
-{
-    m_impl->call<bool>(
-        CallKind::RevokeLease,
-        EtcdProtocol::leaseRevokePath,
-        EtcdProtocol::encodeLeaseRequest(lease),
-        [](std::string_view) { return Result<bool>(true); },
-        std::move(callback));
-}
-
-std::unique_ptr<Watch> EtcdStore::watch(WatchRequest request, WatchListener &listener)
-{
-    return m_impl->watch(request, listener);
+    return HttpStore::make(std::move(options), std::make_unique<EtcdStoreProtocol>(), executor, metrics);
 }
 
 } // namespace Hornbeam
--- a/libs/store/src/transfer.cpp
+++ b/libs/store/src/transfer.cpp
@@ -1,5 +1,9 @@
 #include "transfer.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -49,8 +53,15 @@
     curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
     curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(m_handle, CURLOPT_TCP_KEEPALIVE, 1L);
-    curl_easy_setopt(m_handle, CURLOPT_POST, 1L);
-    curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_options.body.size()));
+    curl_easy_setopt(m_handle, CURLOPT_TCP_KEEPIDLE, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_TCP_KEEPINTVL, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_SOCKOPTFUNCTION, &Transfer::setSocketOptions);
+    if (m_options.method == "POST") {
+        curl_easy_setopt(m_handle, CURLOPT_POST, 1L);
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_options.body.size()));
+    } else if (m_options.method != "GET") {
+        curl_easy_setopt(m_handle, CURLOPT_CUSTOMREQUEST, m_options.method.c_str());
+    }
     curl_easy_setopt(m_handle, CURLOPT_READFUNCTION, &Transfer::readBody);
     curl_easy_setopt(m_handle, CURLOPT_READDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_SEEKFUNCTION, &Transfer::seekBody);
@@ -69,6 +80,22 @@
     }
 }
 
+// A waiting watch sends nothing, so only probes of the kernel show that its connection has become silent.
+int Transfer::setSocketOptions(void * /*self*/, curl_socket_t socket, curlsocktype /*purpose*/)
+{
+    const int idleSeconds = 1;
+    const int probeSeconds = 1;
+    const int probes = 2;
+    const unsigned int unacknowledgedMs = 3000;
+    const bool set = ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds)) == 0
+        && ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds)) == 0
+        && ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes)) == 0
+        && ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unacknowledgedMs)) == 0;
+    // Without the options, the timeouts of the calls still end a silent connection, only later.
+    static_cast<void>(set);
+    return CURL_SOCKOPT_OK;
+}
+
 Transfer::~Transfer()
 {
     curl_easy_cleanup(m_handle);
--- a/libs/store/src/transfer.h
+++ b/libs/store/src/transfer.h
@@ -25,6 +25,7 @@
 struct TransferOptions
 {
     std::string url;
+    std::string method = "POST"; ///< GET, POST or DELETE.
     std::string body;
     std::string localAddress;
     std::chrono::milliseconds connectTimeout{0};
@@ -34,7 +35,7 @@
     bool repeatable = false; ///< The request may be sent again on a new connection when a pooled one turns out closed.
 };
 
-/** One HTTP POST on a libcurl easy handle. Used on the I/O thread only. */
+/** One HTTP call on a libcurl easy handle. Used on the I/O thread only. */
 class Transfer
 {
 public:
@@ -80,6 +81,7 @@
     }
 
 private:
+    static int setSocketOptions(void *self, curl_socket_t socket, curlsocktype purpose);
     static std::size_t readBody(char *buffer, std::size_t size, std::size_t count, void *self);
     static int seekBody(void *self, curl_off_t offset, int origin);
     static std::size_t writeBody(char *bytes, std::size_t size, std::size_t count, void *self);
--- a/libs/store/tests/etcdstoretest.cpp
+++ b/libs/store/tests/etcdstoretest.cpp
@@ -53,7 +53,7 @@
     AsioExecutor executor{context};
     MetricsRegistry metrics;
     CountingListener listener;
-    std::unique_ptr<EtcdStore> store;
+    std::unique_ptr<HttpStore> store;
 
     void connect(const Endpoint &endpoint)
     {
--- a/tools/storestandin/src/storestandin.cpp
+++ b/tools/storestandin/src/storestandin.cpp
@@ -80,7 +80,7 @@
         m_response.append_header(restinio::http_field::content_type, "application/json");
     }
 
-    void send(const EtcdProtocol::WatchMessage &message)
+    void send(const WatchMessage &message)
     {
         m_response.append_chunk(EtcdProtocol::encodeWatchMessage(message));
         m_response.flush();
@@ -88,7 +88,7 @@
 
     void changed(const std::vector<KeyValue> &changes) override
     {
-        EtcdProtocol::WatchMessage message;
+        WatchMessage message;
         message.revision = changes.back().modRevision;
         message.changes = changes;
         send(message);
@@ -96,7 +96,7 @@
 
     void ended(const Error &error) override
     {
-        EtcdProtocol::WatchMessage message;
+        WatchMessage message;
         message.cancelled = true;
         message.compactRevision = error.code() == ErrorCode::Conflict ? 1 : 0;
         message.cancelReason = error.message();
@@ -350,7 +350,7 @@
         }
         const auto id = request->connection_id();
         auto stream = std::make_unique<WatchStream>(request, [this, id] { m_streams.erase(id); });
-        EtcdProtocol::WatchMessage created;
+        WatchMessage created;
         created.created = true;
         created.revision = m_store.revision();
         stream->send(created);
@@ -363,7 +363,7 @@
         if (m_silent) {
             return;
         }
-        EtcdProtocol::WatchMessage progress;
+        WatchMessage progress;
         progress.revision = m_store.revision();
         for (const auto &[id, stream] : m_streams) {
             stream->send(progress);
