--- a/tools/storestandin/tests/storestandintest.cpp
+++ b/tools/storestandin/tests/storestandintest.cpp
@@ -73,7 +73,7 @@
     AsioExecutor executor{context};
     MetricsRegistry metrics;
     std::unique_ptr<StoreStandin> standin;
-    std::unique_ptr<EtcdStore> store;
+    std::unique_ptr<HttpStore> store;
     RecordingListener listener;
 
     void setup() override
