Admit calls of running requests first and late requests last

Requests that could no longer meet their objective filled the queues, so that the others missed theirs as well.

A request now has a rank: calls of a request that runs at a target of the own host first, then by priority, and each priority's late requests after those in time. A late request waits 100 ms at most. A route whose requests call another service is refused while requests of its rank would wait more than 60 ms there; the dependency is learned from the calls themselves. A response that failed because of a call is not repeated elsewhere. Reports of the load carry the waiting requests by rank.

A request that is given up resets its connection to the other node, so that a broken link does not deliver it later.

Ruled out: ranking such calls by the priority of their request (work at the first service would still be lost).

Unit tests of these libraries pass; the new decisions have no tests of their own yet.

--- a/libs/proxy/src/admissioncontroller.cpp
+++ b/libs/proxy/src/admissioncontroller.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-QueuedRequest::QueuedRequest(Priority priority, TimePoint deadline, TimePoint latestStart)
-    : m_priority(priority)
+QueuedRequest::QueuedRequest(AdmissionRank rank, TimePoint deadline, TimePoint latestStart)
+    : m_rank(rank)
     , m_deadline(deadline)
     , m_latestStart(latestStart)
 {
@@ -27,18 +27,18 @@
                                                         std::uint32_t slots,
                                                         TimePoint now)
 {
-    const auto priority = request->priority();
-    if (queuedAtOrAbove(priority) == 0 && request->tryStart()) {
+    const auto rank = request->rank();
+    if (queuedAhead(rank) == 0 && request->tryStart()) {
         return Verdict::Started;
     }
-    const auto start = now + estimatedWait(priority, slots);
+    const auto start = now + estimatedWait(rank, slots);
     if (start + m_averageDuration > request->deadline() || start > request->latestStart()) {
         return Verdict::TooLate;
     }
-    if (queued() >= m_maxQueued && !displaceBelow(priority)) {
+    if (queued() >= m_maxQueued && !displaceBelow(rank)) {
         return Verdict::QueueFull;
     }
-    m_queues[static_cast<std::size_t>(priority)].push_back(request);
+    m_queues[rank.value()].push_back(request);
     return Verdict::Queued;
 }
 
@@ -64,7 +64,7 @@
 
 void AdmissionController::remove(const QueuedRequestPtr &request)
 {
-    auto &queue = m_queues[static_cast<std::size_t>(request->priority())];
+    auto &queue = m_queues[request->rank().value()];
     queue.erase(std::remove(queue.begin(), queue.end(), request), queue.end());
 }
 
@@ -74,9 +74,9 @@
     m_averageDuration += (duration - m_averageDuration) / (first ? 1 : averageWeight);
 }
 
-Duration AdmissionController::estimatedWait(Priority priority, std::uint32_t slots) const
+Duration AdmissionController::estimatedWait(AdmissionRank rank, std::uint32_t slots) const
 {
-    const auto ahead = static_cast<Duration::rep>(queuedAtOrAbove(priority)) + 1;
+    const auto ahead = static_cast<Duration::rep>(queuedAhead(rank)) + 1;
     return m_averageDuration * ahead / std::max<std::uint32_t>(slots, 1);
 }
 
@@ -89,18 +89,27 @@
     return n;
 }
 
-std::size_t AdmissionController::queuedAtOrAbove(Priority priority) const
+std::size_t AdmissionController::queuedAhead(AdmissionRank rank) const
 {
     std::size_t n = 0;
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+    for (std::size_t i = 0; i <= rank.value(); ++i) {
         n += m_queues[i].size();
     }
     return n;
 }
 
-bool AdmissionController::displaceBelow(Priority priority)
+std::array<std::uint32_t, AdmissionRank::count> AdmissionController::queuedByRank() const
 {
-    for (std::size_t i = m_queues.size() - 1; i > static_cast<std::size_t>(priority); --i) {
+    std::array<std::uint32_t, AdmissionRank::count> counts{};
+    for (std::size_t i = 0; i < m_queues.size(); ++i) {
+        counts[i] = static_cast<std::uint32_t>(m_queues[i].size());
+    }
+    return counts;
+}
+
+bool AdmissionController::displaceBelow(AdmissionRank rank)
+{
+    for (std::size_t i = m_queues.size() - 1; i > rank.value(); --i) {
         if (!m_queues[i].empty()) {
             const auto displaced = m_queues[i].back();
             m_queues[i].pop_back();
--- a/libs/proxy/src/admissioncontroller.h
+++ b/libs/proxy/src/admissioncontroller.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "admissionrank.h"
+
 #include <hornbeam/base/timerservice.h>
-#include <hornbeam/config/route.h>
 
 #include <array>
 #include <cstdint>
@@ -15,7 +16,7 @@
 {
 public:
     /** @p latestStart: when the request gives up waiting, although its deadline may be later. */
-    QueuedRequest(Priority priority, TimePoint deadline, TimePoint latestStart = TimePoint::max());
+    QueuedRequest(AdmissionRank rank, TimePoint deadline, TimePoint latestStart = TimePoint::max());
     virtual ~QueuedRequest() = default;
 
     /** Takes a slot of a target that suits the request; false when none is free. */
@@ -30,9 +31,9 @@
     /** Told once when the request left the queue without a slot. */
     virtual void rejected() = 0;
 
-    Priority priority() const
+    AdmissionRank rank() const
     {
-        return m_priority;
+        return m_rank;
     }
 
     TimePoint deadline() const
@@ -46,7 +47,7 @@
     }
 
 private:
-    Priority m_priority;
+    AdmissionRank m_rank;
     TimePoint m_deadline;
     TimePoint m_latestStart;
 };
@@ -54,9 +55,9 @@
 using QueuedRequestPtr = std::shared_ptr<QueuedRequest>;
 
 /**
- * Admits the requests of one service to its slots and queues the others by priority.
+ * Admits the requests of one service to its slots and queues the others by rank.
  * A request that would probably not finish before its deadline is refused at once instead of waiting in vain. When the
- * queue is full, a request of higher priority displaces the newest one of the lowest priority. Not thread-safe.
+ * queue is full, a request of a better rank displaces the newest one of the worst rank. Not thread-safe.
  */
 class AdmissionController
 {
@@ -82,11 +83,17 @@
     /** Learns how long a request held its slot. */
     void recordDuration(Duration duration);
 
-    /** Estimated wait of a new request of @p priority with @p slots slots. */
-    Duration estimatedWait(Priority priority, std::uint32_t slots) const;
+    /** Estimated wait of a new request of @p rank with @p slots slots. */
+    Duration estimatedWait(AdmissionRank rank, std::uint32_t slots) const;
 
     std::size_t queued() const;
 
+    /** Requests that wait and come before a new one of @p rank. */
+    std::size_t queuedAhead(AdmissionRank rank) const;
+
+    /** Requests that wait, by rank. */
+    std::array<std::uint32_t, AdmissionRank::count> queuedByRank() const;
+
     /** Mean time that recent requests held their slots. */
     Duration averageDuration() const
     {
@@ -96,11 +103,10 @@
 private:
     using Queue = std::deque<QueuedRequestPtr>;
 
-    std::size_t queuedAtOrAbove(Priority priority) const;
-    bool displaceBelow(Priority priority);
+    bool displaceBelow(AdmissionRank rank);
 
     std::uint32_t m_maxQueued;
-    std::array<Queue, 3> m_queues; ///< By priority.
+    std::array<Queue, AdmissionRank::count> m_queues; ///< By rank.
     Duration m_averageDuration = Duration::zero();
 };
 
--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -43,6 +43,8 @@
         } else if (exchange.statesNotRun()) {
             // Its node never sends a target more requests than it has slots, so a refusal is a fault of the target.
             balancer.recordRejection(exchange.lease(), now);
+        } else if (exchange.dependencyFailed()) {
+            balancer.recordReach(exchange.lease(), now);
         } else if (isFailureStatus(exchange.stream().reader().head().status)) {
             balancer.recordFailure(exchange.lease(), now);
         } else {
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -17,6 +17,15 @@
 /** Wait at a target that was expected to have a free slot, so that small errors of the estimate cost no round trip. */
 constexpr std::chrono::milliseconds shortWait{40};
 
+/**
+ * Requests that make calls are refused while requests of their rank would wait longer than this at the service that
+ * they call. Their calls come first there, so they would otherwise push out what is as urgent as they are.
+ */
+constexpr std::chrono::milliseconds dependencyWait{60};
+
+/** Longest wait of a request whose response will miss its objective. */
+constexpr std::chrono::milliseconds lateWait{100};
+
 /** Time for writing a refusal after the request's deadline has passed. */
 constexpr auto refusalTime = std::chrono::seconds(1);
 
@@ -69,7 +78,12 @@
     , started(std::chrono::steady_clock::now())
     , deadline(started + timeoutOf(callerStream.reader().head(), matchedRoute, serverCore.options))
 {
-    if (route.latencyObjective.count() > 0) {
+    const auto *id = requestId();
+    nested = id != nullptr && core.running.isCall(*id);
+    if (nested) {
+        core.running.callStarted(*id, service.name);
+    }
+    if (!nested && route.latencyObjective.count() > 0) {
         const auto given = callerDeadline(head(), core.options.headers);
         objective = started + route.latencyObjective - core.callerAges.ageOf(route.name, given);
     }
@@ -101,17 +115,54 @@
 {
 }
 
+const std::string *CallContext::requestId() const
+{
+    const auto &name = core.options.headers.requestId;
+    return name.empty() ? nullptr : head().find(name);
+}
+
+AdmissionRank CallContext::rank() const
+{
+    if (relay) {
+        return relay->rank;
+    }
+    if (nested) {
+        return AdmissionRank::nested();
+    }
+    const AdmissionRank inTime = route.priority;
+    return late ? inTime.late() : inTime;
+}
+
+const std::string &CallContext::routeName() const
+{
+    return relay ? relay->route : route.name;
+}
+
+bool CallContext::isDependencyBusy() const
+{
+    if (nested || core.options.headers.requestId.empty()) {
+        return false;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto dependencies = core.running.dependenciesOf(routeName());
+    return std::any_of(dependencies.begin(), dependencies.end(), [&](const ServiceDependency &dependency) {
+        return core.balancer.shortestWait(dependency.service, rank(), now) > dependencyWait;
+    });
+}
+
 void CallContext::updateLatestStart()
 {
-    if (origin == CallOrigin::Peer || objective == TimePoint::max()) {
+    const bool knowsService = !core.options.headers.requestId.empty();
+    if (origin == CallOrigin::Peer || (objective == TimePoint::max() && !knowsService)) {
         return;
     }
     const auto typical =
         std::chrono::duration_cast<Duration>(core.balancer.typicalServiceTime(service.name) * serviceTimeMargin);
     const auto now = std::chrono::steady_clock::now();
     const auto inTime = std::min(objective, deadline) - typical;
-    // A response that misses the objective is still worth something, so it may wait as long as it can be served.
-    latestStart = inTime >= now ? inTime : std::max(now, deadline - typical);
+    late = inTime < now;
+    // Where many requests wait for long, all are late. One that is late anyway only takes a slot that is free soon.
+    latestStart = late ? std::clamp(deadline - typical, now, now + lateWait) : inTime;
 }
 
 Duration CallContext::waitToOffer(TimePoint now)
@@ -148,6 +199,7 @@
     auto report = core.balancer.reportOf(service.name, relay->target);
     if (report) {
         report->arrived = arrivedAtTarget;
+        report->dependencyFailed = dependencyFailed;
     }
     return report ? std::string(loadHeaderName) + ": " + report->format() + "\r\n" : std::string();
 }
@@ -168,6 +220,11 @@
     return head().keepAlive && body.isComplete() && !core.draining.load(std::memory_order_relaxed);
 }
 
+bool CallContext::canKeepAliveAfterRefusal() const
+{
+    return canKeepAlive() && core.connections.load(std::memory_order_relaxed) < core.options.maxConnections / 2;
+}
+
 asio::awaitable<void> CallContext::refuse(Refusal refusal)
 {
     if (sentToTarget && refusal.outcome == RefusalOutcome::NotRun) {
@@ -175,7 +232,8 @@
     }
     watch.stop();
     core.metrics.countResponse(route.name, refusal.status);
-    RefusalFormat format{.version = state->snapshot->version(), .keepAlive = canKeepAlive(), .headers = loadHeader()};
+    RefusalFormat format{
+        .version = state->snapshot->version(), .keepAlive = canKeepAliveAfterRefusal(), .headers = loadHeader()};
     keepOpen = co_await writeRefusal(core, caller, refusal, std::move(format));
 }
 
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -62,6 +62,9 @@
     TimePoint objective = TimePoint::max(); ///< Until then, the response has its full worth.
     TimePoint latestStart = TimePoint::max(); ///< The request waits for a slot until then.
     Duration expectedWait = Duration::zero(); ///< At the targets, when the request last looked for one.
+    bool nested = false; ///< A request that runs at a target of this host makes this call.
+    bool late = false; ///< The response will miss its objective.
+    bool dependencyFailed = false; ///< Reported to the node that sent the request.
     bool arrivedAtTarget = false; ///< A target has refused the request.
     bool offeredWholeWait = false; ///< The last target could let the request wait until its latest start.
     Duration waited = Duration::zero(); ///< Time spent waiting for others, which is not the proxy's own time.
@@ -83,6 +86,18 @@
         return !core.options.headers.signature.empty();
     }
 
+    /** The caller's identifier of the request, or null. */
+    const std::string *requestId() const;
+
+    /** Order in which the request gets a slot. */
+    AdmissionRank rank() const;
+
+    /** Name of the route that the request matched, here or at the node that sent it. */
+    const std::string &routeName() const;
+
+    /** Whether a service that requests of the route call has so little room that their calls would push others out. */
+    bool isDependencyBusy() const;
+
     /** Sets how long the request may wait for a slot, from its objective and the time that targets take. */
     void updateLatestStart();
 
@@ -98,6 +113,9 @@
     /** Whether the caller's connection can take another request after this one. */
     bool canKeepAlive() const;
 
+    /** The same after a refusal: callers that are refused open further connections, and the node must not run out. */
+    bool canKeepAliveAfterRefusal() const;
+
     /** Writes a refusal to the caller and counts it. "Not run" becomes "unknown" once a target got anything. */
     asio::awaitable<void> refuse(Refusal refusal);
 
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -179,7 +179,6 @@
     route.service = relay.service;
     route.idempotent = relay.repeatable;
     route.identity = RequestIdentitySource::Attempt;
-    route.priority = relay.priority;
     CallContext call(m_core, m_pool, m_context, m_stream, state, relay, route, service);
     co_return co_await serveCall(call);
 }
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -170,7 +170,7 @@
                               TimePoint now)
 {
     request->m_pinned = load;
-    request->m_expectedWait = service.admission.estimatedWait(request->priority(), load->slots);
+    request->m_expectedWait = service.admission.estimatedWait(request->rank(), load->slots);
     return applyVerdict(service.admission.admit(request, load->slots, now), *request);
 }
 
@@ -181,8 +181,9 @@
     const PlacementQuery query{.requiredLabels = options.requiredLabels,
                                .excluded = options.excluded,
                                .maxWait = std::max(latest - now, Duration::zero()),
+                               .rank = options.rank,
                                .bulk = options.bulk};
-    auto placement = m_placement.choose(service.targets, query, service.admission.queued(), now);
+    auto placement = m_placement.choose(service.targets, query, service.admission.queuedAhead(options.rank), now);
     request->m_expectedWait = placement.expectedWait;
     switch (placement.verdict) {
     case PlacementPolicy::Verdict::NoTarget:
@@ -291,7 +292,7 @@
     load.failureRate = report.failuresPerMille / 1000.0;
 }
 
-LoadReport LoadBalancer::reportOf(const SlotLease &lease, bool arrived) const
+LoadReport LoadBalancer::reportOf(const SlotLease &lease) const
 {
     const std::lock_guard lock(m_mutex);
     const auto service = m_services.find(lease.m_service);
@@ -300,7 +301,6 @@
     }
     auto report = makeReport(*lease.m_load, service->second);
     report.running -= std::min(report.running, 1U);
-    report.arrived = arrived;
     return report;
 }
 
@@ -316,12 +316,23 @@
 {
     constexpr double perMille = 1000;
     return {.running = load.outstanding,
-            .waiting = static_cast<std::uint32_t>(service.admission.queued()),
+            .waiting = service.admission.queuedByRank(),
             .slots = load.slots,
             .serviceTime = std::chrono::duration_cast<std::chrono::milliseconds>(load.serviceTime),
             .failuresPerMille = static_cast<std::uint32_t>(load.failureRate * perMille)};
 }
 
+Duration LoadBalancer::shortestWait(const std::string &service, AdmissionRank rank, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return Duration::zero();
+    }
+    const PlacementQuery query{.requiredLabels = {}, .excluded = {}, .rank = rank};
+    return m_placement.shortestWait(it->second.targets, query, it->second.admission.queuedAhead(rank), now);
+}
+
 Duration LoadBalancer::typicalServiceTime(const std::string &service) const
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -54,11 +54,14 @@
     void recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now);
 
     /** The load of a target on this host for the other nodes, without the request that @p lease belongs to. */
-    LoadReport reportOf(const SlotLease &lease, bool arrived) const;
+    LoadReport reportOf(const SlotLease &lease) const;
 
     /** The load of the target of that name on this host; nothing when there is none. */
     std::optional<LoadReport> reportOf(const std::string &service, const std::string &ownTarget) const;
 
+    /** Shortest time that a request of @p rank is expected to wait for a slot of the service; zero without targets. */
+    Duration shortestWait(const std::string &service, AdmissionRank rank, TimePoint now);
+
     /** Mean time of a request at the targets of a service. */
     Duration typicalServiceTime(const std::string &service) const;
 
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -29,9 +29,9 @@
 }
 
 /** Requests of other nodes that the last report counts. */
-double requestsOfOthers(const TargetLoad &load)
+double requestsOfOthers(const TargetLoad &load, AdmissionRank rank)
 {
-    const auto reported = load.report.running + load.report.waiting;
+    const auto reported = load.report.ahead(rank);
     return reported > load.outstandingAtReport ? reported - load.outstandingAtReport : 0;
 }
 
@@ -45,10 +45,10 @@
 
 PlacementPolicy::Placement PlacementPolicy::choose(std::span<const TargetLoadPtr> targets,
                                                    const PlacementQuery &query,
-                                                   std::size_t ownWaiting,
+                                                   std::size_t ownAhead,
                                                    TimePoint now)
 {
-    updateMeanOccupancy(targets, now);
+    updateMeanOccupancy(targets, query.rank, now);
     Placement best;
     double lowest = std::numeric_limits<double>::max();
     Duration shortest = Duration::max();
@@ -58,7 +58,7 @@
             if (load->isEjected(now) != ejected || !isSuitable(*load, query)) {
                 continue;
             }
-            const auto requests = expectedRequests(*load, ownWaiting, now);
+            const auto requests = expectedRequests(*load, query.rank, ownAhead, now);
             const auto wait = expectedWait(*load, requests);
             shortest = std::min(shortest, wait);
             const auto cost = costOf(*load, query, requests, now);
@@ -79,6 +79,21 @@
     return best;
 }
 
+Duration PlacementPolicy::shortestWait(std::span<const TargetLoadPtr> targets,
+                                       const PlacementQuery &query,
+                                       std::size_t ownAhead,
+                                       TimePoint now)
+{
+    updateMeanOccupancy(targets, query.rank, now);
+    Duration shortest = Duration::max();
+    for (const auto &load : targets) {
+        if (!load->isEjected(now) && isSuitable(*load, query)) {
+            shortest = std::min(shortest, expectedWait(*load, expectedRequests(*load, query.rank, ownAhead, now)));
+        }
+    }
+    return shortest == Duration::max() ? Duration::zero() : shortest;
+}
+
 Duration PlacementPolicy::expectedWait(const TargetLoad &load, double requests) const
 {
     const auto ahead = requests + 1 - load.slots;
@@ -89,17 +104,20 @@
     return std::chrono::duration_cast<Duration>(wait);
 }
 
-double PlacementPolicy::expectedRequests(const TargetLoad &load, std::size_t ownWaiting, TimePoint now) const
+double PlacementPolicy::expectedRequests(const TargetLoad &load,
+                                         AdmissionRank rank,
+                                         std::size_t ownAhead,
+                                         TimePoint now) const
 {
     if (!load.isRemote()) {
-        return load.outstanding + static_cast<double>(load.own ? ownWaiting : 0);
+        return load.outstanding + static_cast<double>(load.own ? ownAhead : 0);
     }
     const auto mean = m_meanOccupancy * load.slots;
     if (load.reportedAt == TimePoint::min()) {
         return load.outstanding + mean;
     }
     const auto weight = std::exp(-milliseconds(now - load.reportedAt) / milliseconds(m_options.reportLifetime));
-    return load.outstanding + weight * requestsOfOthers(load) + (1 - weight) * mean;
+    return load.outstanding + weight * requestsOfOthers(load, rank) + (1 - weight) * mean;
 }
 
 double PlacementPolicy::costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now)
@@ -121,14 +139,14 @@
     return cost + std::uniform_real_distribution<double>(0, milliseconds(m_options.noise))(m_random);
 }
 
-void PlacementPolicy::updateMeanOccupancy(std::span<const TargetLoadPtr> targets, TimePoint now)
+void PlacementPolicy::updateMeanOccupancy(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now)
 {
     double requests = 0;
     double slots = 0;
     for (const auto &load : targets) {
         if (load->isRemote() && load->reportedAt != TimePoint::min()
             && now - load->reportedAt <= 2 * m_options.reportLifetime) {
-            requests += requestsOfOthers(*load);
+            requests += requestsOfOthers(*load, rank);
             slots += load->slots;
         }
     }
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -32,6 +32,7 @@
     std::span<const Label> requiredLabels; ///< Sorted.
     std::span<const Endpoint> excluded; ///< Targets that refused or failed the request.
     Duration maxWait = Duration::zero(); ///< Longest time that the request may wait for a slot.
+    AdmissionRank rank = Priority::Normal;
     bool bulk = false; ///< The response is large.
 };
 
@@ -60,19 +61,25 @@
 
     explicit PlacementPolicy(PlacementOptions options);
 
-    /** @p ownWaiting: requests that wait at the target on this host. */
+    /** @p ownAhead: requests that wait at the target on this host and come before this one. */
     Placement choose(std::span<const TargetLoadPtr> targets,
                      const PlacementQuery &query,
-                     std::size_t ownWaiting,
+                     std::size_t ownAhead,
                      TimePoint now);
 
+    /** The shortest expected wait at any target that is not ejected; zero when there is none. */
+    Duration shortestWait(std::span<const TargetLoadPtr> targets,
+                          const PlacementQuery &query,
+                          std::size_t ownAhead,
+                          TimePoint now);
+
     /** Expected time until a new request would get a slot of @p load. */
     Duration expectedWait(const TargetLoad &load, double requests) const;
 
 private:
-    double expectedRequests(const TargetLoad &load, std::size_t ownWaiting, TimePoint now) const;
+    double expectedRequests(const TargetLoad &load, AdmissionRank rank, std::size_t ownAhead, TimePoint now) const;
     double costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now);
-    void updateMeanOccupancy(std::span<const TargetLoadPtr> targets, TimePoint now);
+    void updateMeanOccupancy(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now);
     Duration serviceTimeOf(const TargetLoad &load) const;
 
     PlacementOptions m_options;
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -1,7 +1,9 @@
 #include "relayheader.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <numeric>
 #include <vector>
 
 namespace Hornbeam {
@@ -65,47 +67,70 @@
 
 std::string RelayRequest::format() const
 {
-    return target + ';' + service + ';' + milliseconds(left) + ';' + milliseconds(maxWait) + ';'
-        + milliseconds(objective) + ';' + std::to_string(static_cast<int>(priority)) + ';' + (repeatable ? '1' : '0');
+    return target + ';' + service + ';' + route + ';' + milliseconds(left) + ';' + milliseconds(maxWait) + ';'
+        + milliseconds(objective) + ';' + std::to_string(rank.value()) + ';' + (repeatable ? '1' : '0');
 }
 
 std::optional<RelayRequest> RelayRequest::parse(std::string_view text)
 {
-    constexpr std::size_t names = 2;
+    constexpr std::size_t names = 3;
     const auto parts = split(text, ';');
-    const auto values = numbers<5>(parts, names, {maxMilliseconds, maxMilliseconds, maxMilliseconds, 2, 1});
+    const auto values =
+        numbers<5>(parts, names, {maxMilliseconds, maxMilliseconds, maxMilliseconds, AdmissionRank::count - 1, 1});
     if (!values) {
         return std::nullopt;
     }
-    const auto &[left, maxWait, objective, priority, repeatable] = *values;
+    const auto &[left, maxWait, objective, rank, repeatable] = *values;
     return RelayRequest{.target = std::string(parts[0]),
                         .service = std::string(parts[1]),
+                        .route = std::string(parts[2]),
                         .left = std::chrono::milliseconds(left),
                         .maxWait = std::chrono::milliseconds(maxWait),
                         .objective = std::chrono::milliseconds(objective),
-                        .priority = static_cast<Priority>(priority),
+                        .rank = AdmissionRank::fromValue(rank),
                         .repeatable = repeatable == 1};
 }
 
+std::uint32_t LoadReport::ahead(AdmissionRank rank) const
+{
+    return std::accumulate(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(rank.value()) + 1, running);
+}
+
 std::string LoadReport::format() const
 {
-    return std::to_string(running) + ',' + std::to_string(waiting) + ',' + std::to_string(slots) + ','
-        + milliseconds(serviceTime) + ',' + std::to_string(failuresPerMille) + ',' + (arrived ? '1' : '0');
+    auto text = std::to_string(running);
+    for (const auto n : waiting) {
+        text += ',' + std::to_string(n);
+    }
+    return text + ',' + std::to_string(slots) + ',' + milliseconds(serviceTime) + ',' + std::to_string(failuresPerMille)
+        + ',' + (arrived ? '1' : '0') + ',' + (dependencyFailed ? '1' : '0');
 }
 
 std::optional<LoadReport> LoadReport::parse(std::string_view text)
 {
-    const auto values = numbers<6>(split(text, ','), 0, {maxCount, maxCount, maxSlots, maxMilliseconds, 1000, 1});
-    if (!values || (*values)[2] == 0) {
+    constexpr auto ranks = AdmissionRank::count;
+    std::array<std::uint64_t, ranks + 6> maxima{};
+    maxima.fill(maxCount);
+    maxima[ranks + 1] = maxSlots;
+    maxima[ranks + 2] = maxMilliseconds;
+    maxima[ranks + 3] = 1000;
+    maxima[ranks + 4] = 1;
+    maxima[ranks + 5] = 1;
+    const auto values = numbers<ranks + 6>(split(text, ','), 0, maxima);
+    if (!values || (*values)[ranks + 1] == 0) {
         return std::nullopt;
     }
-    const auto &[running, waiting, slots, serviceTime, failures, arrived] = *values;
-    return LoadReport{.running = static_cast<std::uint32_t>(running),
-                      .waiting = static_cast<std::uint32_t>(waiting),
-                      .slots = static_cast<std::uint32_t>(slots),
-                      .serviceTime = std::chrono::milliseconds(serviceTime),
-                      .failuresPerMille = static_cast<std::uint32_t>(failures),
-                      .arrived = arrived == 1};
+    LoadReport report;
+    report.running = static_cast<std::uint32_t>((*values)[0]);
+    for (std::size_t i = 0; i < ranks; ++i) {
+        report.waiting[i] = static_cast<std::uint32_t>((*values)[1 + i]);
+    }
+    report.slots = static_cast<std::uint32_t>((*values)[ranks + 1]);
+    report.serviceTime = std::chrono::milliseconds((*values)[ranks + 2]);
+    report.failuresPerMille = static_cast<std::uint32_t>((*values)[ranks + 3]);
+    report.arrived = (*values)[ranks + 4] == 1;
+    report.dependencyFailed = (*values)[ranks + 5] == 1;
+    return report;
 }
 
 } // namespace Hornbeam
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "admissionrank.h"
+
 #include <hornbeam/base/timerservice.h>
-#include <hornbeam/config/route.h>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,10 +23,11 @@
 {
     std::string target; ///< Name of the target; it must be the one on the receiving host.
     std::string service; ///< Service that the target must belong to.
+    std::string route; ///< Name of the route that the request matched.
     std::chrono::milliseconds left{0}; ///< Until the response is of no use.
     std::chrono::milliseconds maxWait{0}; ///< Longest time in the queue of the target.
     std::chrono::milliseconds objective{0}; ///< Until the response is worth less; 0 for none or when it has passed.
-    Priority priority = Priority::Normal;
+    AdmissionRank rank = Priority::Normal;
     bool repeatable = true; ///< The request may run more than once.
 
     std::string format() const;
@@ -39,11 +42,15 @@
 struct LoadReport
 {
     std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
+    std::array<std::uint32_t, AdmissionRank::count> waiting{}; ///< By rank.
     std::uint32_t slots = 1; ///< Requests that run at the same time. 1..10000.
     std::chrono::milliseconds serviceTime{0}; ///< Mean time of a recent request; 0 when there was none.
     std::uint32_t failuresPerMille = 0; ///< Share of recent requests that failed at the target. 0..1000.
     bool arrived = false; ///< The request reached the target, which refused it.
+    bool dependencyFailed = false; ///< A service that the request calls has no room, or a call of it failed.
+
+    /** Requests that run or come before a new one of @p rank. */
+    std::uint32_t ahead(AdmissionRank rank) const;
 
     std::string format() const;
 
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -28,6 +28,11 @@
 
 asio::awaitable<void> RoutedCall::run()
 {
+    if (m_call.isDependencyBusy()) {
+        m_call.dependencyFailed = true;
+        co_await refuse(notRunRefusal("a service that the request calls is busy", m_call));
+        co_return;
+    }
     auto grant = co_await waitForSlot(m_call, {});
     if (!grant.lease) {
         co_await refuse(refusalFor(grant, m_call));
@@ -148,6 +153,10 @@
 
 bool RoutedCall::mayTryAgain(const UpstreamExchange &exchange, AttemptStatus status, Verdict verdict)
 {
+    // Another target would call the same service.
+    if (exchange.dependencyFailed()) {
+        return false;
+    }
     const auto now = std::chrono::steady_clock::now();
     if (m_sends >= maxSends || m_call.body.isPartlyConsumed() || m_call.watch.isGone() || now >= m_call.deadline) {
         return false;
@@ -224,6 +233,9 @@
     ResponseForwarder forwarder(m_call, exchange);
     const bool complete = co_await forwarder.forward();
     m_call.core.metrics.countResponse(m_call.route.name, code);
+    if (m_call.nested && (!complete || code >= 400)) {
+        m_call.core.running.callFailed(*m_call.requestId());
+    }
     if (complete) {
         clearCrashSuspicion(m_call);
         exchange.finish();
@@ -232,6 +244,9 @@
 
 asio::awaitable<void> RoutedCall::refuse(Refusal refusal)
 {
+    if (m_call.nested) {
+        m_call.core.running.callFailed(*m_call.requestId());
+    }
     if (m_call.watch.isGone()) {
         m_call.core.metrics.cancelled.add();
         m_call.caller.socket().close();
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -4,6 +4,7 @@
 #include "crashsuspects.h"
 #include "loadbalancer.h"
 #include "proxymetrics.h"
+#include "runningrequests.h"
 #include "splitchooser.h"
 
 #include <hornbeam/proxy/proxyserver.h>
@@ -27,6 +28,7 @@
     ProxyMetrics metrics;
     CallerAges callerAges;
     SplitChooser splits;
+    RunningRequests running;
     std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::size_t> connections = 0;
     std::atomic<bool> draining = false;
--- a/libs/proxy/src/slotrequest.cpp
+++ b/libs/proxy/src/slotrequest.cpp
@@ -5,7 +5,7 @@
 namespace Hornbeam {
 
 SlotRequest::SlotRequest(LoadBalancer &balancer, SlotRequestOptions options)
-    : QueuedRequest(options.priority, options.deadline, options.latestStart)
+    : QueuedRequest(options.rank, options.deadline, options.latestStart)
     , m_balancer(balancer)
     , m_options(std::move(options))
 {
--- a/libs/proxy/src/slotrequest.h
+++ b/libs/proxy/src/slotrequest.h
@@ -30,7 +30,7 @@
     std::string service;
     std::vector<Label> requiredLabels;
     std::vector<Endpoint> excluded;
-    Priority priority = Priority::Normal;
+    AdmissionRank rank = Priority::Normal;
     TimePoint deadline;
     TimePoint latestStart = TimePoint::max(); ///< When the request gives up waiting for a slot.
     std::string ownTarget{}; ///< Only the target of this name on this host; empty for any target.
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -16,7 +16,7 @@
                                              .service = call.service.name,
                                              .requiredLabels = call.route.requiredLabels,
                                              .excluded = std::move(excluded),
-                                             .priority = call.route.priority,
+                                             .rank = call.rank(),
                                              .deadline = call.deadline,
                                              .latestStart = call.latestStart,
                                              .ownTarget = call.relay ? call.relay->target : std::string(),
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace Hornbeam {
 
@@ -51,6 +52,18 @@
 UpstreamExchange::~UpstreamExchange()
 {
     m_call.watch.setCancel(nullptr);
+    endRun();
+    if (m_connection && m_sentBytes > 0) {
+        // What a broken link still holds must not arrive after the request was given up; a reset discards it.
+        m_connection->stream.socket().abort();
+    }
+}
+
+void UpstreamExchange::endRun()
+{
+    if (std::exchange(m_runs, false)) {
+        m_dependencyFailed = m_call.core.running.remove(*m_call.requestId());
+    }
 }
 
 asio::awaitable<bool> UpstreamExchange::connect(bool fresh)
@@ -103,6 +116,10 @@
     if (cancellable) {
         m_call.watch.setCancel([this] { stream().socket().cancel(); });
     }
+    if (!m_lease.isRemote() && m_call.requestId() != nullptr) {
+        m_runs = true;
+        m_call.core.running.add(*m_call.requestId(), m_call.routeName());
+    }
     stream().reader().reset(m_call.head().method == "HEAD");
     m_acknowledgedBefore = acknowledgedBytes(stream().socket().socket().native_handle());
     const auto sent = co_await send();
@@ -147,10 +164,11 @@
             : std::chrono::duration_cast<std::chrono::milliseconds>(m_call.objective - start);
         const RelayRequest relay{.target = target.name,
                                  .service = target.service,
+                                 .route = m_call.route.name,
                                  .left = left,
                                  .maxWait = wait,
                                  .objective = objective,
-                                 .priority = m_call.route.priority,
+                                 .rank = m_call.rank(),
                                  .repeatable = m_call.route.idempotent};
         out += std::string(relayHeaderName) + ": " + relay.format() + "\r\n";
         return;
@@ -256,6 +274,7 @@
             continue;
         }
         m_connection->noteResponse(now());
+        endRun();
         takeReport();
         const bool framed = !reader.endsWithConnection() || m_call.core.options.acceptUnframedResponses;
         co_return status != 101 && framed &&isGenuine(reader.head()) ? AttemptStatus::Response
@@ -313,6 +332,7 @@
     const auto *value = stream().reader().head().find(loadHeaderName);
     const auto report = value != nullptr ? LoadReport::parse(*value) : std::nullopt;
     m_reachedTarget = !report || report->arrived;
+    m_dependencyFailed = report && report->dependencyFailed;
     if (report) {
         m_call.core.balancer.recordReport(m_lease, *report, now());
     }
@@ -320,7 +340,10 @@
 
 LoadReport UpstreamExchange::report() const
 {
-    return m_call.core.balancer.reportOf(m_lease, statesNotRun());
+    auto report = m_call.core.balancer.reportOf(m_lease);
+    report.arrived = statesNotRun();
+    report.dependencyFailed = m_dependencyFailed;
+    return report;
 }
 
 bool UpstreamExchange::statesNotRun() const
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -71,6 +71,12 @@
     /** Whether the request got as far as the target, although the target refused it. */
     bool reachedTarget() const;
 
+    /** Whether a service that the request calls while it runs is the cause of a failure. */
+    bool dependencyFailed() const
+    {
+        return m_dependencyFailed;
+    }
+
     /** Whether the response was made by the target's node because the target gave none. */
     bool isFailureOfPeer() const;
 
@@ -88,6 +94,7 @@
     std::string formatHead() const;
     void appendHopHeaders(std::string &out) const;
     void takeReport();
+    void endRun();
     bool isGenuine(const HttpHead &response) const;
     bool answersOther(const HttpHead &response) const;
     asio::awaitable<bool> skipResponse();
@@ -107,7 +114,9 @@
     std::uint64_t m_sentBytes = 0;
     bool m_bodySent = false;
     bool m_refused = false;
+    bool m_runs = false; ///< The request is listed as running at a target of this host.
     bool m_reachedTarget = false;
+    bool m_dependencyFailed = false;
 };
 
 } // namespace Hornbeam
