--- a/daemons/hornbeamd/logger.cpp
+++ b/daemons/hornbeamd/logger.cpp
@@ -1,14 +1,19 @@
 #include "logger.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace Hornbeam {
 
 namespace {
 
+/** Lines that wait for a slow reader of the output. */
+constexpr int bufferedLines = 256;
+
 log4cxx::LevelPtr toLevel(LogLevel level)
 {
     switch (level) {
@@ -24,11 +29,24 @@
     return log4cxx::Level::getInfo();
 }
 
+/** The value itself, or in quotation marks where a reader could not tell its end. */
+std::string quoted(const std::string &value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n") == std::string::npos) {
+        return value;
+    }
+    std::string text = "\"";
+    for (const char c : value) {
+        text += c == '"' || c == '\n' ? '\'' : c;
+    }
+    return text + '"';
+}
+
 std::string format(const std::string &message, const std::vector<LogField> &fields)
 {
     auto line = message;
     for (const auto &field : fields) {
-        line += " " + field.name + "=" + field.value;
+        line += " " + field.name + "=" + quoted(field.value);
     }
     return line;
 }
@@ -38,11 +56,21 @@
 void Logger::initialise(const LogSettings &settings)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c %m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->addAppender(console);
+    // A reader that does not keep up loses lines instead of holding requests up.
+    appender->setBufferSize(bufferedLines);
+    appender->setBlocking(false);
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(toLevel(settings.level));
 }
 
+void Logger::shutDown()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 Logger::Logger(std::string component)
     : m_component(std::move(component))
 {
--- a/daemons/hornbeamd/logger.h
+++ b/daemons/hornbeamd/logger.h
@@ -14,13 +14,17 @@
     std::string value;
 };
 
-/** Writes log lines as "level component message name=value ...". Lines are for changes of state only. */
+/** Writes log lines as "level component message name=value ...". Lines are for changes of state and for decisions about
+ * requests. */
 class Logger
 {
 public:
-    /** Configures the process's log output on standard error. */
+    /** Configures the process's log output on standard output. Writing never blocks the caller. */
     static void initialise(const LogSettings &settings);
 
+    /** Writes what waits in the buffer; lines after it are lost. */
+    static void shutDown();
+
     explicit Logger(std::string component);
 
     void info(const std::string &message, const std::vector<LogField> &fields = {}) const;
--- a/daemons/hornbeamd/main.cpp
+++ b/daemons/hornbeamd/main.cpp
@@ -90,5 +90,7 @@
         return 0;
     }
     Logger::initialise(settings->log);
-    return runDaemon(*settings);
+    const int result = runDaemon(*settings);
+    Logger::shutDown();
+    return result;
 }
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -3,6 +3,7 @@
 #include "adminfacade.h"
 #include "crashrelay.h"
 #include "logger.h"
+#include "requestlogger.h"
 #include "routingpublisher.h"
 #include "storesync.h"
 #include "watchercandidacy.h"
@@ -153,6 +154,7 @@
     AsioExecutor m_executor;
     AsioTimerService m_timers;
     MetricsRegistry m_metrics;
+    RequestLogger m_requestLog{m_metrics};
     VersionedSnapshot m_configuration;
     MembershipTable m_members;
     CrashQuarantine m_quarantine;
@@ -174,7 +176,7 @@
     std::unique_ptr<AdminFacade> m_adminFacade;
     std::unique_ptr<AdminExtension> m_extension;
     std::unique_ptr<AdminServer> m_admin;
-    std::unique_ptr<AdminServer> m_healthServer;
+    std::vector<std::unique_ptr<AdminServer>> m_furtherAdmins; ///< The same API on further addresses.
     TimerHandle m_joinTimer;
     bool m_storeAccessStarted = false;
 };
@@ -280,8 +282,9 @@
                                                                        .detector = *m_detector,
                                                                        .publisher = m_publisher,
                                                                        .targets = m_targets});
-    auto proxy = ProxyServer::make(proxyOptions(m_settings),
-                                   {.claims = *m_claims, .crashes = *m_crashRelay, .metrics = m_metrics});
+    auto proxy =
+        ProxyServer::make(proxyOptions(m_settings),
+                          {.claims = *m_claims, .crashes = *m_crashRelay, .metrics = m_metrics, .log = &m_requestLog});
     if (!proxy) {
         return tl::unexpected(proxy.error());
     }
@@ -320,12 +323,15 @@
         return tl::unexpected(admin.error());
     }
     m_admin = std::move(*admin);
-    if (m_settings.admin.healthListen) {
-        auto health = AdminServer::make(m_control, {.listen = *m_settings.admin.healthListen}, dependencies);
-        if (!health) {
-            return tl::unexpected(health.error());
+    for (const auto &listen : {m_settings.admin.healthListen, m_settings.admin.metricsListen}) {
+        if (!listen) {
+            continue;
         }
-        m_healthServer = std::move(*health);
+        auto further = AdminServer::make(m_control, {.listen = *listen}, dependencies);
+        if (!further) {
+            return tl::unexpected(further.error());
+        }
+        m_furtherAdmins.push_back(std::move(*further));
     }
     return true;
 }
--- /dev/null
+++ b/daemons/hornbeamd/requestlogger.cpp
@@ -0,0 +1,64 @@
+#include "requestlogger.h"
+
+#include <hornbeam/base/metrics.h>
+
+#include <algorithm>
+
+namespace Hornbeam {
+
+namespace {
+
+// Lines cost processor time when it is scarcest; a burst shows how a trouble begins.
+constexpr double linesPerSecond = 10;
+constexpr double burstLines = 50;
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+RequestLogger::RequestLogger(MetricsRegistry &metrics)
+    : m_dropped(metrics.counter("hornbeam_log_dropped_total", "Decisions about requests that were not written."))
+    , m_lines(burstLines)
+    , m_updated(std::chrono::steady_clock::now())
+{
+}
+
+void RequestLogger::record(const RequestEvent &event)
+{
+    if (!takeLine()) {
+        m_dropped.add();
+        return;
+    }
+    m_log.info(std::string(event.decision),
+               {{"id", std::string(event.id)},
+                {"route", std::string(event.route)},
+                {"service", std::string(event.service)},
+                {"target", std::string(event.target)},
+                {"reason", std::string(event.reason)},
+                {"status", std::to_string(event.status)},
+                {"version", std::to_string(event.configVersion)},
+                {"rank", std::to_string(event.rank)},
+                {"ageMs", milliseconds(event.age)},
+                {"leftMs", milliseconds(event.left)},
+                {"expectedWaitMs", milliseconds(event.expectedWait)},
+                {"from", event.fromPeer ? "peer" : "caller"}});
+}
+
+bool RequestLogger::takeLine()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(m_mutex);
+    const std::chrono::duration<double> passed = now - m_updated;
+    m_updated = now;
+    m_lines = std::min(m_lines + passed.count() * linesPerSecond, burstLines);
+    if (m_lines < 1) {
+        return false;
+    }
+    m_lines -= 1;
+    return true;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -0,0 +1,147 @@
+#include <hornbeam/base/faketimerservice.h>
+#include <hornbeam/config/documentsource.h>
+#include <hornbeam/store/inmemorystore.h>
+#include <hornbeam/store/manualexecutor.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A document is its version number; any other text is malformed. */
+class NumberDecoder : public DocumentDecoder
+{
+public:
+    Result<SnapshotPtr> decode(std::string_view document) const override
+    {
+        const auto version = std::strtoull(std::string(document).c_str(), nullptr, 10);
+        if (version == 0) {
+            return makeError(ErrorCode::InvalidArgument, "no number");
+        }
+        return Snapshot::make(version, {});
+    }
+};
+
+class RecordingListener : public ConfigSourceListener
+{
+public:
+    SnapshotPtr currentSnapshot() const override
+    {
+        return Snapshot::empty();
+    }
+
+    void receivedSnapshot(const SnapshotPtr &snapshot) override
+    {
+        versions.push_back(snapshot->version());
+    }
+
+    void storeAnswered(ConfigVersion version) override
+    {
+        answered = version;
+    }
+
+    void storeReachable(bool isReachable) override
+    {
+        reachable = isReachable;
+    }
+
+    void configurationRefused(const Error & /*error*/) override
+    {
+        ++refusals;
+    }
+
+    std::vector<ConfigVersion> versions;
+    ConfigVersion answered = 0;
+    bool reachable = false;
+    int refusals = 0;
+};
+
+} // namespace
+
+TEST_GROUP(DocumentSource)
+{
+    FakeTimerService timers;
+    ManualExecutor executor;
+    InMemoryStore operators{executor, timers};
+    InMemoryStore store{executor, operators};
+    NumberDecoder decoder;
+    RecordingListener listener;
+    DocumentSource source{"op/config", decoder, store, timers, listener};
+
+    void write(const std::string &document, const std::string &key = "op/config")
+    {
+        Transaction transaction;
+        transaction.success.push_back(Operation::put(key, document));
+        operators.commit(std::move(transaction), [](const Result<TransactionResult> &) {});
+        executor.run();
+    }
+
+    void run(Duration time)
+    {
+        for (Duration passed{0}; passed <= time; passed += 50ms) {
+            timers.advance(50ms);
+            executor.run();
+        }
+    }
+
+    void start()
+    {
+        source.start(0ms);
+        source.setWatching(true);
+        run(1s);
+    }
+};
+
+TEST(DocumentSource, readsAndFollowsTheDocument)
+{
+    write("4");
+    start();
+    CHECK(listener.versions == std::vector<ConfigVersion>{4});
+    CHECK_EQUAL(4, listener.answered);
+    write("7");
+    run(100ms);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 7}));
+    write("9", "op/config2");
+    run(100ms);
+    CHECK_EQUAL(2, listener.versions.size());
+}
+
+// Guards against a node that waits for ever because there was no configuration when it started.
+TEST(DocumentSource, waitsForTheFirstDocument)
+{
+    start();
+    CHECK(listener.versions.empty());
+    write("3");
+    run(100ms);
+    CHECK(listener.versions == std::vector<ConfigVersion>{3});
+}
+
+// Guards against a bad version that replaces the one in effect, or that ends the watch.
+TEST(DocumentSource, keepsTheLastGoodDocument)
+{
+    write("4");
+    start();
+    write("broken");
+    run(100ms);
+    CHECK_EQUAL(1, listener.refusals);
+    write("5");
+    run(100ms);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 5}));
+}
+
+// Guards against a change that is missed because it was written while the store could not be reached.
+TEST(DocumentSource, readsAgainAfterAnOutage)
+{
+    write("4");
+    start();
+    store.setFaults({.unavailable = true});
+    run(2s);
+    CHECK_FALSE(listener.reachable);
+    write("8");
+    store.setFaults({});
+    run(2s);
+    CHECK(listener.reachable);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 8}));
+}
--- a/libs/membership/tests/targetregistrytest.cpp
+++ b/libs/membership/tests/targetregistrytest.cpp
@@ -77,3 +77,61 @@
     CHECK(registry.announce(makeTarget(1), 0s).error().code() == ErrorCode::InvalidArgument);
     CHECK(registry.withdraw(Endpoint("127.0.0.1", 100)).error().code() == ErrorCode::NotFound);
 }
+
+// Guards against a late announcement of an earlier start that hides the target which has replaced it.
+TEST(TargetRegistry, refusesAnnouncementsThatAreOvertaken)
+{
+    auto first = makeTarget(80);
+    first.name = "i-1";
+    first.instance = 100;
+    auto second = makeTarget(80);
+    second.name = "i-2";
+    second.instance = 200;
+    CHECK(registry.announce(first, 5s, 1).has_value());
+    CHECK(registry.announce(second, 5s, 1).has_value());
+    CHECK(ErrorCode::Conflict == registry.announce(first, 5s, 9).error().code());
+    STRCMP_EQUAL("i-2", last.front().name.c_str());
+    auto leaving = second;
+    leaving.state = TargetState::Leaving;
+    CHECK(registry.announce(leaving, 5s, 5).has_value());
+    CHECK(ErrorCode::Conflict == registry.announce(second, 5s, 4).error().code());
+    CHECK(last.front().state == TargetState::Leaving);
+}
+
+// Guards against new work for a target that has withdrawn, when an announcement of before arrives after that.
+TEST(TargetRegistry, staysWithdrawnUntilALaterStart)
+{
+    auto target = makeTarget(80);
+    target.name = "i-1";
+    target.instance = 100;
+    CHECK(registry.announce(target, 5s, 7).has_value());
+    CHECK(registry.withdraw("i-1").has_value());
+    CHECK_FALSE(registry.announce(target, 5s, 8).has_value());
+    CHECK(registry.targets().empty());
+    target.instance = 101;
+    CHECK(registry.announce(target, 5s, 1).has_value());
+}
+
+// Guards against the same after the node has started again and does not know the target yet.
+TEST(TargetRegistry, remembersTheWithdrawalOfAnUnknownTarget)
+{
+    auto target = makeTarget(80);
+    target.name = "i-1";
+    target.instance = 100;
+    CHECK(ErrorCode::NotFound == registry.withdraw("i-1", 150).error().code());
+    CHECK_FALSE(registry.announce(target, 5s, 8).has_value());
+    target.instance = 151;
+    CHECK(registry.announce(target, 5s, 1).has_value());
+}
+
+// Guards against requests for a target whose process has ended, until it announces itself again.
+TEST(TargetRegistry, hidesASuspendedTarget)
+{
+    const auto known = registry.announce(makeTarget(80), 5s);
+    registry.suspend(known->address, known->instance + 1);
+    CHECK_EQUAL(1, registry.targets().size());
+    registry.suspend(known->address, known->instance);
+    CHECK(registry.targets().empty());
+    CHECK(registry.announce(makeTarget(80), 5s).has_value());
+    CHECK_EQUAL(1, registry.targets().size());
+}
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -12,6 +12,7 @@
 
 class ClaimCoordinator;
 class MetricsRegistry;
+class RequestLog;
 class Digest;
 
 /** Told about requests whose target's connection broke before a response. Called from traffic threads. */
@@ -36,6 +37,7 @@
     ClaimCoordinator &claims;
     CrashReporter &crashes;
     MetricsRegistry &metrics;
+    RequestLog *log = nullptr; ///< Null for none.
 };
 
 /**
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -1,5 +1,7 @@
 #include "callcontext.h"
 
+#include <hornbeam/proxy/requestlog.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -80,8 +82,8 @@
 {
     const auto *id = requestId();
     nested = id != nullptr && core.running.isCall(*id);
-    if (nested) {
-        core.running.callStarted(*id, service.name);
+    if (nested && core.running.callStarted(*id, service.name)) {
+        core.balancer.chargeRetry(service.name);
     }
     if (!nested && route.latencyObjective.count() > 0) {
         const auto given = callerDeadline(head(), core.options.headers);
@@ -112,6 +114,7 @@
     , started(std::chrono::steady_clock::now())
     , deadline(started + relayRequest.left)
     , latestStart(started + relayRequest.maxWait)
+    , repeated(relayRequest.repeated)
 {
 }
 
@@ -220,6 +223,29 @@
     return head().keepAlive && body.isComplete() && !core.draining.load(std::memory_order_relaxed);
 }
 
+void CallContext::log(std::string_view decision, std::string_view reason, int status, std::string_view target) const
+{
+    auto *requestLog = core.dependencies.log;
+    if (requestLog == nullptr) {
+        return;
+    }
+    const auto *id = requestId();
+    const auto now = std::chrono::steady_clock::now();
+    requestLog->record({.id = id != nullptr ? std::string_view(*id) : std::string_view(),
+                        .route = routeName(),
+                        .service = service.name,
+                        .target = target,
+                        .decision = decision,
+                        .reason = reason,
+                        .status = status,
+                        .configVersion = state->snapshot->version(),
+                        .rank = rank().value(),
+                        .age = now - started,
+                        .left = deadline - now,
+                        .expectedWait = expectedWait,
+                        .fromPeer = origin == CallOrigin::Peer});
+}
+
 bool CallContext::canKeepAliveAfterRefusal() const
 {
     return canKeepAlive() && core.connections.load(std::memory_order_relaxed) < core.options.maxConnections / 2;
@@ -232,6 +258,7 @@
     }
     watch.stop();
     core.metrics.countResponse(route.name, refusal.status);
+    log(refusal.outcome == RefusalOutcome::Unknown ? "failed" : "refused", refusal.reason, refusal.status);
     RefusalFormat format{
         .version = state->snapshot->version(), .keepAlive = canKeepAliveAfterRefusal(), .headers = loadHeader()};
     keepOpen = co_await writeRefusal(core, caller, refusal, std::move(format));
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -63,6 +63,7 @@
     TimePoint latestStart = TimePoint::max(); ///< The request waits for a slot until then.
     Duration expectedWait = Duration::zero(); ///< At the targets, when the request last looked for one.
     bool nested = false; ///< A request that runs at a target of this host makes this call.
+    bool repeated = false; ///< A target may have run the request before.
     bool late = false; ///< The response will miss its objective.
     bool dependencyFailed = false; ///< Reported to the node that sent the request.
     bool arrivedAtTarget = false; ///< A target has refused the request.
@@ -116,6 +117,9 @@
     /** The same after a refusal: callers that are refused open further connections, and the node must not run out. */
     bool canKeepAliveAfterRefusal() const;
 
+    /** Records a decision about the request. */
+    void log(std::string_view decision, std::string_view reason, int status, std::string_view target = {}) const;
+
     /** Writes a refusal to the caller and counts it. "Not run" becomes "unknown" once a target got anything. */
     asio::awaitable<void> refuse(Refusal refusal);
 
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -245,6 +245,12 @@
     return serviceState(service).retries.tryTakeRetry();
 }
 
+void LoadBalancer::chargeRetry(const std::string &service)
+{
+    const std::lock_guard lock(m_mutex);
+    serviceState(service).retries.chargeRetry();
+}
+
 void LoadBalancer::recordSuccess(const SlotLease &lease, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -43,6 +43,9 @@
 
     bool tryTakeRetry(const std::string &service);
 
+    /** Counts a call of a request that itself runs for a second time, see RetryBudget::chargeRetry(). */
+    void chargeRetry(const std::string &service);
+
     void recordSuccess(const SlotLease &lease, TimePoint now);
     /** Records that a target or its node answered, which says nothing about how the target runs requests. */
     void recordReach(const SlotLease &lease, TimePoint now);
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -68,7 +68,8 @@
 std::string RelayRequest::format() const
 {
     return target + ';' + service + ';' + route + ';' + milliseconds(left) + ';' + milliseconds(maxWait) + ';'
-        + milliseconds(objective) + ';' + std::to_string(rank.value()) + ';' + (repeatable ? '1' : '0');
+        + milliseconds(objective) + ';' + std::to_string(rank.value()) + ';' + (repeatable ? '1' : '0') + ';'
+        + (repeated ? '1' : '0');
 }
 
 std::optional<RelayRequest> RelayRequest::parse(std::string_view text)
@@ -76,11 +77,11 @@
     constexpr std::size_t names = 3;
     const auto parts = split(text, ';');
     const auto values =
-        numbers<5>(parts, names, {maxMilliseconds, maxMilliseconds, maxMilliseconds, AdmissionRank::count - 1, 1});
+        numbers<6>(parts, names, {maxMilliseconds, maxMilliseconds, maxMilliseconds, AdmissionRank::count - 1, 1, 1});
     if (!values) {
         return std::nullopt;
     }
-    const auto &[left, maxWait, objective, rank, repeatable] = *values;
+    const auto &[left, maxWait, objective, rank, repeatable, repeated] = *values;
     return RelayRequest{.target = std::string(parts[0]),
                         .service = std::string(parts[1]),
                         .route = std::string(parts[2]),
@@ -88,7 +89,8 @@
                         .maxWait = std::chrono::milliseconds(maxWait),
                         .objective = std::chrono::milliseconds(objective),
                         .rank = AdmissionRank::fromValue(rank),
-                        .repeatable = repeatable == 1};
+                        .repeatable = repeatable == 1,
+                        .repeated = repeated == 1};
 }
 
 std::uint32_t LoadReport::ahead(AdmissionRank rank) const
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -29,6 +29,7 @@
     std::chrono::milliseconds objective{0}; ///< Until the response is worth less; 0 for none or when it has passed.
     AdmissionRank rank = Priority::Normal;
     bool repeatable = true; ///< The request may run more than once.
+    bool repeated = false; ///< Another target may have run the request before.
 
     std::string format() const;
 
--- a/libs/proxy/src/retrybudget.cpp
+++ b/libs/proxy/src/retrybudget.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr std::uint32_t retryCost = 100;
+constexpr std::int64_t retryCost = 100;
+
+/** An overdrawn budget lends no more than this, so that it recovers within some hundred requests. */
+constexpr std::int64_t lowestCredit = -50 * retryCost;
 
 } // namespace
 
@@ -28,6 +31,11 @@
     m_credit = std::min(m_credit + m_percent, m_maxCredit);
 }
 
+void RetryBudget::chargeRetry()
+{
+    m_credit = std::max(m_credit - retryCost, lowestCredit);
+}
+
 bool RetryBudget::tryTakeRetry()
 {
     if (m_credit < retryCost) {
--- a/libs/proxy/src/retrybudget.h
+++ b/libs/proxy/src/retrybudget.h
@@ -26,10 +26,13 @@
     /** Takes one retry; false when the budget is used up. */
     bool tryTakeRetry();
 
+    /** Charges a repetition that cannot be avoided; the budget can become overdrawn. */
+    void chargeRetry();
+
 private:
-    std::uint32_t m_percent;
-    std::uint32_t m_maxCredit;
-    std::uint32_t m_credit; ///< In hundredths of a retry.
+    std::int64_t m_percent;
+    std::int64_t m_maxCredit;
+    std::int64_t m_credit; ///< In hundredths of a retry.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -16,6 +16,9 @@
 /** A target answers so when another one was expected at its address. */
 constexpr int misdirectedStatus = 421;
 
+constexpr int badGatewayStatus = 502;
+constexpr int gatewayTimeoutStatus = 504;
+
 /** Part of the typical time of a request that must be left for another attempt to be worth its load. */
 constexpr int retryTimeDivisor = 2;
 
@@ -65,9 +68,18 @@
     } else {
         ++m_attempts;
         m_mayHaveRun = true;
-        m_excluded.push_back(exchange.lease().address());
+        m_call.repeated = true;
+        if (status == AttemptStatus::NotReceived) {
+            m_fresh = true;
+        } else {
+            m_excluded.push_back(exchange.lease().address());
+        }
     }
     if (verdict != Verdict::Answered && mayTryAgain(exchange, status, verdict)) {
+        m_call.log(verdict == Verdict::NotRun ? "moved" : "repeated",
+                   attemptStatusName(status),
+                   exchange.responseStatus(),
+                   exchange.lease().target().name);
         m_lease = co_await nextSlot(status);
     }
     if (!m_lease) {
@@ -95,8 +107,9 @@
     case AttemptStatus::DeadlinePassed:
         return Verdict::NotRun;
     case AttemptStatus::NotReceived:
-        // The kernel's count of acknowledged bytes is strong evidence, but no promise of the target.
-        return m_call.route.idempotent ? Verdict::NotRun : Verdict::MayHaveRun;
+        // A target that resets the connection after it ran the request looks the same. What the kernel tells is strong
+        // evidence, but no promise of the target.
+        return m_call.route.idempotent && !m_call.signedResponses() ? Verdict::NotRun : Verdict::MayHaveRun;
     default:
         return exchange.hasSent() ? Verdict::MayHaveRun : Verdict::NotRun;
     }
@@ -105,7 +118,7 @@
     }
     const auto code = exchange.stream().reader().head().status;
     // The target's deadline was the caller's, so its own timeout leaves no time for another attempt.
-    const bool failed = m_call.signedResponses() ? code >= 500 && code != 504 : code == 503;
+    const bool failed = m_call.signedResponses() ? code >= 500 && code != gatewayTimeoutStatus : code == 503;
     return failed ? Verdict::MayHaveRun : Verdict::Answered;
 }
 
@@ -161,9 +174,15 @@
     if (m_sends >= maxSends || m_call.body.isPartlyConsumed() || m_call.watch.isGone() || now >= m_call.deadline) {
         return false;
     }
+    if (status == AttemptStatus::NotReceived) {
+        // Where the target may have run the request, the repetition counts like any other.
+        const bool first = m_sends == 1 && m_attempts <= m_call.route.attempts;
+        return m_call.route.idempotent
+            && (verdict == Verdict::NotRun || (first && m_call.core.balancer.tryTakeRetry(m_call.service.name)));
+    }
     if (m_call.origin == CallOrigin::Peer) {
         // The node that sent the request chooses another target; here there is only one.
-        return status == AttemptStatus::NotReceived && m_call.route.idempotent;
+        return false;
     }
     if (verdict == Verdict::MayHaveRun) {
         return mayRepeat(status);
@@ -217,7 +236,15 @@
         co_await refuse(notRunRefusal("no target accepted the request", m_call));
         co_return;
     }
-    if (status != AttemptStatus::Response || exchange.isFailureOfPeer()) {
+    if (status == AttemptStatus::Response && exchange.isFailureOfPeer()) {
+        const auto code = exchange.stream().reader().head().status;
+        const bool late = code == gatewayTimeoutStatus;
+        co_await refuse({.status = late ? gatewayTimeoutStatus : badGatewayStatus,
+                         .outcome = RefusalOutcome::Unknown,
+                         .reason = late ? "no response before the deadline" : "failed at the node of the target"});
+        co_return;
+    }
+    if (status != AttemptStatus::Response) {
         if (m_crashed) {
             co_await waitForCrashReport(m_call, status);
         }
@@ -233,6 +260,10 @@
     ResponseForwarder forwarder(m_call, exchange);
     const bool complete = co_await forwarder.forward();
     m_call.core.metrics.countResponse(m_call.route.name, code);
+    if (!complete || code >= 500) {
+        m_call.log(
+            "failed", complete ? "the target failed" : "incomplete response", code, exchange.lease().target().name);
+    }
     if (m_call.nested && (!complete || code >= 400)) {
         m_call.core.running.callFailed(*m_call.requestId());
     }
@@ -249,6 +280,7 @@
     }
     if (m_call.watch.isGone()) {
         m_call.core.metrics.cancelled.add();
+        m_call.log("cancelled", "the caller disconnected", 0);
         m_call.caller.socket().close();
         co_return;
     }
--- a/libs/proxy/src/runningrequests.cpp
+++ b/libs/proxy/src/runningrequests.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-void RunningRequests::add(const std::string &id, const std::string &route)
+void RunningRequests::add(const std::string &id, const std::string &route, bool repeated)
 {
     const std::lock_guard lock(m_mutex);
-    m_running.emplace(id, Running{.route = route, .calls = {}});
+    m_running.emplace(id, Running{.route = route, .calls = {}, .repeated = repeated});
 }
 
 bool RunningRequests::remove(const std::string &id)
@@ -51,12 +51,15 @@
     return !parent.empty() && m_running.contains(parent);
 }
 
-void RunningRequests::callStarted(std::string_view id, const std::string &service)
+bool RunningRequests::callStarted(std::string_view id, const std::string &service)
 {
     const std::lock_guard lock(m_mutex);
-    if (auto *parent = parentOf(id)) {
-        ++parent->calls[service];
+    auto *parent = parentOf(id);
+    if (parent == nullptr) {
+        return false;
     }
+    ++parent->calls[service];
+    return parent->repeated;
 }
 
 void RunningRequests::callFailed(std::string_view id)
--- a/libs/proxy/src/runningrequests.h
+++ b/libs/proxy/src/runningrequests.h
@@ -27,7 +27,8 @@
 class RunningRequests
 {
 public:
-    void add(const std::string &id, const std::string &route);
+    /** @p repeated: the request may have run before, so its calls are repetitions as well. */
+    void add(const std::string &id, const std::string &route, bool repeated = false);
 
     /** Ends a request; returns whether one of its calls failed. */
     bool remove(const std::string &id);
@@ -35,8 +36,8 @@
     /** Whether @p id is that of a call of a request that runs now. */
     bool isCall(std::string_view id) const;
 
-    /** Notes a call of a running request to @p service. */
-    void callStarted(std::string_view id, const std::string &service);
+    /** Notes a call of a running request to @p service; returns whether that request is repeated. */
+    bool callStarted(std::string_view id, const std::string &service);
 
     /** Notes that a call got no successful response. */
     void callFailed(std::string_view id);
@@ -49,6 +50,7 @@
     {
         std::string route;
         std::map<std::string, int> calls; ///< By service.
+        bool repeated = false;
         bool callFailed = false;
     };
 
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -43,6 +43,31 @@
 
 } // namespace
 
+const char *attemptStatusName(AttemptStatus status)
+{
+    switch (status) {
+    case AttemptStatus::Response:
+        return "response";
+    case AttemptStatus::ConnectFailed:
+        return "connection failed";
+    case AttemptStatus::DeadlinePassed:
+        return "deadline passed";
+    case AttemptStatus::NotReceived:
+        return "idle connection closed";
+    case AttemptStatus::Silent:
+        return "silent target";
+    case AttemptStatus::Expired:
+        return "no response before the deadline";
+    case AttemptStatus::Broken:
+        return "connection broken";
+    case AttemptStatus::BadResponse:
+        return "bad response";
+    case AttemptStatus::CallerFailed:
+        return "caller failed";
+    }
+    return "unknown";
+}
+
 UpstreamExchange::UpstreamExchange(CallContext &call, SlotLease lease)
     : m_call(call)
     , m_lease(std::move(lease))
@@ -118,7 +143,7 @@
     }
     if (!m_lease.isRemote() && m_call.requestId() != nullptr) {
         m_runs = true;
-        m_call.core.running.add(*m_call.requestId(), m_call.routeName());
+        m_call.core.running.add(*m_call.requestId(), m_call.routeName(), m_call.repeated);
     }
     stream().reader().reset(m_call.head().method == "HEAD");
     m_acknowledgedBefore = acknowledgedBytes(stream().socket().socket().native_handle());
@@ -169,7 +194,8 @@
                                  .maxWait = wait,
                                  .objective = objective,
                                  .rank = m_call.rank(),
-                                 .repeatable = m_call.route.idempotent};
+                                 .repeatable = m_call.route.idempotent,
+                                 .repeated = m_call.repeated};
         out += std::string(relayHeaderName) + ": " + relay.format() + "\r\n";
         return;
     }
@@ -346,6 +372,11 @@
     return report;
 }
 
+int UpstreamExchange::responseStatus() const
+{
+    return m_connection ? m_connection->stream.reader().head().status : 0;
+}
+
 bool UpstreamExchange::statesNotRun() const
 {
     const auto &head = m_connection->stream.reader().head();
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -19,6 +19,9 @@
     CallerFailed, ///< The caller disconnected or its body is malformed or too large.
 };
 
+/** Short text for logs. */
+const char *attemptStatusName(AttemptStatus status);
+
 /** One attempt to run a request on one target. */
 class UpstreamExchange
 {
@@ -65,6 +68,9 @@
         return m_refused;
     }
 
+    /** HTTP status of the response; 0 without one. */
+    int responseStatus() const;
+
     /** Whether the response states that the request did not run and will not. */
     bool statesNotRun() const;
 
--- a/libs/proxy/tests/admissioncontrollertest.cpp
+++ b/libs/proxy/tests/admissioncontrollertest.cpp
@@ -13,8 +13,17 @@
 class FakeRequest : public QueuedRequest
 {
 public:
-    FakeRequest(Priority priority, TimePoint deadline, int &freeSlots, std::vector<FakeRequest *> &started)
-        : QueuedRequest(priority, deadline)
+    FakeRequest(AdmissionRank rank, TimePoint deadline, int &freeSlots, std::vector<FakeRequest *> &started)
+        : FakeRequest(rank, deadline, TimePoint::max(), freeSlots, started)
+    {
+    }
+
+    FakeRequest(AdmissionRank rank,
+                TimePoint deadline,
+                TimePoint latestStart,
+                int &freeSlots,
+                std::vector<FakeRequest *> &started)
+        : QueuedRequest(rank, deadline, latestStart)
         , m_freeSlots(freeSlots)
         , m_started(started)
     {
@@ -140,3 +149,39 @@
     admission.slotsChanged(now);
     CHECK_EQUAL(0, started.size());
 }
+
+// Guards against work that is lost because the calls of running requests wait behind new requests.
+TEST(AdmissionController, ordersByRank)
+{
+    CHECK(AdmissionRank::nested() < AdmissionRank(Priority::High));
+    CHECK(AdmissionRank(Priority::High) < AdmissionRank(Priority::High).late());
+    CHECK(AdmissionRank(Priority::Low) < AdmissionRank(Priority::Low).late());
+    CHECK(AdmissionRank::fromValue(99) == AdmissionRank(Priority::Low).late());
+    freeSlots = 0;
+    const auto queued = [&](AdmissionRank rank) {
+        const auto it = std::make_shared<FakeRequest>(rank, now + 1s, freeSlots, started);
+        admission.admit(it, 1, now);
+        return it;
+    };
+    const auto late = queued(AdmissionRank(Priority::Low).late());
+    const auto high = queued(Priority::High);
+    const auto nested = queued(AdmissionRank::nested());
+    CHECK_EQUAL(1, admission.queuedAhead(AdmissionRank::nested()));
+    CHECK_EQUAL(2, admission.queuedAhead(Priority::High));
+    freeSlots = 3;
+    admission.slotsChanged(now);
+    CHECK((started == std::vector<FakeRequest *>{nested.get(), high.get(), late.get()}));
+}
+
+// Guards against a request that is held for longer than its node offered, instead of being refused at once.
+TEST(AdmissionController, refusesWhatWouldStartTooLate)
+{
+    admission.recordDuration(400ms);
+    freeSlots = 0;
+    const auto patient = std::make_shared<FakeRequest>(Priority::Normal, now + 10s, now + 500ms, freeSlots, started);
+    CHECK(admission.admit(patient, 1, now) == AdmissionController::Verdict::Queued);
+    const auto hasty = std::make_shared<FakeRequest>(Priority::Normal, now + 10s, now + 500ms, freeSlots, started);
+    CHECK(admission.admit(hasty, 1, now) == AdmissionController::Verdict::TooLate);
+    admission.slotsChanged(now + 501ms);
+    CHECK_EQUAL(1, patient->rejections);
+}
--- a/libs/proxy/tests/proxyfixture.cpp
+++ b/libs/proxy/tests/proxyfixture.cpp
@@ -31,6 +31,18 @@
     return m_succeeded;
 }
 
+void FakeCrashReporter::targetUnreachable(const Target & /*target*/)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_unreachable;
+}
+
+int FakeCrashReporter::unreachable() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_unreachable;
+}
+
 ProxyFixture::ProxyFixture()
 {
     options.listen = Endpoint("127.0.0.1", 0);
--- a/libs/proxy/tests/proxyfixture.h
+++ b/libs/proxy/tests/proxyfixture.h
@@ -21,14 +21,17 @@
 public:
     void targetCrashed(const Digest &request, const Endpoint &target) override;
     void requestSucceeded(const Digest &request) override;
+    void targetUnreachable(const Target &target) override;
 
     std::vector<Digest> crashed() const;
     std::vector<Digest> succeeded() const;
+    int unreachable() const;
 
 private:
     mutable std::mutex m_mutex;
     std::vector<Digest> m_crashed;
     std::vector<Digest> m_succeeded;
+    int m_unreachable = 0;
 };
 
 /**
--- /dev/null
+++ b/libs/proxy/tests/relayheadertest.cpp
@@ -0,0 +1,48 @@
+#include "relayheader.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RelayHeader){};
+
+TEST(RelayHeader, keepsARequest)
+{
+    const RelayRequest request{.target = "i-7",
+                               .service = "rota",
+                               .route = "lookup",
+                               .left = 1500ms,
+                               .maxWait = 40ms,
+                               .objective = 400ms,
+                               .rank = AdmissionRank::nested(),
+                               .repeatable = false,
+                               .repeated = true};
+    CHECK(RelayRequest::parse(request.format()) == request);
+}
+
+TEST(RelayHeader, keepsAReport)
+{
+    const LoadReport report{.running = 9,
+                            .waiting = {1, 0, 3, 0, 2},
+                            .slots = 10,
+                            .serviceTime = 120ms,
+                            .failuresPerMille = 250,
+                            .arrived = true,
+                            .dependencyFailed = true};
+    CHECK(LoadReport::parse(report.format()) == report);
+    CHECK_EQUAL(10, report.ahead(AdmissionRank::nested()));
+    CHECK_EQUAL(15, report.ahead(AdmissionRank::fromValue(4)));
+}
+
+// Guards against a process at a reused address whose header is taken for that of a node.
+TEST(RelayHeader, refusesOtherText)
+{
+    for (const char *text :
+         {"", "a;b", "a;b;c;1;2;3;9;1;0", "a;b;c;-1;2;3;1;1;0", "a;b;c;1;2;3;1;1;5;0", "a;b;c;x;2;3;1;1;0"}) {
+        CHECK_FALSE(RelayRequest::parse(text).has_value());
+    }
+    for (const char *text : {"", "1,2", "1,0,0,0,0,0,0,5,0,0,0", "1,0,0,0,0,0,9,5,1001,0,0", "1,0,0,0,0,0,9,5,1,2,0"}) {
+        CHECK_FALSE(LoadReport::parse(text).has_value());
+    }
+}
--- /dev/null
+++ b/libs/proxy/tests/relaytest.cpp
@@ -0,0 +1,363 @@
+#include "proxyfixture.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two nodes: callers use the first one, and each target is on the second one or on a further one of its own. */
+struct RelayNode
+{
+    FakeClaims claims;
+    FakeCrashReporter crashes;
+    MetricsRegistry metrics;
+    std::unique_ptr<ProxyServer> server;
+
+    void start(const std::string &hostService)
+    {
+        ProxyOptions options;
+        options.listen = Endpoint("127.0.0.1", 0);
+        options.relayListen = Endpoint("127.0.0.1", 0);
+        options.zone = "turku";
+        options.threads = 1;
+        options.headers = {.deadline = "Left-Ms",
+                           .requestId = "Call-Id",
+                           .signature = "Signed-By",
+                           .expectedTarget = "For-Target",
+                           .originService = "From-Service",
+                           .notExecuted = "Not-Run",
+                           .fractionalRetryAfter = true};
+        options.hostService = hostService;
+        options.routeTimeoutBinds = true;
+        options.acceptUnframedResponses = true;
+        options.quarantineStatus = 503;
+        options.retryBudgetRatio = 0.2;
+        options.retryBudgetReserve = 20;
+        server = std::move(*ProxyServer::make(options, {.claims = claims, .crashes = crashes, .metrics = metrics}));
+    }
+};
+
+std::string signedResponse(const TestMessage &request, const std::string &body)
+{
+    return TestTarget::response("200 OK", body, "Signed-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n");
+}
+
+TestTarget::Handler answerSigned(const std::string &body)
+{
+    return [body](const TestMessage &request, TestSocket &connection) {
+        return connection.send(signedResponse(request, body));
+    };
+}
+
+} // namespace
+
+TEST_GROUP(Relay)
+{
+    std::unique_ptr<RelayNode> front;
+    std::vector<std::unique_ptr<RelayNode>> nodes;
+    std::vector<Target> targets;
+    std::chrono::milliseconds timeout{3000};
+    int nextId = 0;
+
+    /** Adds a target behind a node of its own. */
+    void addTarget(const TestTarget &target, const std::string &name, std::uint32_t slots = 10)
+    {
+        nodes.push_back(std::make_unique<RelayNode>());
+        nodes.back()->start("rota");
+        Target it;
+        it.address = target.address();
+        it.service = "rota";
+        it.zone = "turku";
+        it.slots = slots;
+        it.name = name;
+        it.instance = 1;
+        it.gateway = nodes.back()->server->relayEndpoint();
+        targets.push_back(it);
+    }
+
+    void start()
+    {
+        front = std::make_unique<RelayNode>();
+        front->start("desk");
+        publish(*front->server, {});
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            publish(*nodes[i]->server, {targets[i]});
+        }
+    }
+
+    void publish(ProxyServer & server, const std::vector<Target> &own) const
+    {
+        SnapshotContent content;
+        content.services = {{.name = "rota"}};
+        Route read;
+        read.name = "read";
+        read.service = "rota";
+        read.timeout = timeout;
+        read.attempts = 2;
+        auto book = read;
+        book.name = "book";
+        book.pathPrefix = "/book";
+        book.idempotent = false;
+        book.identity = RequestIdentitySource::Attempt;
+        content.routes = {read, book};
+        auto state = std::make_shared<RoutingState>();
+        state->snapshot = Snapshot::make(7, content).value();
+        state->targets = targets;
+        state->ownTargets = own;
+        state->ready = true;
+        server.publish(state);
+    }
+
+    TestMessage call(const std::string &method, const std::string &path, const std::string &headers = {})
+    {
+        auto socket = TestSocket::connectTo(front->server->localEndpoint());
+        socket.send(method + " " + path + " HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c" + std::to_string(++nextId)
+                    + "\r\nContent-Length: 2\r\n" + headers + "\r\nhi");
+        return socket.read().value_or(TestMessage());
+    }
+};
+
+// Guards against headers that a target needs and that get lost, or that a caller sets in place of the proxy.
+TEST(Relay, passesARequestToTheTargetOfAnotherHost)
+{
+    TestMessage seen;
+    TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        seen = request;
+        return connection.send(signedResponse(request, "ok"));
+    });
+    addTarget(target, "i-1");
+    start();
+    const auto response = call("POST", "/book/1?x=2", "Left-Ms: 900\r\nFrom-Service: forged\r\n");
+    CHECK_EQUAL(200, response.status());
+    STRCMP_EQUAL("ok", response.body.c_str());
+    STRCMP_EQUAL("t", response.header("signed-by").c_str());
+    STRCMP_EQUAL("", response.header("x-hornbeam-load").c_str());
+    STRCMP_EQUAL("POST /book/1?x=2 HTTP/1.1", seen.startLine.c_str());
+    STRCMP_EQUAL("hi", seen.body.c_str());
+    STRCMP_EQUAL("i-1", seen.header("for-target").c_str());
+    STRCMP_EQUAL("desk", seen.header("from-service").c_str());
+    STRCMP_EQUAL("c1", seen.header("call-id").c_str());
+    STRCMP_EQUAL("", seen.header("x-hornbeam-relay").c_str());
+    const auto left = std::stoi(seen.header("left-ms"));
+    CHECK(left > 500 && left <= 900);
+}
+
+// Guards against a route's timeout that a caller with more patience prolongs.
+TEST(Relay, boundsTheTimeByTheRoute)
+{
+    timeout = 300ms;
+    TestTarget target([](const TestMessage & /*request*/, TestSocket &connection) {
+        connection.waitClosed();
+        return false;
+    });
+    addTarget(target, "i-1");
+    start();
+    const auto started = std::chrono::steady_clock::now();
+    CHECK_EQUAL(504, call("GET", "/", "Left-Ms: 5000\r\n").status());
+    CHECK(std::chrono::steady_clock::now() - started < 2s);
+}
+
+// Guards against a request that a target did not run and that is reported as lost: it goes to another target.
+TEST(Relay, sendsARequestElsewhereThatDidNotRun)
+{
+    TestTarget full([](const TestMessage &request, TestSocket &connection) {
+        return connection.send(TestTarget::response(
+            "503 Service Unavailable", "", "Not-Run: 1\r\nCall-Id: " + request.header("call-id") + "\r\n"));
+    });
+    TestTarget other(answerSigned("ok"));
+    addTarget(full, "i-1");
+    addTarget(other, "i-2");
+    start();
+    for (int i = 0; i < 3; ++i) {
+        CHECK_EQUAL(200, call("POST", "/book").status());
+    }
+}
+
+// Guards against a second execution of a request that must not run twice: its connection broke after it was sent.
+TEST(Relay, neverRepeatsARequestThatMayHaveRun)
+{
+    TestTarget breaking([](const TestMessage & /*request*/, TestSocket & /*connection*/) { return false; });
+    TestTarget other([](const TestMessage & /*request*/, TestSocket & /*connection*/) { return false; });
+    addTarget(breaking, "i-1");
+    addTarget(other, "i-2");
+    start();
+    CHECK_EQUAL(502, call("POST", "/book").status());
+    CHECK_EQUAL(1, breaking.requests() + other.requests());
+}
+
+// Guards against a lost response of a request that may run again, within the attempts of its route.
+TEST(Relay, repeatsAnIdempotentRequestWithinItsAttempts)
+{
+    TestTarget breaking([](const TestMessage & /*request*/, TestSocket & /*connection*/) { return false; });
+    TestTarget other([](const TestMessage & /*request*/, TestSocket & /*connection*/) { return false; });
+    TestTarget third([](const TestMessage & /*request*/, TestSocket & /*connection*/) { return false; });
+    addTarget(breaking, "i-1");
+    addTarget(other, "i-2");
+    addTarget(third, "i-3");
+    start();
+    CHECK_EQUAL(502, call("GET", "/").status());
+    CHECK_EQUAL(2, breaking.requests() + other.requests() + third.requests());
+}
+
+// Guards against bytes that no target signed, or that were cut off, in a successful response.
+TEST(Relay, replacesResponsesThatAreNotGenuine)
+{
+    for (const char *bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                              "HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: c1\r\nContent-Length: 9\r\n\r\nok",
+                              "HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: c1\r\nContent-Encoding: gzip\r\n"
+                              "Content-Length: 2\r\n\r\nok",
+                              "no protocol\r\n\r\n"}) {
+        front.reset();
+        nodes.clear();
+        targets.clear();
+        nextId = 0;
+        TestTarget spoiling([bytes](const TestMessage & /*request*/, TestSocket &connection) {
+            connection.send(bytes);
+            return false;
+        });
+        addTarget(spoiling, "i-1");
+        start();
+        const auto response = call("GET", "/");
+        CHECK_EQUAL(502, response.status());
+        CHECK(response.complete);
+    }
+}
+
+// Guards against a response to an earlier request that is taken for the one to the present request.
+TEST(Relay, skipsAResponseToAnotherRequest)
+{
+    TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        auto stray = request;
+        stray.headers["call-id"] = "another";
+        connection.send(signedResponse(stray, "wrong"));
+        return connection.send(signedResponse(request, "right"));
+    });
+    addTarget(target, "i-1");
+    start();
+    const auto response = call("GET", "/");
+    CHECK_EQUAL(200, response.status());
+    STRCMP_EQUAL("right", response.body.c_str());
+}
+
+// Guards against a response without a length that is refused although its connection ended in order.
+TEST(Relay, acceptsAResponseThatEndsWithItsConnection)
+{
+    TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\nwhole");
+        return false;
+    });
+    addTarget(target, "i-1");
+    start();
+    const auto response = call("GET", "/");
+    CHECK_EQUAL(200, response.status());
+    STRCMP_EQUAL("whole", response.body.c_str());
+}
+
+// Guards against the same when the connection was reset on the way: the response is not complete.
+TEST(Relay, refusesAResponseWithoutALengthThatWasReset)
+{
+    TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\nhal");
+        std::this_thread::sleep_for(50ms);
+        connection.reset();
+        return false;
+    });
+    addTarget(target, "i-1");
+    start();
+    CHECK_EQUAL(502, call("GET", "/").status());
+}
+
+// Guards against new work for a target that has told its own node that it leaves, when other nodes do not know yet.
+TEST(Relay, refusesRequestsForATargetThatLeaves)
+{
+    TestTarget target(answerSigned("ok"));
+    addTarget(target, "i-1");
+    start();
+    CHECK_EQUAL(200, call("GET", "/").status());
+    publish(*nodes[0]->server, {});
+    const auto response = call("GET", "/");
+    CHECK_EQUAL(503, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(1, target.requests());
+}
+
+// Guards against more requests at a target than it has slots when several nodes send to it.
+TEST(Relay, admitsRequestsAtTheNodeOfTheTarget)
+{
+    std::atomic<int> running = 0;
+    std::atomic<int> peak = 0;
+    TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        peak = std::max(peak.load(), ++running);
+        std::this_thread::sleep_for(20ms);
+        --running;
+        return connection.send(signedResponse(request, "ok"));
+    });
+    addTarget(target, "i-1", 2);
+    start();
+    std::atomic<int> served = 0;
+    {
+        std::vector<std::jthread> callers;
+        for (int i = 0; i < 6; ++i) {
+            callers.emplace_back([&, i] {
+                auto socket = TestSocket::connectTo(front->server->localEndpoint());
+                socket.send("GET / HTTP/1.1\r\nHost: rota.example\r\nCall-Id: p" + std::to_string(i) + "\r\n\r\n");
+                const auto response = socket.read();
+                served += response && response->status() == 200 ? 1 : 0;
+            });
+        }
+    }
+    CHECK(served >= 2);
+    CHECK(peak <= 2);
+}
+
+// Guards against a process that sends to the relay listener without being a node.
+TEST(Relay, refusesARequestWithoutItsHeader)
+{
+    TestTarget target(answerSigned("ok"));
+    addTarget(target, "i-1");
+    start();
+    auto socket = TestSocket::connectTo(nodes[0]->server->relayEndpoint());
+    socket.send("GET / HTTP/1.1\r\nHost: rota.example\r\n\r\n");
+    CHECK_EQUAL(400, socket.read().value().status());
+    CHECK_EQUAL(0, target.requests());
+}
+
+// Guards against requests that go on to a target whose process has ended: its node reports it and refuses them.
+TEST(Relay, reportsATargetThatHasEnded)
+{
+    auto target = std::make_unique<TestTarget>(answerSigned("ok"));
+    addTarget(*target, "i-1");
+    start();
+    target.reset();
+    const auto response = call("POST", "/book");
+    CHECK_EQUAL(503, response.status());
+    STRCMP_EQUAL("not-run", response.header("x-hornbeam-outcome").c_str());
+    CHECK(ProxyFixture::waitUntil([&] { return nodes[0]->crashes.unreachable() > 0; }));
+}
+
+// Guards against a retry budget that does not see repetitions after a reset: the target may have run the request.
+TEST(Relay, countsARepetitionAfterAReset)
+{
+    std::atomic<int> served = 0;
+    TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        // Every second request on a connection is answered by a reset.
+        if (++served % 2 == 1) {
+            return connection.send(signedResponse(request, "ok"));
+        }
+        connection.reset();
+        return false;
+    });
+    addTarget(target, "i-1");
+    start();
+    constexpr int calls = 60;
+    for (int i = 0; i < calls; ++i) {
+        call("GET", "/");
+    }
+    // The reserve of the budget, and a fifth of the requests.
+    CHECK_COMPARE(target.requests(), <=, calls + 20 + calls / 5);
+    CHECK_COMPARE(target.requests(), >, calls);
+}
--- a/libs/proxy/tests/retrybudgettest.cpp
+++ b/libs/proxy/tests/retrybudgettest.cpp
@@ -26,3 +26,28 @@
     budget.requestStarted();
     CHECK(!budget.tryTakeRetry());
 }
+
+// Guards against retries that come on top of repetitions which the node could not avoid.
+TEST(RetryBudget, isOverdrawnByChargedRepetitions)
+{
+    RetryBudget budget(50, 2);
+    for (int i = 0; i < 3; ++i) {
+        budget.chargeRetry();
+    }
+    CHECK_FALSE(budget.tryTakeRetry());
+    for (int i = 0; i < 3; ++i) {
+        budget.requestStarted();
+        CHECK_FALSE(budget.tryTakeRetry());
+    }
+    budget.requestStarted();
+    CHECK(budget.tryTakeRetry());
+}
+
+// Guards against a share of a fleet's budget that grows when the fleet becomes larger.
+TEST(RetryBudget, losesWhatExceedsASmallerReserve)
+{
+    RetryBudget budget(50, 10);
+    budget.setReserve(1);
+    CHECK(budget.tryTakeRetry());
+    CHECK_FALSE(budget.tryTakeRetry());
+}
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -51,6 +51,7 @@
 {
     Endpoint listen; ///< Required.
     std::optional<Endpoint> healthListen; ///< A second listener, for those who only ask whether the node is ready.
+    std::optional<Endpoint> metricsListen; ///< A third one, for those who collect the metrics.
 
     friend auto operator<=>(const AdminSettings &, const AdminSettings &) = default;
 };
@@ -84,7 +85,7 @@
     Error,
 };
 
-/** The process log on standard error. */
+/** The process log on standard output. */
 struct LogSettings
 {
     LogLevel level = LogLevel::Info;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -142,6 +142,7 @@
     AdminSettings admin;
     admin.listen = section.endpoint("listen");
     admin.healthListen = section.optionalEndpoint("healthListen");
+    admin.metricsListen = section.optionalEndpoint("metricsListen");
     return admin;
 }
 
--- a/libs/store/src/base64.cpp
+++ b/libs/store/src/base64.cpp
@@ -1,4 +1,4 @@
-#include "base64.h"
+#include <hornbeam/store/base64.h>
 
 #include <array>
 #include <cstdint>
--- a/libs/store/src/etcdprotocol.cpp
+++ b/libs/store/src/etcdprotocol.cpp
@@ -1,6 +1,6 @@
 #include <hornbeam/store/etcdprotocol.h>
 
-#include "base64.h"
+#include <hornbeam/store/base64.h>
 
 #include <nlohmann/json.hpp>
 
