Pace large responses on slow links and free slots when a response is read

On the grown site, most hosts have a link of 5 Mbit/s, which an export of 90 KB takes for 144 ms. Small responses waited behind several exports in the queue of the link, calls of running requests among them, and an export held its target's slot until its caller had read it.

A node now sends the pieces of a large response when its link is free and small responses at once, refuses a large one whose wait at the link would be too long, and reports that wait, so that other nodes choose another target. A slot is freed when the response has been read from the target.

Ruled out: compressing exports between nodes (the bytes are random).

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -69,6 +69,7 @@
     options.retryBudgetRatio = traffic.retryBudgetRatio;
     options.retryBudgetReserve = traffic.retryBudgetReserve;
     options.stopNotice = traffic.stopNotice;
+    options.linkMegabitsPerSecond = traffic.linkMegabitsPerSecond;
     if (settings.environment == Environment::Platform) {
         options.headers = Platform::headerNames();
         options.routeTimeoutBinds = true;
--- a/libs/proxy/include/hornbeam/proxy/proxyoptions.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyoptions.h
@@ -28,6 +28,7 @@
     HeaderNames headers{};
     bool routeTimeoutBinds = false; ///< A route's timeout also bounds a caller that sets a longer deadline.
     bool acceptUnframedResponses = false; ///< Targets may end a response with their connection.
+    double linkMegabitsPerSecond = 0; ///< Of the host's link in each direction; 0 when it needs no pacing.
     int quarantineStatus = 422; ///< Status for a request that crashes targets.
     std::string hostService{}; ///< Service of the target on this host, the origin of the requests that begin here.
     double retryBudgetRatio = 0; ///< Retries that all nodes may add to a service's requests, 0..1; 0: see percent.
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -178,6 +178,7 @@
     route.name = relayRouteName;
     route.service = relay.service;
     route.idempotent = relay.repeatable;
+    route.bulk = relay.bulk;
     route.identity = RequestIdentitySource::Attempt;
     CallContext call(m_core, m_pool, m_context, m_stream, state, relay, route, service);
     co_return co_await serveCall(call);
--- /dev/null
+++ b/libs/proxy/src/linkpacer.cpp
@@ -0,0 +1,83 @@
+#include "linkpacer.h"
+
+#include <algorithm>
+
+namespace Hornbeam {
+
+namespace {
+
+/** On faster links, a large response passes within a few milliseconds. */
+constexpr double fastestPacedMegabits = 100;
+
+/** Part of the link that is planned with; headers, acknowledgements and other traffic of the host take the rest. */
+constexpr double usableShare = 0.9;
+
+constexpr double bytesPerMegabit = 1e6 / 8;
+
+/** Queue that may build up at the link, so that it does not run empty between two pieces. */
+constexpr std::chrono::milliseconds allowedQueue{10};
+
+/** Size of a large response before the first one has ended. */
+constexpr double initialLargeBytes = 64.0 * 1024;
+
+constexpr double sizeWeight = 1.0 / 8;
+
+} // namespace
+
+LinkPacer::LinkPacer(LinkPacerOptions options)
+    : m_bytesPerSecond(options.megabitsPerSecond > fastestPacedMegabits
+                           ? 0
+                           : options.megabitsPerSecond * usableShare * bytesPerMegabit)
+    , m_largeBytes(initialLargeBytes)
+{
+}
+
+Duration LinkPacer::reserve(std::size_t bytes, TimePoint now)
+{
+    if (!isPacing()) {
+        return Duration::zero();
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto start = std::max(now, m_freeAt);
+    m_freeAt = start + timeOf(static_cast<double>(bytes));
+    return std::max<Duration>(start - now - allowedQueue, Duration::zero());
+}
+
+void LinkPacer::spend(std::size_t bytes, TimePoint now)
+{
+    if (isPacing()) {
+        const std::lock_guard lock(m_mutex);
+        m_freeAt = std::max(now, m_freeAt) + timeOf(static_cast<double>(bytes));
+    }
+}
+
+void LinkPacer::largeResponseStarted()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_largeResponses;
+}
+
+void LinkPacer::largeResponseEnded(std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    --m_largeResponses;
+    if (bytes > 0) {
+        m_largeBytes += (static_cast<double>(bytes) - m_largeBytes) * sizeWeight;
+    }
+}
+
+Duration LinkPacer::largeResponseWait() const
+{
+    if (!isPacing()) {
+        return Duration::zero();
+    }
+    const std::lock_guard lock(m_mutex);
+    return timeOf(m_largeBytes * m_largeResponses);
+}
+
+Duration LinkPacer::timeOf(double bytes) const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bytes / m_bytesPerSecond));
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/linkpacer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <hornbeam/base/timerservice.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+
+namespace Hornbeam {
+
+struct LinkPacerOptions
+{
+    double megabitsPerSecond = 0; ///< What the link of the host carries in each direction; 0 for no pacing.
+};
+
+/**
+ * Keeps large responses from filling the queue of the host's link, in which small ones would wait behind them. The
+ * pieces of large responses are sent when the link has sent everything before them; small responses are sent at once.
+ * Also estimates how long another large response would wait. Safe from any thread.
+ */
+class LinkPacer
+{
+public:
+    explicit LinkPacer(LinkPacerOptions options);
+
+    /** Whether the link is slow enough for large responses to delay small ones. */
+    bool isPacing() const
+    {
+        return m_bytesPerSecond > 0;
+    }
+
+    /** Takes the link for a piece of a large response; returns how long to wait before it is sent. */
+    Duration reserve(std::size_t bytes, TimePoint now);
+
+    /** Counts bytes that are sent at once. */
+    void spend(std::size_t bytes, TimePoint now);
+
+    void largeResponseStarted();
+
+    /** @p bytes: size of the response that has ended; 0 when it failed. */
+    void largeResponseEnded(std::size_t bytes);
+
+    /** Time that the large responses which have started need on the link. */
+    Duration largeResponseWait() const;
+
+private:
+    Duration timeOf(double bytes) const;
+
+    const double m_bytesPerSecond;
+    mutable std::mutex m_mutex;
+    TimePoint m_freeAt = TimePoint::min();
+    double m_largeBytes; ///< Moving mean of the size of a large response.
+    std::uint32_t m_largeResponses = 0;
+};
+
+} // namespace Hornbeam
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -52,8 +52,9 @@
     return it == targets.end() ? nullptr : *it;
 }
 
-LoadBalancer::LoadBalancer(const ProxyOptions &options, MetricsRegistry &metrics)
+LoadBalancer::LoadBalancer(const ProxyOptions &options, MetricsRegistry &metrics, const LinkPacer &link)
     : m_options(options)
+    , m_link(link)
     , m_ejections(metrics.counter("hornbeam_proxy_ejections_total", "Targets ejected for consecutive failures."))
     , m_selector({.zone = options.zone, .slowStart = options.slowStart})
     , m_placement({.zone = options.zone})
@@ -169,6 +170,11 @@
                               const TargetLoadPtr &load,
                               TimePoint now)
 {
+    // The caller on the own host shares the link with the responses to other nodes as well.
+    if (request->m_options.bulk && now + m_link.largeResponseWait() > request->latestStart()) {
+        request->m_expectedWait = m_link.largeResponseWait();
+        return applyVerdict(AdmissionController::Verdict::TooLate, *request);
+    }
     request->m_pinned = load;
     request->m_expectedWait = service.admission.estimatedWait(request->rank(), load->slots);
     return applyVerdict(service.admission.admit(request, load->slots, now), *request);
@@ -296,6 +302,7 @@
     load.slots = report.slots;
     load.serviceTime = report.serviceTime;
     load.failureRate = report.failuresPerMille / 1000.0;
+    load.largeWait = report.largeWait;
 }
 
 LoadReport LoadBalancer::reportOf(const SlotLease &lease) const
@@ -306,7 +313,9 @@
         return {};
     }
     auto report = makeReport(*lease.m_load, service->second);
-    report.running -= std::min(report.running, 1U);
+    if (!lease.m_released) {
+        report.running -= std::min(report.running, 1U);
+    }
     return report;
 }
 
@@ -325,7 +334,8 @@
             .waiting = service.admission.queuedByRank(),
             .slots = load.slots,
             .serviceTime = std::chrono::duration_cast<std::chrono::milliseconds>(load.serviceTime),
-            .failuresPerMille = static_cast<std::uint32_t>(load.failureRate * perMille)};
+            .failuresPerMille = static_cast<std::uint32_t>(load.failureRate * perMille),
+            .largeWait = std::chrono::duration_cast<std::chrono::milliseconds>(m_link.largeResponseWait())};
 }
 
 Duration LoadBalancer::shortestWait(const std::string &service, AdmissionRank rank, TimePoint now)
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admissioncontroller.h"
+#include "linkpacer.h"
 #include "outlierdetector.h"
 #include "placementpolicy.h"
 #include "retrybudget.h"
@@ -27,7 +28,8 @@
 class LoadBalancer
 {
 public:
-    LoadBalancer(const ProxyOptions &options, MetricsRegistry &metrics);
+    /** @p link outlives the balancer. */
+    LoadBalancer(const ProxyOptions &options, MetricsRegistry &metrics, const LinkPacer &link);
 
     /** Takes over the targets of @p state. A target keeps its load while its address and instance stay the same. */
     void publish(const RoutingState &state, TimePoint now);
@@ -107,6 +109,7 @@
     TargetSelector::Selection select(const std::string &service, const TargetQuery &query, TimePoint now);
 
     const ProxyOptions m_options;
+    const LinkPacer &m_link;
     Counter &m_ejections;
     mutable std::mutex m_mutex;
     TargetSelector m_selector;
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -59,7 +59,10 @@
                 continue;
             }
             const auto requests = expectedRequests(*load, query.rank, ownAhead, now);
-            const auto wait = expectedWait(*load, requests);
+            auto wait = expectedWait(*load, requests);
+            if (query.bulk && load->isRemote()) {
+                wait += load->largeWait;
+            }
             shortest = std::min(shortest, wait);
             const auto cost = costOf(*load, query, requests, now);
             if (wait <= query.maxWait && cost < lowest) {
@@ -124,6 +127,9 @@
 {
     const auto slots = static_cast<double>(load.slots);
     auto cost = milliseconds(expectedWait(load, requests)) + milliseconds(serviceTimeOf(load));
+    if (query.bulk) {
+        cost += milliseconds(load.largeWait);
+    }
     cost += milliseconds(m_options.busyCost) * std::min(requests / slots, 1.0);
     cost += milliseconds(m_options.failureCost) * load.failureRate;
     if (load.isRemote()) {
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -69,19 +69,19 @@
 {
     return target + ';' + service + ';' + route + ';' + milliseconds(left) + ';' + milliseconds(maxWait) + ';'
         + milliseconds(objective) + ';' + std::to_string(rank.value()) + ';' + (repeatable ? '1' : '0') + ';'
-        + (repeated ? '1' : '0');
+        + (repeated ? '1' : '0') + ';' + (bulk ? '1' : '0');
 }
 
 std::optional<RelayRequest> RelayRequest::parse(std::string_view text)
 {
     constexpr std::size_t names = 3;
     const auto parts = split(text, ';');
-    const auto values =
-        numbers<6>(parts, names, {maxMilliseconds, maxMilliseconds, maxMilliseconds, AdmissionRank::count - 1, 1, 1});
+    const auto values = numbers<7>(
+        parts, names, {maxMilliseconds, maxMilliseconds, maxMilliseconds, AdmissionRank::count - 1, 1, 1, 1});
     if (!values) {
         return std::nullopt;
     }
-    const auto &[left, maxWait, objective, rank, repeatable, repeated] = *values;
+    const auto &[left, maxWait, objective, rank, repeatable, repeated, bulk] = *values;
     return RelayRequest{.target = std::string(parts[0]),
                         .service = std::string(parts[1]),
                         .route = std::string(parts[2]),
@@ -90,6 +90,7 @@
                         .objective = std::chrono::milliseconds(objective),
                         .rank = AdmissionRank::fromValue(rank),
                         .repeatable = repeatable == 1,
+                        .bulk = bulk == 1,
                         .repeated = repeated == 1};
 }
 
@@ -105,20 +106,21 @@
         text += ',' + std::to_string(n);
     }
     return text + ',' + std::to_string(slots) + ',' + milliseconds(serviceTime) + ',' + std::to_string(failuresPerMille)
-        + ',' + (arrived ? '1' : '0') + ',' + (dependencyFailed ? '1' : '0');
+        + ',' + (arrived ? '1' : '0') + ',' + (dependencyFailed ? '1' : '0') + ',' + milliseconds(largeWait);
 }
 
 std::optional<LoadReport> LoadReport::parse(std::string_view text)
 {
     constexpr auto ranks = AdmissionRank::count;
-    std::array<std::uint64_t, ranks + 6> maxima{};
+    std::array<std::uint64_t, ranks + 7> maxima{};
     maxima.fill(maxCount);
     maxima[ranks + 1] = maxSlots;
     maxima[ranks + 2] = maxMilliseconds;
     maxima[ranks + 3] = 1000;
     maxima[ranks + 4] = 1;
     maxima[ranks + 5] = 1;
-    const auto values = numbers<ranks + 6>(split(text, ','), 0, maxima);
+    maxima[ranks + 6] = maxMilliseconds;
+    const auto values = numbers<ranks + 7>(split(text, ','), 0, maxima);
     if (!values || (*values)[ranks + 1] == 0) {
         return std::nullopt;
     }
@@ -132,6 +134,7 @@
     report.failuresPerMille = static_cast<std::uint32_t>((*values)[ranks + 3]);
     report.arrived = (*values)[ranks + 4] == 1;
     report.dependencyFailed = (*values)[ranks + 5] == 1;
+    report.largeWait = std::chrono::milliseconds((*values)[ranks + 6]);
     return report;
 }
 
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -29,6 +29,7 @@
     std::chrono::milliseconds objective{0}; ///< Until the response is worth less; 0 for none or when it has passed.
     AdmissionRank rank = Priority::Normal;
     bool repeatable = true; ///< The request may run more than once.
+    bool bulk = false; ///< The response is large.
     bool repeated = false; ///< Another target may have run the request before.
 
     std::string format() const;
@@ -47,6 +48,7 @@
     std::uint32_t slots = 1; ///< Requests that run at the same time. 1..10000.
     std::chrono::milliseconds serviceTime{0}; ///< Mean time of a recent request; 0 when there was none.
     std::uint32_t failuresPerMille = 0; ///< Share of recent requests that failed at the target. 0..1000.
+    std::chrono::milliseconds largeWait{0}; ///< Of a large response at the link of the target's host.
     bool arrived = false; ///< The request reached the target, which refused it.
     bool dependencyFailed = false; ///< A service that the request calls has no room, or a call of it failed.
 
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -1,5 +1,9 @@
 #include "responseforwarder.h"
 
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -15,6 +19,9 @@
 /** A target that sends nothing for this long in the middle of a body is given up, if its attempts may not be slower. */
 constexpr auto bodyStallTimeout = std::chrono::seconds(10);
 
+/** Piece of a large response that takes the link at once: 13 ms at 5 Mbit/s. */
+constexpr std::size_t pacedPieceBytes = std::size_t{8} * 1024;
+
 std::string chunkHead(std::size_t n)
 {
     std::array<char, 24> text{};
@@ -116,23 +123,67 @@
     auto &reader = m_exchange.stream().reader();
     auto &body = reader.body();
     const bool complete = reader.state() == HttpMessageReader::State::Complete;
-    const auto size = chunked && !body.empty() ? chunkHead(body.size()) : std::string();
-    const std::string_view end = size.empty() ? "" : "\r\n";
-    const std::string_view last = chunked && complete ? "0\r\n\r\n" : "";
-    if (!m_callerFailed) {
-        const std::array<asio::const_buffer, 5> buffers = {asio::buffer(head),
-                                                           asio::buffer(size),
-                                                           asio::buffer(body),
-                                                           asio::const_buffer(end.data(), end.size()),
-                                                           asio::const_buffer(last.data(), last.size())};
-        std::size_t n = 0;
-        const auto ec = co_await m_call.caller.socket().write(buffers, m_call.deadline, n);
-        m_callerFailed = static_cast<bool>(ec);
-    }
+    m_bodyBytes += body.size();
+    std::string_view rest = body;
+    std::string_view pieceHead = head;
+    do {
+        const auto piece = rest.substr(0, pieceBytes());
+        rest.remove_prefix(piece.size());
+        co_await waitForLink(pieceHead.size() + piece.size());
+        co_await writePiece(pieceHead, piece, chunked, complete && rest.empty());
+        pieceHead = {};
+    } while (!rest.empty() && !m_callerFailed);
     recordBody(body);
     body.clear();
 }
 
+asio::awaitable<void> ResponseForwarder::writePiece(std::string_view head,
+                                                    std::string_view piece,
+                                                    bool chunked,
+                                                    bool last)
+{
+    if (m_callerFailed) {
+        co_return;
+    }
+    const auto size = chunked && !piece.empty() ? chunkHead(piece.size()) : std::string();
+    const std::string_view end = size.empty() ? "" : "\r\n";
+    const std::string_view lastChunk = chunked && last ? "0\r\n\r\n" : "";
+    const std::array<asio::const_buffer, 5> buffers = {asio::const_buffer(head.data(), head.size()),
+                                                       asio::buffer(size),
+                                                       asio::const_buffer(piece.data(), piece.size()),
+                                                       asio::const_buffer(end.data(), end.size()),
+                                                       asio::const_buffer(lastChunk.data(), lastChunk.size())};
+    std::size_t n = 0;
+    const auto ec = co_await m_call.caller.socket().write(buffers, m_call.deadline, n);
+    m_callerFailed = static_cast<bool>(ec);
+}
+
+std::size_t ResponseForwarder::pieceBytes() const
+{
+    return isPaced() ? pacedPieceBytes : std::string_view::npos;
+}
+
+bool ResponseForwarder::isPaced() const
+{
+    return m_call.core.link.isPacing() && m_call.route.bulk;
+}
+
+asio::awaitable<void> ResponseForwarder::waitForLink(std::size_t bytes)
+{
+    auto &link = m_call.core.link;
+    const auto now = std::chrono::steady_clock::now();
+    if (!isPaced()) {
+        link.spend(bytes, now);
+        co_return;
+    }
+    const auto wait = link.reserve(bytes, now);
+    if (wait > Duration::zero()) {
+        asio::steady_timer timer(*m_call.context, std::min(now + wait, m_call.deadline));
+        std::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 void ResponseForwarder::recordBody(const std::string &piece)
 {
     if (!m_record || m_record->bodyOmitted) {
--- a/libs/proxy/src/responseforwarder.h
+++ b/libs/proxy/src/responseforwarder.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Hornbeam {
 
@@ -26,6 +27,12 @@
      */
     asio::awaitable<bool> forward();
 
+    /** Bytes of the body so far. */
+    std::size_t bodyBytes() const
+    {
+        return m_bodyBytes;
+    }
+
     const RecordedResponse &recorded() const
     {
         return *m_record;
@@ -34,11 +41,16 @@
 private:
     std::string formatHead(bool hasBody);
     asio::awaitable<void> write(const std::string &head, bool chunked);
+    asio::awaitable<void> writePiece(std::string_view head, std::string_view piece, bool chunked, bool last);
+    asio::awaitable<void> waitForLink(std::size_t bytes);
+    std::size_t pieceBytes() const;
+    bool isPaced() const;
     void recordBody(const std::string &piece);
 
     CallContext &m_call;
     UpstreamExchange &m_exchange;
     std::optional<RecordedResponse> m_record;
+    std::size_t m_bodyBytes = 0;
     bool m_keepAlive = false;
     bool m_callerFailed = false;
 };
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+LargeResponse::LargeResponse(CallContext &call)
+    : m_call(call)
+{
+    if (m_call.route.bulk) {
+        m_call.largeBytes = 0;
+        m_call.core.link.largeResponseStarted();
+    }
+}
+
+LargeResponse::~LargeResponse()
+{
+    if (m_call.route.bulk) {
+        m_call.core.link.largeResponseEnded(m_call.largeBytes);
+    }
+}
+
 RoutedCall::RoutedCall(CallContext &call)
     : m_call(call)
 {
@@ -53,10 +69,10 @@
 asio::awaitable<void> RoutedCall::attempt()
 {
     UpstreamExchange exchange(m_call, std::move(m_lease));
+    const LargeResponse large(m_call);
     auto status = co_await exchangeOn(exchange);
     auto verdict = judge(exchange, status);
-    const bool replaceable = m_call.route.idempotent && m_call.origin == CallOrigin::Caller;
-    if (verdict == Verdict::Answered && replaceable && m_call.signedResponses()) {
+    if (verdict == Verdict::Answered && m_call.signedResponses()) {
         status = co_await exchange.readWhole(wholeResponseBytes);
         verdict = status == AttemptStatus::Response ? verdict : Verdict::MayHaveRun;
     }
@@ -260,6 +276,7 @@
     ResponseForwarder forwarder(m_call, exchange);
     const bool complete = co_await forwarder.forward();
     m_call.core.metrics.countResponse(m_call.route.name, code);
+    m_call.largeBytes = complete && code < 300 ? forwarder.bodyBytes() : 0;
     if (!complete || code >= 500) {
         m_call.log(
             "failed", complete ? "the target failed" : "incomplete response", code, exchange.lease().target().name);
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -7,7 +7,8 @@
 ServerCore::ServerCore(ProxyOptions serverOptions, ProxyDependencies serverDependencies)
     : options(std::move(serverOptions))
     , dependencies(serverDependencies)
-    , balancer(options, dependencies.metrics)
+    , link({.megabitsPerSecond = options.linkMegabitsPerSecond})
+    , balancer(options, dependencies.metrics, link)
     , suspects(options.crashWindow)
     , metrics(dependencies.metrics)
 {
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -2,6 +2,7 @@
 
 #include "callerages.h"
 #include "crashsuspects.h"
+#include "linkpacer.h"
 #include "loadbalancer.h"
 #include "proxymetrics.h"
 #include "runningrequests.h"
@@ -23,6 +24,7 @@
 
     const ProxyOptions options;
     const ProxyDependencies dependencies;
+    LinkPacer link;
     LoadBalancer balancer;
     CrashSuspects suspects;
     ProxyMetrics metrics;
--- a/libs/proxy/src/slotlease.cpp
+++ b/libs/proxy/src/slotlease.cpp
@@ -19,6 +19,7 @@
     , m_service(std::move(other.m_service))
     , m_load(std::exchange(other.m_load, nullptr))
     , m_started(other.m_started)
+    , m_released(other.m_released)
 {
 }
 
@@ -30,6 +31,7 @@
         m_service = std::move(other.m_service);
         m_load = std::exchange(other.m_load, nullptr);
         m_started = other.m_started;
+        m_released = other.m_released;
     }
     return *this;
 }
@@ -39,12 +41,18 @@
     reset();
 }
 
-void SlotLease::reset()
+void SlotLease::release()
 {
-    if (m_load) {
+    if (m_load && !m_released) {
+        m_released = true;
         m_balancer->release(m_service, *m_load, m_started);
-        m_load = nullptr;
     }
 }
 
+void SlotLease::reset()
+{
+    release();
+    m_load = nullptr;
+}
+
 } // namespace Hornbeam
--- a/libs/proxy/src/slotlease.h
+++ b/libs/proxy/src/slotlease.h
@@ -8,7 +8,7 @@
 
 class LoadBalancer;
 
-/** A slot of a target; destroying it frees the slot. */
+/** A slot of a target; release() or destroying it frees the slot. */
 class SlotLease
 {
 public:
@@ -35,6 +35,9 @@
         return m_load->isRemote();
     }
 
+    /** Frees the slot; the lease still tells which target it was. */
+    void release();
+
     explicit operator bool() const
     {
         return m_load != nullptr;
@@ -49,6 +52,7 @@
     std::string m_service;
     TargetLoadPtr m_load;
     TimePoint m_started;
+    bool m_released = false;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/targetload.h
+++ b/libs/proxy/src/targetload.h
@@ -23,6 +23,7 @@
     bool own = false; ///< On this host: all of its requests pass through this node.
     bool withdrawn = false; ///< No longer announced; nothing new starts on it.
     Duration serviceTime = Duration::zero(); ///< Moving mean of a request's time at the target; 0 for unknown.
+    Duration largeWait = Duration::zero(); ///< That a large response would have at the link of the target's host.
     double failureRate = 0; ///< Moving share of requests that failed at the target, 0..1.
     LoadReport report; ///< Last report of the target's own node.
     TimePoint reportedAt = TimePoint::min();
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -195,6 +195,7 @@
                                  .objective = objective,
                                  .rank = m_call.rank(),
                                  .repeatable = m_call.route.idempotent,
+                                 .bulk = m_call.route.bulk,
                                  .repeated = m_call.repeated};
         out += std::string(relayHeaderName) + ": " + relay.format() + "\r\n";
         return;
@@ -418,6 +419,10 @@
             co_return AttemptStatus::BadResponse;
         }
     }
+    if (reader.state() == HttpMessageReader::State::Complete) {
+        // The target is done, however long the caller takes to read.
+        m_lease.release();
+    }
     co_return AttemptStatus::Response;
 }
 
--- /dev/null
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -0,0 +1,53 @@
+#include "linkpacer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LinkPacer)
+{
+    TimePoint now{1h};
+    LinkPacer pacer{{.megabitsPerSecond = 8}}; // 0.9 bytes per microsecond.
+};
+
+// Guards against small responses that wait behind the whole of a large one in the queue of the link.
+TEST(LinkPacer, sendsPiecesWhenTheLinkIsFree)
+{
+    CHECK(pacer.reserve(90000, now) == 0ms);
+    const auto wait = pacer.reserve(9000, now);
+    CHECK(wait > 85ms && wait < 95ms);
+    now += 1s;
+    CHECK(pacer.reserve(9000, now) == 0ms);
+}
+
+// Guards against a link that carries more than it can, because small responses are not counted.
+TEST(LinkPacer, countsWhatIsSentAtOnce)
+{
+    pacer.spend(90000, now);
+    CHECK(pacer.reserve(9000, now) > 85ms);
+}
+
+// Guards against requests for large responses that wait at a link with many of them beside idle ones.
+TEST(LinkPacer, tellsHowLongALargeResponseWouldWait)
+{
+    CHECK(pacer.largeResponseWait() == 0ms);
+    for (int i = 0; i < 50; ++i) {
+        pacer.largeResponseStarted();
+        pacer.largeResponseEnded(90000);
+    }
+    pacer.largeResponseStarted();
+    pacer.largeResponseStarted();
+    CHECK(pacer.largeResponseWait() > 190ms && pacer.largeResponseWait() < 210ms);
+    pacer.largeResponseEnded(0);
+    CHECK(pacer.largeResponseWait() < 110ms);
+}
+
+TEST(LinkPacer, leavesFastLinksAlone)
+{
+    LinkPacer fast({.megabitsPerSecond = 1000});
+    fast.largeResponseStarted();
+    fast.spend(1000000, now);
+    CHECK(fast.reserve(1000000, now) == 0ms);
+    CHECK(fast.largeResponseWait() == 0ms);
+}
--- a/libs/proxy/tests/relayheadertest.cpp
+++ b/libs/proxy/tests/relayheadertest.cpp
@@ -17,6 +17,7 @@
                                .objective = 400ms,
                                .rank = AdmissionRank::nested(),
                                .repeatable = false,
+                               .bulk = true,
                                .repeated = true};
     CHECK(RelayRequest::parse(request.format()) == request);
 }
@@ -28,6 +29,7 @@
                             .slots = 10,
                             .serviceTime = 120ms,
                             .failuresPerMille = 250,
+                            .largeWait = 70ms,
                             .arrived = true,
                             .dependencyFailed = true};
     CHECK(LoadReport::parse(report.format()) == report);
@@ -38,11 +40,23 @@
 // Guards against a process at a reused address whose header is taken for that of a node.
 TEST(RelayHeader, refusesOtherText)
 {
-    for (const char *text :
-         {"", "a;b", "a;b;c;1;2;3;9;1;0", "a;b;c;-1;2;3;1;1;0", "a;b;c;1;2;3;1;1;5;0", "a;b;c;x;2;3;1;1;0"}) {
+    CHECK(RelayRequest::parse("a;b;c;1;2;3;1;1;0;0").has_value());
+    for (const char *text : {"",
+                             "a;b",
+                             "a;b;c;1;2;3;9;1;0;0",
+                             "a;b;c;-1;2;3;1;1;0;0",
+                             "a;b;c;1;2;3;1;1;5;0",
+                             "a;b;c;x;2;3;1;1;0;0",
+                             "a;b;c;1;2;3;1;1;0;0;0"}) {
         CHECK_FALSE(RelayRequest::parse(text).has_value());
     }
-    for (const char *text : {"", "1,2", "1,0,0,0,0,0,0,5,0,0,0", "1,0,0,0,0,0,9,5,1001,0,0", "1,0,0,0,0,0,9,5,1,2,0"}) {
+    CHECK(LoadReport::parse("1,0,0,0,0,0,9,5,1,1,0,0").has_value());
+    for (const char *text : {"",
+                             "1,2",
+                             "1,0,0,0,0,0,0,5,0,0,0,0",
+                             "1,0,0,0,0,0,9,5,1001,0,0,0",
+                             "1,0,0,0,0,0,9,5,1,2,0,0",
+                             "1,0,0,0,0,0,9,5,1,1,0"}) {
         CHECK_FALSE(LoadReport::parse(text).has_value());
     }
 }
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -41,6 +41,7 @@
     std::optional<Endpoint> relayListen; ///< Where other nodes send requests for the targets of this host.
     double retryBudgetRatio = 0; ///< Retries of all nodes per request of a service, 0..1; 0 uses the percentage.
     std::uint32_t retryBudgetReserve = 0; ///< Further retries of all nodes in the budget's window. 0..100000.
+    double linkMegabitsPerSecond = 0; ///< Of the host's link in each direction; 0 for no pacing. 0..1000000.
     std::chrono::milliseconds stopNotice{500}; ///< Requests are still taken for this time after a stop. 0..60000.
 
     friend auto operator<=>(const TrafficSettings &, const TrafficSettings &) = default;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -131,6 +131,8 @@
     traffic.relayListen = section.optionalEndpoint("relayListen");
     traffic.retryBudgetRatio =
         section.reader().optionalNumber("retryBudgetRatio", {.minimum = 0, .maximum = 1}).value_or(0);
+    traffic.linkMegabitsPerSecond =
+        section.reader().optionalNumber("linkMegabitsPerSecond", {.minimum = 0, .maximum = 1e6}).value_or(0);
     traffic.retryBudgetReserve = section.count("retryBudgetReserve", traffic.retryBudgetReserve, {0, 100000});
     traffic.stopNotice = section.duration("stopNoticeMs", traffic.stopNotice, {0, 60000});
     traffic.slowStart = section.duration("slowStartMs", traffic.slowStart, {0, 600000});
