Notice broken links by unacknowledged bytes

Connections to other nodes now end when the kernel has no acknowledgement for 500 ms or no answer to its probes, and a target whose node cannot be reached is left out for 1 s. Ruled out: a shorter bound of an attempt, which would break off requests that run.

Unit tests pass.

--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -35,6 +35,11 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto &balancer = call.core.balancer;
+    const bool unreachable = status == AttemptStatus::ConnectFailed || status == AttemptStatus::Silent;
+    if (unreachable && exchange.lease().isRemote()) {
+        balancer.recordUnreachable(exchange.lease(), now);
+        return;
+    }
     switch (status) {
     case AttemptStatus::Response:
         if (exchange.lease().isRemote()) {
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -27,6 +27,9 @@
 /** Part of the fleet's retry budget that the nodes use; the rest covers what they do not know of each other. */
 constexpr double budgetShare = 0.7;
 
+/** Time for which a target is left out whose node could not be reached. */
+constexpr auto unreachableTime = std::chrono::seconds(1);
+
 /** Bounds of a fractional Retry-After: at least long enough for some slots to become free. */
 constexpr std::chrono::milliseconds shortestRetryAfter{150};
 constexpr std::chrono::milliseconds retryAfterSpread{300};
@@ -270,6 +273,14 @@
     m_outliers.succeeded(*lease.m_load, now);
 }
 
+void LoadBalancer::recordUnreachable(const SlotLease &lease, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    // Each request that finds out for itself loses the time of a timeout. When a link heals, little is lost either.
+    lease.m_load->ejectedUntil = std::max(lease.m_load->ejectedUntil, now + unreachableTime);
+    m_ejections.add();
+}
+
 void LoadBalancer::recordRejection(const SlotLease &lease, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -51,6 +51,9 @@
     void recordSuccess(const SlotLease &lease, TimePoint now);
     /** Records that a target or its node answered, which says nothing about how the target runs requests. */
     void recordReach(const SlotLease &lease, TimePoint now);
+    /** Records that the node of a target cannot be reached, so that requests go elsewhere for a moment. */
+    void recordUnreachable(const SlotLease &lease, TimePoint now);
+
     /** Records that a target refused a request although it has a free slot. */
     void recordRejection(const SlotLease &lease, TimePoint now);
     void recordFailure(const SlotLease &lease, TimePoint now);
--- a/libs/proxy/src/proxymetrics.cpp
+++ b/libs/proxy/src/proxymetrics.cpp
@@ -10,6 +10,8 @@
     , cancelled(registry.counter("hornbeam_proxy_cancelled_total", "Requests whose caller disconnected."))
     , strayResponses(registry.counter("hornbeam_proxy_stray_responses_total",
                                       "Responses to other requests than the one that was sent last."))
+    , socketOptionFailures(registry.counter("hornbeam_proxy_socket_option_failures_total",
+                                            "Connections to other nodes without the timeouts for broken links."))
     , addedTime(registry.latency("hornbeam_proxy_added_seconds", "Time that the proxy itself adds to a call."))
     , m_registry(registry)
 {
--- a/libs/proxy/src/proxymetrics.h
+++ b/libs/proxy/src/proxymetrics.h
@@ -25,6 +25,7 @@
     Counter &truncatedResponses;
     Counter &cancelled;
     Counter &strayResponses;
+    Counter &socketOptionFailures;
     LatencyRecorder &addedTime;
 
 private:
--- a/libs/proxy/src/socketinfo.cpp
+++ b/libs/proxy/src/socketinfo.cpp
@@ -10,6 +10,20 @@
 
 constexpr int tcpLevel = 6; // IPPROTO_TCP
 
+/** Time without an acknowledgement: one lost packet is sent again within 200 ms, and a second one within 400 ms more. */
+constexpr unsigned int unacknowledgedMs = 500;
+
+/** Probes of a connection on which nothing is sent. */
+constexpr int idleSeconds = 1;
+constexpr int probeSeconds = 1;
+constexpr int probes = 2;
+
+template <typename T>
+bool setOption(int socket, int level, int name, T value)
+{
+    return ::setsockopt(socket, level, name, &value, sizeof(value)) == 0;
+}
+
 } // namespace
 
 std::uint64_t acknowledgedBytes(int socket)
@@ -22,4 +36,12 @@
     return info.tcpi_bytes_acked;
 }
 
+bool setLinkTimeouts(int socket)
+{
+    const bool probing = setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1)
+        && setOption(socket, tcpLevel, TCP_KEEPIDLE, idleSeconds)
+        && setOption(socket, tcpLevel, TCP_KEEPINTVL, probeSeconds) && setOption(socket, tcpLevel, TCP_KEEPCNT, probes);
+    return setOption(socket, tcpLevel, TCP_USER_TIMEOUT, unacknowledgedMs) && probing;
+}
+
 } // namespace Hornbeam
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -119,6 +119,9 @@
         m_refused = ec == asio::error::connection_refused;
         co_return false;
     }
+    if (m_lease && m_lease.isRemote() && !setLinkTimeouts(socket.socket().native_handle())) {
+        m_call.core.metrics.socketOptionFailures.add();
+    }
     const auto maxHeaderBytes = m_call.core.options.maxHeaderBytes;
     m_connection = std::make_unique<UpstreamConnection>(target, std::move(socket), maxHeaderBytes, now());
     co_return true;
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -361,3 +361,20 @@
     CHECK_COMPARE(target.requests(), <=, calls + 20 + calls / 5);
     CHECK_COMPARE(target.requests(), >, calls);
 }
+
+// Guards against requests that one after the other wait for a node that cannot be reached.
+TEST(Relay, leavesOutATargetWhoseNodeCannotBeReached)
+{
+    TestTarget target(answerSigned("ok"));
+    TestTarget other(answerSigned("ok"));
+    addTarget(target, "i-1");
+    addTarget(other, "i-2");
+    targets[0].zone = "turku";
+    targets[1].zone = "helsinki";
+    start();
+    nodes[0]->server.reset();
+    for (int i = 0; i < 20; ++i) {
+        CHECK_EQUAL(200, call("POST", "/book").status());
+    }
+    CHECK(front->metrics.render().find("hornbeam_proxy_ejections_total 1") != std::string::npos);
+}
