Judge whether a request can be in time by the time of its route

Exports, which are less urgent and take 130 ms, were served more often than status reads of 64 ms: the time until a request must start was computed from the mean of all requests of the service, which left a status read 37 ms to wait and an export 275 ms.

Nodes now keep the mean time of each route, and a target's node reports it with its responses. Ruled out: a target that the nodes had lost; the log shows that three targets left as planned.

--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -42,14 +42,13 @@
     }
     switch (status) {
     case AttemptStatus::Response:
-        if (exchange.lease().isRemote()) {
-            // The target's own node counts its failures and reports them.
+        if (exchange.lease().isRemote() || exchange.dependencyFailed()) {
+            // The target's own node counts its failures and reports them. A failed call is the fault of another
+            // service.
             balancer.recordReach(exchange.lease(), now);
         } else if (exchange.statesNotRun()) {
             // Its node never sends a target more requests than it has slots, so a refusal is a fault of the target.
             balancer.recordRejection(exchange.lease(), now);
-        } else if (exchange.dependencyFailed()) {
-            balancer.recordReach(exchange.lease(), now);
         } else if (isFailureStatus(exchange.stream().reader().head().status)) {
             balancer.recordFailure(exchange.lease(), now);
         } else {
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -159,8 +159,8 @@
     if (origin == CallOrigin::Peer || (objective == TimePoint::max() && !knowsService)) {
         return;
     }
-    const auto typical =
-        std::chrono::duration_cast<Duration>(core.balancer.typicalServiceTime(service.name) * serviceTimeMargin);
+    const auto mean = core.routeTimes.of(route.name, core.balancer.typicalServiceTime(service.name));
+    const auto typical = std::chrono::duration_cast<Duration>(mean * serviceTimeMargin);
     const auto now = std::chrono::steady_clock::now();
     const auto inTime = std::min(objective, deadline) - typical;
     late = inTime < now;
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -106,13 +106,14 @@
         text += ',' + std::to_string(n);
     }
     return text + ',' + std::to_string(slots) + ',' + milliseconds(serviceTime) + ',' + std::to_string(failuresPerMille)
-        + ',' + (arrived ? '1' : '0') + ',' + (dependencyFailed ? '1' : '0') + ',' + milliseconds(largeWait);
+        + ',' + (arrived ? '1' : '0') + ',' + (dependencyFailed ? '1' : '0') + ',' + milliseconds(largeWait) + ','
+        + milliseconds(routeTime);
 }
 
 std::optional<LoadReport> LoadReport::parse(std::string_view text)
 {
     constexpr auto ranks = AdmissionRank::count;
-    std::array<std::uint64_t, ranks + 7> maxima{};
+    std::array<std::uint64_t, ranks + 8> maxima{};
     maxima.fill(maxCount);
     maxima[ranks + 1] = maxSlots;
     maxima[ranks + 2] = maxMilliseconds;
@@ -120,7 +121,8 @@
     maxima[ranks + 4] = 1;
     maxima[ranks + 5] = 1;
     maxima[ranks + 6] = maxMilliseconds;
-    const auto values = numbers<ranks + 7>(split(text, ','), 0, maxima);
+    maxima[ranks + 7] = maxMilliseconds;
+    const auto values = numbers<ranks + 8>(split(text, ','), 0, maxima);
     if (!values || (*values)[ranks + 1] == 0) {
         return std::nullopt;
     }
@@ -135,6 +137,7 @@
     report.arrived = (*values)[ranks + 4] == 1;
     report.dependencyFailed = (*values)[ranks + 5] == 1;
     report.largeWait = std::chrono::milliseconds((*values)[ranks + 6]);
+    report.routeTime = std::chrono::milliseconds((*values)[ranks + 7]);
     return report;
 }
 
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -48,6 +48,7 @@
     std::uint32_t slots = 1; ///< Requests that run at the same time. 1..10000.
     std::chrono::milliseconds serviceTime{0}; ///< Mean time of a recent request; 0 when there was none.
     std::uint32_t failuresPerMille = 0; ///< Share of recent requests that failed at the target. 0..1000.
+    std::chrono::milliseconds routeTime{0}; ///< Mean time of a request of the same route; 0 when there was none.
     std::chrono::milliseconds largeWait{0}; ///< Of a large response at the link of the target's host.
     bool arrived = false; ///< The request reached the target, which refused it.
     bool dependencyFailed = false; ///< A service that the request calls has no room, or a call of it failed.
--- /dev/null
+++ b/libs/proxy/src/routetimes.cpp
@@ -0,0 +1,36 @@
+#include "routetimes.h"
+
+namespace Hornbeam {
+
+namespace {
+
+/** Weight of a new sample: follows a change within some tens of requests. */
+constexpr int sampleWeight = 16;
+
+/** Bound of the memory; all means start anew when there were more routes. */
+constexpr std::size_t maxRoutes = 10000;
+
+} // namespace
+
+void RouteTimes::note(const std::string &route, Duration time)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_means.find(route);
+    if (it != m_means.end()) {
+        it->second += (time - it->second) / sampleWeight;
+        return;
+    }
+    if (m_means.size() >= maxRoutes) {
+        m_means.clear();
+    }
+    m_means.emplace(route, time);
+}
+
+Duration RouteTimes::of(const std::string &route, Duration unknown) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_means.find(route);
+    return it == m_means.end() ? unknown : it->second;
+}
+
+} // namespace Hornbeam
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -5,6 +5,7 @@
 #include "linkpacer.h"
 #include "loadbalancer.h"
 #include "proxymetrics.h"
+#include "routetimes.h"
 #include "runningrequests.h"
 #include "splitchooser.h"
 
@@ -31,6 +32,7 @@
     CallerAges callerAges;
     SplitChooser splits;
     RunningRequests running;
+    RouteTimes routeTimes;
     std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::size_t> connections = 0;
     std::atomic<bool> draining = false;
--- a/libs/proxy/src/socketinfo.cpp
+++ b/libs/proxy/src/socketinfo.cpp
@@ -10,7 +10,8 @@
 
 constexpr int tcpLevel = 6; // IPPROTO_TCP
 
-/** Time without an acknowledgement: one lost packet is sent again within 200 ms, and a second one within 400 ms more. */
+/** Time without an acknowledgement: one lost packet is sent again within 200 ms, and a second one within 400 ms more.
+ */
 constexpr unsigned int unacknowledgedMs = 500;
 
 /** Probes of a connection on which nothing is sent. */
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -88,6 +88,11 @@
 {
     if (std::exchange(m_runs, false)) {
         m_dependencyFailed = m_call.core.running.remove(*m_call.requestId());
+        const auto &reader = m_connection->stream.reader();
+        const bool served = reader.state() != HttpMessageReader::State::Head && reader.head().status < 300;
+        if (served) {
+            m_call.core.routeTimes.note(m_call.routeName(), now() - m_sendStarted);
+        }
     }
 }
 
@@ -365,6 +370,9 @@
     m_dependencyFailed = report && report->dependencyFailed;
     if (report) {
         m_call.core.balancer.recordReport(m_lease, *report, now());
+        if (report->routeTime.count() > 0) {
+            m_call.core.routeTimes.note(m_call.routeName(), report->routeTime);
+        }
     }
 }
 
@@ -373,6 +381,8 @@
     auto report = m_call.core.balancer.reportOf(m_lease);
     report.arrived = statesNotRun();
     report.dependencyFailed = m_dependencyFailed;
+    report.routeTime = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_call.core.routeTimes.of(m_call.routeName(), Duration::zero()));
     return report;
 }
 
--- a/libs/proxy/tests/relayheadertest.cpp
+++ b/libs/proxy/tests/relayheadertest.cpp
@@ -29,6 +29,7 @@
                             .slots = 10,
                             .serviceTime = 120ms,
                             .failuresPerMille = 250,
+                            .routeTime = 64ms,
                             .largeWait = 70ms,
                             .arrived = true,
                             .dependencyFailed = true};
@@ -50,12 +51,12 @@
                              "a;b;c;1;2;3;1;1;0;0;0"}) {
         CHECK_FALSE(RelayRequest::parse(text).has_value());
     }
-    CHECK(LoadReport::parse("1,0,0,0,0,0,9,5,1,1,0,0").has_value());
+    CHECK(LoadReport::parse("1,0,0,0,0,0,9,5,1,1,0,0,0").has_value());
     for (const char *text : {"",
                              "1,2",
-                             "1,0,0,0,0,0,0,5,0,0,0,0",
-                             "1,0,0,0,0,0,9,5,1001,0,0,0",
-                             "1,0,0,0,0,0,9,5,1,2,0,0",
+                             "1,0,0,0,0,0,0,5,0,0,0,0,0",
+                             "1,0,0,0,0,0,9,5,1001,0,0,0,0",
+                             "1,0,0,0,0,0,9,5,1,2,0,0,0",
                              "1,0,0,0,0,0,9,5,1,1,0"}) {
         CHECK_FALSE(LoadReport::parse(text).has_value());
     }
--- a/libs/proxy/tests/runningrequeststest.cpp
+++ b/libs/proxy/tests/runningrequeststest.cpp
@@ -1,5 +1,6 @@
 #include "runningrequests.h"
 #include "callerages.h"
+#include "routetimes.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -88,3 +89,20 @@
     CHECK(ages.ageOf("lookup", std::nullopt) == 0ms);
     CHECK(ages.ageOf("other", 500ms) == 0ms);
 }
+
+TEST_GROUP(RouteTimes){};
+
+// Guards against short requests that are refused as too late by the mean time of the long ones of their service.
+TEST(RouteTimes, keepsRoutesApart)
+{
+    RouteTimes times;
+    CHECK(times.of("status", 90ms) == 90ms);
+    times.note("export", 200ms);
+    times.note("status", 60ms);
+    CHECK(times.of("status", 90ms) == 60ms);
+    for (int i = 0; i < 200; ++i) {
+        times.note("status", 100ms);
+    }
+    CHECK(times.of("status", 90ms) > 95ms);
+    CHECK(times.of("export", 90ms) == 200ms);
+}
