--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -85,3 +85,31 @@
     CHECK_FALSE(settings.has_value());
     CHECK(settings.error().size() >= 5);
 }
+
+TEST(Settings, readsTheSettingsOfThePlatform)
+{
+    const auto settings = Settings::parse(R"({
+        "environment": "platform",
+        "node": {"zone": "tampere", "region": "fi-south", "targetService": "rota", "targetAddress": "127.0.0.1:9000"},
+        "traffic": {"listen": "127.0.0.1:8080", "relayListen": "127.0.0.1:8090", "retryBudgetRatio": 0.2,
+                    "retryBudgetReserve": 56, "linkMegabitsPerSecond": 5.0, "stopNoticeMs": 2500},
+        "admin": {"listen": "127.0.0.1:8081", "healthListen": "127.0.0.1:8083", "metricsListen": "127.0.0.1:8084"},
+        "peer": {"listen": "127.0.0.1:8082"},
+        "store": {"endpoints": ["127.0.0.1:2379"]}
+    })");
+    CHECK(settings.has_value());
+    CHECK(settings->environment == Environment::Platform);
+    STRCMP_EQUAL("rota", settings->node.targetService.c_str());
+    STRCMP_EQUAL("127.0.0.1:8090", settings->traffic.relayListen->toString().c_str());
+    DOUBLES_EQUAL(5, settings->traffic.linkMegabitsPerSecond, 0.001);
+    CHECK_EQUAL(56, settings->traffic.retryBudgetReserve);
+    STRCMP_EQUAL("127.0.0.1:8084", settings->admin.metricsListen->toString().c_str());
+}
+
+// Guards against a misspelt environment that starts the node with other interfaces than its operators expect.
+TEST(Settings, refusesAnUnknownEnvironment)
+{
+    CHECK(reports(replaced("\"node\"", "\"environment\": \"plattform\", \"node\""), "$.environment"));
+    CHECK(reports(replaced("\"listen\": \"127.0.0.1:8080\"", "\"listen\": \"127.0.0.1:8080\", \"retryBudgetRatio\": 2"),
+                  "$.traffic.retryBudgetRatio"));
+}
