Remove a parameter and a setting that nothing reads

Found by the last read of the change: retryAfter() took a service that it discarded, targetAddress was parsed and documented but used by no part, and one reason stood twice in RoutedCall. No behaviour changes; no check changes, the settings test only leaves the removed key out.

--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -378,10 +378,9 @@
     return n > 0 ? sum / n : it->second.admission.averageDuration();
 }
 
-std::chrono::milliseconds LoadBalancer::retryAfter(const std::string &service, Duration expectedWait)
+std::chrono::milliseconds LoadBalancer::retryAfter(Duration expectedWait)
 {
     const std::lock_guard lock(m_mutex);
-    static_cast<void>(service);
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(expectedWait);
     const auto spread = std::uniform_int_distribution<std::int64_t>(0, retryAfterSpread.count())(m_random);
     return std::max(shortestRetryAfter, wait) + std::chrono::milliseconds(spread);
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -78,7 +78,7 @@
     int retryAfterSeconds(const std::string &service);
 
     /** Like retryAfterSeconds(), for callers that understand a fraction. */
-    std::chrono::milliseconds retryAfter(const std::string &service, Duration expectedWait);
+    std::chrono::milliseconds retryAfter(Duration expectedWait);
 
     /** Targets and queue lengths as JSON members, for the dump. */
     std::string dumpJson(TimePoint now) const;
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -213,11 +213,11 @@
         return false;
     }
     const bool mayHaveCrashed = status == AttemptStatus::Broken || status == AttemptStatus::BadResponse;
+    // A request that has crashed a target must not reach further ones by itself. Without signatures, a broken
+    // connection is not tested for a crash, so it counts as one.
     if (mayHaveCrashed && !m_call.signedResponses()) {
-        // A request that may have crashed a target must not reach further ones by itself.
         return false;
     }
-    // A request that has crashed a target must not reach further ones by itself.
     if (status == AttemptStatus::CallerFailed || status == AttemptStatus::Expired || isCrashSuspect(m_call)) {
         return false;
     }
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -113,7 +113,7 @@
 {
     auto &balancer = call.core.balancer;
     const auto retryAfter = call.core.options.headers.fractionalRetryAfter
-        ? balancer.retryAfter(call.service.name, call.expectedWait)
+        ? balancer.retryAfter(call.expectedWait)
         : std::chrono::seconds(balancer.retryAfterSeconds(call.service.name));
     return {.status = 503, .reason = reason, .retryAfter = retryAfter};
 }
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -21,7 +21,6 @@
     std::string zone; ///< Availability zone. Required.
     std::string region; ///< Region of the zone. Required.
     std::string targetService; ///< Service of the target on this host; empty for none.
-    std::optional<Endpoint> targetAddress; ///< Its address, if only processes on this host can reach it.
 
     friend auto operator<=>(const NodeSettings &, const NodeSettings &) = default;
 };
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -113,7 +113,6 @@
 {
     NodeSettings node{.zone = section.name("zone"), .region = section.name("region")};
     node.targetService = section.reader().optionalString("targetService").value_or("");
-    node.targetAddress = section.optionalEndpoint("targetAddress");
     return node;
 }
 
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -90,7 +90,7 @@
 {
     const auto settings = Settings::parse(R"({
         "environment": "platform",
-        "node": {"zone": "tampere", "region": "fi-south", "targetService": "rota", "targetAddress": "127.0.0.1:9000"},
+        "node": {"zone": "tampere", "region": "fi-south", "targetService": "rota"},
         "traffic": {"listen": "127.0.0.1:8080", "relayListen": "127.0.0.1:8090", "retryBudgetRatio": 0.2,
                     "retryBudgetReserve": 56, "linkMegabitsPerSecond": 5.0, "stopNoticeMs": 2500},
         "admin": {"listen": "127.0.0.1:8081", "healthListen": "127.0.0.1:8083", "metricsListen": "127.0.0.1:8084"},
