Join through any seed that answers, and contact absent seeds from the start

Two faults: - After a healed cut the sides meet only by table comparisons, one in 5 s a node of which about a quarter crosses. In 3 s none did in about a third of the cases. Absent seeds were contacted each second only where the seeds were replaced at run time. - A node that starts in a zone that is cut off asks one random seed for 1.6 s, waits with backoff and asks another one, also after the reachable seed had spoken to it. With one of three seeds reachable it missed 10 s at times.

Ruled out: the fetch of the version (the first message of the far side was missing, not the fetch), readiness (the version was applied after 0.1 s; the join had not ended), load (the unit tests fail without any).

Change: seeds without a live member are contacted once a second from the start and in turn instead of at random; an unfinished join continues with a seed that has just sent a datagram.

--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -222,6 +222,7 @@
         const auto hash = memberHash(datagram.sender_id());
         const auto sender = m_table.find(hash);
         m_prober.messageReceived(hash);
+        m_sync.heardFrom(endpointFromWire(datagram.sender_address()));
         const bool outdated = !sender || sender->incarnation < datagram.incarnation();
         // Two members that do not know each other would answer each request by another one while no page gets through.
         if (outdated && !datagram.has_table_request()) {
--- a/libs/membership/src/tablesync.cpp
+++ b/libs/membership/src/tablesync.cpp
@@ -10,7 +10,8 @@
 
 constexpr auto pageTimeout = std::chrono::milliseconds(400);
 constexpr int maxPageAttempts = 4;
-// Seeds without a live member are contacted this often, a few at a time: most of them are gone for good.
+// Seeds without a live member are contacted this often, a few at a time: most of them are gone for good. The table
+// comparisons, every 5 s, are too rare and too random for the 3 s in which a healed partition has to catch up.
 constexpr auto seedPeriod = std::chrono::seconds(1);
 constexpr std::size_t maxSeedsPerPeriod = 4;
 
@@ -51,6 +52,7 @@
         finishJoin();
         return;
     }
+    m_seedTimer = m_timers.once(seedPeriod, [this] { contactSeeds(); });
     scheduleJoin(m_channel.randomDuration(Duration::zero(), m_options.joinSpread));
 }
 
@@ -69,19 +71,34 @@
     for (const auto &listed : *m_table.liveMembers()) {
         live.insert(listed.member->peerAddress);
     }
-    auto seeds = otherSeeds();
-    std::erase_if(seeds, [&](const Endpoint &seed) { return live.contains(seed); });
+    const auto seeds = otherSeeds();
     const auto self = m_table.find(m_channel.selfHash());
-    for (std::size_t n = 0; n < maxSeedsPerPeriod && !seeds.empty() && self; ++n) {
-        const auto chosen = seeds.begin() + static_cast<std::ptrdiff_t>(m_channel.randomBelow(seeds.size()));
+    std::size_t contacted = 0;
+    for (std::size_t n = 0; n < seeds.size() && contacted < maxSeedsPerPeriod && self; ++n) {
+        const auto &seed = seeds[m_nextSeed++ % seeds.size()];
+        if (live.contains(seed)) {
+            continue;
+        }
         auto datagram = m_channel.makeDatagram();
         datagram.mutable_table_digest()->set_digest(m_table.digest());
         appendUpdate(datagram, toWire(*self));
-        m_channel.sendPlain(*chosen, datagram);
-        seeds.erase(chosen);
+        m_channel.sendPlain(seed, datagram);
+        ++contacted;
     }
 }
 
+void TableSync::heardFrom(const Endpoint &sender)
+{
+    // The seed that was chosen may be unreachable, for example in a zone that is cut off, while this one is not.
+    const auto seeds = otherSeeds();
+    const bool isSeed = std::find(seeds.begin(), seeds.end(), sender) != seeds.end();
+    if (m_joined || !isSeed || (m_pull && (m_pull->peerHeard || m_pull->peer == sender))) {
+        return;
+    }
+    startPull(sender, {Range{}}, true);
+    m_pull->peerHeard = true;
+}
+
 void TableSync::requestMember(const Endpoint &peer, MemberHash hash)
 {
     auto datagram = m_channel.makeDatagram();
@@ -296,6 +313,7 @@
 
 void TableSync::startPull(const Endpoint &peer, std::deque<Range> ranges, bool join)
 {
+    m_joinTimer.reset();
     m_pull = Pull{.peer = peer, .ranges = std::move(ranges), .join = join};
     requestNextPage();
 }
--- a/libs/membership/src/tablesync.h
+++ b/libs/membership/src/tablesync.h
@@ -32,6 +32,9 @@
     /** Compares the table with seeds that are not the address of a live member. */
     void contactSeeds();
 
+    /** Continues a join that has not heard from its seed with @p sender, if that is another seed. */
+    void heardFrom(const Endpoint &sender);
+
     /** Asks @p peer for the state of one member. */
     void requestMember(const Endpoint &peer, MemberHash hash);
 
@@ -59,6 +62,7 @@
         int attempts = 0;
         TimePoint deadline{};
         bool join = false;
+        bool peerHeard = false; ///< Whether the peer was chosen because it had just sent a datagram.
     };
 
     void scheduleAntiEntropy();
@@ -86,6 +90,7 @@
     Backoff m_joinBackoff;
     bool m_joined = false;
     std::optional<Pull> m_pull;
+    std::size_t m_nextSeed = 0; ///< Position in the seeds at which the next contact begins.
     std::uint32_t m_sequence = 0;
     std::uint32_t m_servedPages = 0; ///< In the current second.
     TimePoint m_budgetStart;
--- a/libs/membership/tests/failuredetectortest.cpp
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
 using namespace Hornbeam;
 using namespace std::chrono_literals;
 
@@ -52,6 +54,30 @@
     CHECK(node(7).detector->joined());
 }
 
+// Guards against a node that starts in a zone that is cut off and waits for seeds of other zones, one after the other,
+// although one of its own zone answers. With one seed for each of seven zones it has the same 3 s as a change.
+TEST(FailureDetector, joinsThroughTheOnlyReachableSeed)
+{
+    constexpr std::uint64_t runs = 20;
+    for (std::uint64_t run = 0; run < runs; ++run) {
+        MemoryNetwork cutOff;
+        cutOff.seedBase = run * size;
+        cutOff.makeCluster(3);
+        for (std::uint16_t port = 2001; port <= 2006; ++port) {
+            cutOff.seeds.emplace_back("127.0.0.1", port);
+        }
+        cutOff.seeds.erase(cutOff.seeds.begin());
+        auto &late = cutOff.add("late", "south", 1900);
+        late.detector->start();
+        if (run % 2 != 0) {
+            // The reachable seed is a live member, which need not be contacted, before the join has reached it.
+            cutOff.nodes.at(1)->detector->setSeeds({late.address});
+        }
+        cutOff.time.advance(3s);
+        CHECK_TEXT(late.detector->joined(), std::to_string(run).c_str());
+    }
+}
+
 // Guards against a node that counts as joined although no seed has answered: its table is then empty.
 TEST(FailureDetector, staysUnjoinedUntilASeedAnswers)
 {
@@ -157,6 +183,33 @@
     CHECK_EQUAL(size * size, network.aliveViews());
 }
 
+// Guards against a healed zone that misses the bound of 3 s for a newer version, which it learns from a message of the
+// other side; a second of the bound is left for fetching the version.
+TEST(FailureDetector, hearsFromTheOtherSideOfAHealedPartitionAtOnce)
+{
+    constexpr std::uint64_t runs = 20;
+    for (std::uint64_t run = 0; run < runs; ++run) {
+        MemoryNetwork healing;
+        healing.seedBase = run * size;
+        healing.makeCluster(6);
+        healing.drop = [](const Endpoint &from, const Endpoint &to) {
+            return from.port() % 2 != to.port() % 2;
+        };
+        healing.time.advance(90s);
+        std::set<std::string> heard;
+        for (auto &viewer : healing.nodes) {
+            viewer->detector->subscribeHeartbeats([&heard, viewerPort = viewer->address.port()](const Heartbeat &it) {
+                if (it.peerAddress.port() % 2 != viewerPort % 2) {
+                    heard.insert(it.peerAddress.port() % 2 == 0 ? "north" : "south");
+                }
+            });
+        }
+        healing.drop = {};
+        healing.time.advance(2s);
+        LONGS_EQUAL_TEXT(2, heard.size(), std::to_string(run).c_str());
+    }
+}
+
 // Guards against new work for a node that is shutting down: all members know within the bound of 3 s.
 TEST(FailureDetector, announcesAPlannedStop)
 {
--- a/libs/membership/tests/memorynetwork.h
+++ b/libs/membership/tests/memorynetwork.h
@@ -148,9 +148,9 @@
     MemoryNode &add(const std::string &id, const std::string &zone, std::uint16_t port)
     {
         FailureDetectorOptions options{.id = id, .zone = zone, .advertisedAddress = Endpoint("127.0.0.1", port)};
-        options.seeds = {Endpoint("127.0.0.1", 1001), Endpoint("127.0.0.1", 1002)};
-        options.seed = port;
-        options.joinBackoff.seed = port;
+        options.seeds = seeds;
+        options.seed = seedBase + port;
+        options.joinBackoff.seed = options.seed;
         options.retransmissions = retransmissions;
         nodes.push_back(std::make_unique<MemoryNode>(*this, std::move(options)));
         return *nodes.back();
@@ -206,6 +206,9 @@
     FakeTimerService time;
     Filter drop;
     std::uint32_t retransmissions = 4; ///< For nodes that are added later.
+    std::vector<Endpoint> seeds = {Endpoint("127.0.0.1", 1001),
+                                   Endpoint("127.0.0.1", 1002)}; ///< Seeds of the nodes that are added later.
+    std::uint64_t seedBase = 0; ///< Added to the seeds of the random choices of nodes that are added later.
     std::vector<std::unique_ptr<MemoryNode>> nodes;
 
 private:
