Free the slot of a target while a large response waits for the link

Each held a slot of its target for the time on the link. The service that other requests call had no slots left while half of them did no work, so large requests were refused (1,472 of 3,426), and callers of the dependent route as well.

Change: a response of the host's own target is read whole up to 2 MB. The wait for the link counts the bytes that remain instead of whole responses, less the time that the target works. A large request prefers the target of its own host, whose response passes one slow link less.

The test of the slot fails without the larger limit.

--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -63,6 +63,7 @@
     TimePoint latestStart = TimePoint::max(); ///< The request waits for a slot until then.
     Duration expectedWait = Duration::zero(); ///< At the targets, when the request last looked for one.
     bool nested = false; ///< A request that runs at a target of this host makes this call.
+    double largeRemaining = 0; ///< Bytes of a large response that are expected to be sent still.
     std::size_t largeBytes = 0; ///< Size of the large response that was forwarded completely.
     bool repeated = false; ///< A target may have run the request before.
     bool late = false; ///< The response will miss its objective.
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -51,16 +51,25 @@
     }
 }
 
-void LinkPacer::largeResponseStarted()
+double LinkPacer::largeResponseStarted()
 {
     const std::lock_guard lock(m_mutex);
-    ++m_largeResponses;
+    m_largeRemaining += m_largeBytes;
+    return m_largeBytes;
 }
 
-void LinkPacer::largeResponseEnded(std::size_t bytes)
+void LinkPacer::largeResponseSent(std::size_t bytes, double &remaining)
 {
+    const auto sent = std::min(static_cast<double>(bytes), remaining);
     const std::lock_guard lock(m_mutex);
-    --m_largeResponses;
+    m_largeRemaining -= sent;
+    remaining -= sent;
+}
+
+void LinkPacer::largeResponseEnded(std::size_t bytes, double remaining)
+{
+    const std::lock_guard lock(m_mutex);
+    m_largeRemaining = std::max(m_largeRemaining - remaining, 0.0);
     if (bytes > 0) {
         m_largeBytes += (static_cast<double>(bytes) - m_largeBytes) * sizeWeight;
     }
@@ -72,7 +81,16 @@
         return Duration::zero();
     }
     const std::lock_guard lock(m_mutex);
-    return timeOf(m_largeBytes * m_largeResponses);
+    return timeOf(m_largeRemaining);
+}
+
+Duration LinkPacer::largeResponseTime() const
+{
+    if (!isPacing()) {
+        return Duration::zero();
+    }
+    const std::lock_guard lock(m_mutex);
+    return timeOf(m_largeBytes);
 }
 
 Duration LinkPacer::timeOf(double bytes) const
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -35,14 +35,21 @@
     /** Counts bytes that are sent at once. */
     void spend(std::size_t bytes, TimePoint now);
 
-    void largeResponseStarted();
+    /** Counts a large response of the usual size as still to be sent; returns these bytes. */
+    double largeResponseStarted();
 
-    /** @p bytes: size of the response that has ended; 0 when it failed. */
-    void largeResponseEnded(std::size_t bytes);
+    /** Counts @p bytes of a large response as sent, of which @p remaining are to be sent. */
+    void largeResponseSent(std::size_t bytes, double &remaining);
 
-    /** Time that the large responses which have started need on the link. */
+    /** @p bytes: size of the response that has ended; 0 when it failed. @p remaining: what was still to be sent. */
+    void largeResponseEnded(std::size_t bytes, double remaining);
+
+    /** Time that the link needs for what remains of the large responses which have started. */
     Duration largeResponseWait() const;
 
+    /** Time that a large response of the usual size needs on the link. */
+    Duration largeResponseTime() const;
+
 private:
     Duration timeOf(double bytes) const;
 
@@ -50,7 +57,7 @@
     mutable std::mutex m_mutex;
     TimePoint m_freeAt = TimePoint::min();
     double m_largeBytes; ///< Moving mean of the size of a large response.
-    std::uint32_t m_largeResponses = 0;
+    double m_largeRemaining = 0; ///< Bytes that the large responses which have started are expected to send still.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -174,8 +174,10 @@
                               TimePoint now)
 {
     // The caller on the own host shares the link with the responses to other nodes as well.
-    if (request->m_options.bulk && now + m_link.largeResponseWait() > request->latestStart()) {
-        request->m_expectedWait = m_link.largeResponseWait();
+    // It goes on sending while the target works on the request.
+    const auto linkWait = m_link.largeResponseWait() - load->serviceTime;
+    if (request->m_options.bulk && now + linkWait > request->latestStart()) {
+        request->m_expectedWait = linkWait;
         return applyVerdict(AdmissionController::Verdict::TooLate, *request);
     }
     request->m_pinned = load;
@@ -191,7 +193,8 @@
                                .excluded = options.excluded,
                                .maxWait = std::max(latest - now, Duration::zero()),
                                .rank = options.rank,
-                               .bulk = options.bulk};
+                               .bulk = options.bulk,
+                               .bulkHop = options.bulk ? m_link.largeResponseTime() : Duration::zero()};
     auto placement = m_placement.choose(service.targets, query, service.admission.queuedAhead(options.rank), now);
     request->m_expectedWait = placement.expectedWait;
     switch (placement.verdict) {
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -61,7 +61,7 @@
             const auto requests = expectedRequests(*load, query.rank, ownAhead, now);
             auto wait = expectedWait(*load, requests);
             if (query.bulk && load->isRemote()) {
-                wait += load->largeWait;
+                wait += linkWaitOf(*load);
             }
             shortest = std::min(shortest, wait);
             const auto cost = costOf(*load, query, requests, now);
@@ -128,12 +128,12 @@
     const auto slots = static_cast<double>(load.slots);
     auto cost = milliseconds(expectedWait(load, requests)) + milliseconds(serviceTimeOf(load));
     if (query.bulk) {
-        cost += milliseconds(load.largeWait);
+        cost += milliseconds(linkWaitOf(load));
     }
     cost += milliseconds(m_options.busyCost) * std::min(requests / slots, 1.0);
     cost += milliseconds(m_options.failureCost) * load.failureRate;
     if (load.isRemote()) {
-        cost += milliseconds(m_options.hopCost);
+        cost += milliseconds(m_options.hopCost) + milliseconds(query.bulkHop);
     }
     if (load.target.zone != m_options.zone) {
         cost += milliseconds(query.bulk ? m_options.bulkZoneCost : m_options.zoneCost);
@@ -159,6 +159,12 @@
     m_meanOccupancy = slots > 0 ? requests / slots : 0;
 }
 
+Duration PlacementPolicy::linkWaitOf(const TargetLoad &load) const
+{
+    // The link goes on sending while the target works on the request.
+    return std::max<Duration>(load.largeWait - serviceTimeOf(load), Duration::zero());
+}
+
 Duration PlacementPolicy::serviceTimeOf(const TargetLoad &load) const
 {
     return load.serviceTime > Duration::zero() ? load.serviceTime : Duration(m_options.defaultServiceTime);
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -34,6 +34,7 @@
     Duration maxWait = Duration::zero(); ///< Longest time that the request may wait for a slot.
     AdmissionRank rank = Priority::Normal;
     bool bulk = false; ///< The response is large.
+    Duration bulkHop = Duration::zero(); ///< Time that a large response needs on one more link.
 };
 
 /**
@@ -80,6 +81,7 @@
     double expectedRequests(const TargetLoad &load, AdmissionRank rank, std::size_t ownAhead, TimePoint now) const;
     double costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now);
     void updateMeanOccupancy(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now);
+    Duration linkWaitOf(const TargetLoad &load) const;
     Duration serviceTimeOf(const TargetLoad &load) const;
 
     PlacementOptions m_options;
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -177,6 +177,7 @@
         co_return;
     }
     const auto wait = link.reserve(bytes, now);
+    link.largeResponseSent(bytes, m_call.largeRemaining);
     if (wait > Duration::zero()) {
         asio::steady_timer timer(*m_call.context, std::min(now + wait, m_call.deadline));
         std::error_code ignored;
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -13,6 +13,12 @@
 /** A response up to this size is read completely before its first byte is forwarded, so that it can be replaced. */
 constexpr std::size_t wholeResponseBytes = std::size_t{128} * 1024;
 
+/**
+ * The same for a response of the target on this host, whose slot would otherwise be held while the response passes a
+ * slow link. The slots of the target bound how many there are; larger files are read piece by piece to save memory.
+ */
+constexpr std::size_t wholeOwnResponseBytes = std::size_t{2} * 1024 * 1024;
+
 /** A target answers so when another one was expected at its address. */
 constexpr int misdirectedStatus = 421;
 
@@ -29,14 +35,14 @@
 {
     if (m_call.route.bulk) {
         m_call.largeBytes = 0;
-        m_call.core.link.largeResponseStarted();
+        m_call.largeRemaining = m_call.core.link.largeResponseStarted();
     }
 }
 
 LargeResponse::~LargeResponse()
 {
     if (m_call.route.bulk) {
-        m_call.core.link.largeResponseEnded(m_call.largeBytes);
+        m_call.core.link.largeResponseEnded(m_call.largeBytes, m_call.largeRemaining);
     }
 }
 
@@ -73,7 +79,8 @@
     auto status = co_await exchangeOn(exchange);
     auto verdict = judge(exchange, status);
     if (verdict == Verdict::Answered && m_call.signedResponses()) {
-        status = co_await exchange.readWhole(wholeResponseBytes);
+        const auto limit = exchange.lease().isRemote() ? wholeResponseBytes : wholeOwnResponseBytes;
+        status = co_await exchange.readWhole(limit);
         verdict = status == AttemptStatus::Response ? verdict : Verdict::MayHaveRun;
     }
     reportAttempt(m_call, exchange, status);
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -33,16 +33,31 @@
 {
     CHECK(pacer.largeResponseWait() == 0ms);
     for (int i = 0; i < 50; ++i) {
-        pacer.largeResponseStarted();
-        pacer.largeResponseEnded(90000);
+        pacer.largeResponseEnded(90000, pacer.largeResponseStarted());
     }
-    pacer.largeResponseStarted();
+    const auto first = pacer.largeResponseStarted();
     pacer.largeResponseStarted();
     CHECK(pacer.largeResponseWait() > 190ms && pacer.largeResponseWait() < 210ms);
-    pacer.largeResponseEnded(0);
+    CHECK(pacer.largeResponseTime() > 95ms && pacer.largeResponseTime() < 105ms);
+    pacer.largeResponseEnded(0, first);
     CHECK(pacer.largeResponseWait() < 110ms);
 }
 
+// Guards against requests that are refused for large responses of which most has been sent.
+TEST(LinkPacer, waitsOnlyForWhatRemainsOfALargeResponse)
+{
+    for (int i = 0; i < 50; ++i) {
+        pacer.largeResponseEnded(90000, pacer.largeResponseStarted());
+    }
+    auto remaining = pacer.largeResponseStarted();
+    pacer.largeResponseSent(80000, remaining);
+    CHECK(pacer.largeResponseWait() < 15ms);
+    pacer.largeResponseSent(80000, remaining);
+    CHECK(pacer.largeResponseWait() == 0ms);
+    pacer.largeResponseEnded(160000, remaining);
+    CHECK(pacer.largeResponseWait() == 0ms);
+}
+
 TEST(LinkPacer, leavesFastLinksAlone)
 {
     LinkPacer fast({.megabitsPerSecond = 1000});
--- a/libs/proxy/tests/placementpolicytest.cpp
+++ b/libs/proxy/tests/placementpolicytest.cpp
@@ -58,6 +58,27 @@
     CHECK_EQUAL(2, portOf({makeBusy(1, "turku", 14), makeBusy(2, "helsinki", 3)}));
 }
 
+// Guards against a large response that passes two slow links although a target on this host has a free slot.
+TEST(PlacementPolicy, keepsALargeResponseOnItsHost)
+{
+    auto own = makeBusy(1, "turku", 0);
+    own->own = true;
+    own->target.gateway = {};
+    own->outstanding = 6;
+    const std::vector<TargetLoadPtr> loads = {own, makeBusy(2, "turku", 0)};
+    CHECK_EQUAL(2, portOf(loads, {.maxWait = 1s, .bulk = true}));
+    CHECK_EQUAL(1, portOf(loads, {.maxWait = 1s, .bulk = true, .bulkHop = 130ms}));
+}
+
+// Guards against a wait for a link that has sent everything when the target has done its work.
+TEST(PlacementPolicy, countsTheLinkOnlyBeyondTheWork)
+{
+    auto sending = makeBusy(1, "turku", 0);
+    sending->largeWait = 150ms;
+    CHECK_EQUAL(1, portOf({sending}, {.maxWait = 60ms, .bulk = true}));
+    CHECK_EQUAL(0, portOf({sending}, {.maxWait = 40ms, .bulk = true}));
+}
+
 // Guards against a target that fails many requests and looks idle because it fails them soon.
 TEST(PlacementPolicy, avoidsATargetThatFails)
 {
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -17,7 +17,7 @@
     MetricsRegistry metrics;
     std::unique_ptr<ProxyServer> server;
 
-    void start(const std::string &hostService)
+    void start(const std::string &hostService, double linkMegabits)
     {
         ProxyOptions options;
         options.listen = Endpoint("127.0.0.1", 0);
@@ -32,6 +32,7 @@
                            .notExecuted = "Not-Run",
                            .fractionalRetryAfter = true};
         options.hostService = hostService;
+        options.linkMegabitsPerSecond = linkMegabits;
         options.routeTimeoutBinds = true;
         options.acceptUnframedResponses = true;
         options.quarantineStatus = 503;
@@ -61,13 +62,14 @@
     std::vector<std::unique_ptr<RelayNode>> nodes;
     std::vector<Target> targets;
     std::chrono::milliseconds timeout{3000};
+    double linkMegabits = 0; ///< Of the nodes that are added later.
     int nextId = 0;
 
     /** Adds a target behind a node of its own. */
     void addTarget(const TestTarget &target, const std::string &name, std::uint32_t slots = 10)
     {
         nodes.push_back(std::make_unique<RelayNode>());
-        nodes.back()->start("rota");
+        nodes.back()->start("rota", linkMegabits);
         Target it;
         it.address = target.address();
         it.service = "rota";
@@ -82,7 +84,7 @@
     void start()
     {
         front = std::make_unique<RelayNode>();
-        front->start("desk");
+        front->start("desk", 0);
         publish(*front->server, {});
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             publish(*nodes[i]->server, {targets[i]});
@@ -103,7 +105,11 @@
         book.pathPrefix = "/book";
         book.idempotent = false;
         book.identity = RequestIdentitySource::Attempt;
-        content.routes = {read, book};
+        auto download = read;
+        download.name = "export";
+        download.pathPrefix = "/export";
+        download.bulk = true;
+        content.routes = {read, book, download};
         auto state = std::make_shared<RoutingState>();
         state->snapshot = Snapshot::make(7, content).value();
         state->targets = targets;
@@ -121,6 +127,29 @@
     }
 };
 
+// Guards against slots that are held by responses which wait for a slow link: of 1 MB, which takes 1.9 s.
+TEST(Relay, freesTheSlotWhileALargeResponseIsSent)
+{
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        const bool isExport = request.startLine.find("/export") != std::string::npos;
+        return connection.send(signedResponse(request, isExport ? std::string(1000000, 'x') : "ok"));
+    });
+    linkMegabits = 5;
+    addTarget(target, "first", 1);
+    start();
+    std::atomic<bool> received = false;
+    std::size_t size = 0;
+    std::jthread caller([&] {
+        size = call("GET", "/export").body.size();
+        received = true;
+    });
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    CHECK_EQUAL(200, call("GET", "/").status());
+    CHECK(!received);
+    caller.join();
+    CHECK_EQUAL(1000000, size);
+}
+
 // Guards against headers that a target needs and that get lost, or that a caller sets in place of the proxy.
 TEST(Relay, passesARequestToTheTargetOfAnotherHost)
 {
