--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands on a fresh machine: `make demo` and `make check`.
 
-.PHONY: all deps build format format-check lint test check demo bench fuzz proto
+.PHONY: all deps build format format-check lint test check demo bench fuzz soak proto
 
 all: build
 
@@ -37,5 +37,8 @@
 	cmake --build --preset fuzz --target hornbeam_fuzzers
 	./tools/scripts/fuzz
 
+soak: build
+	./build/bin/faultsoak --seed "$$(date +%s)" --runs 10
+
 proto:
 	./tools/scripts/generate-proto
