--- a/tests/soak/src/faultinjector.cpp
+++ b/tests/soak/src/faultinjector.cpp
@@ -21,6 +21,27 @@
 /** Longer than the drain of a node that was told to stop. */
 constexpr auto stopTimeout = 20s;
 
+// Upper bounds of the random number that chooses what a fault affects: four in ten affect a node, and so on.
+constexpr int nodeKinds = 4;
+constexpr int targetKinds = 6;
+constexpr int storeKinds = 7;
+constexpr int zoneKinds = 9;
+constexpr int allKinds = 10;
+
+std::string subjectOf(int kind, int process, const std::string &zone)
+{
+    if (kind < nodeKinds) {
+        return Mesh::nodeName(process);
+    }
+    if (kind < targetKinds) {
+        return Mesh::targetName(process);
+    }
+    if (kind < storeKinds) {
+        return "store";
+    }
+    return kind < zoneKinds ? "zone " + zone : "links";
+}
+
 } // namespace
 
 FaultInjector::FaultInjector(Mesh &mesh, std::uint64_t seed)
@@ -37,45 +58,30 @@
 
 void FaultInjector::startFault()
 {
-    const auto kind = below(10);
+    const auto kind = below(allKinds);
     const auto process = below(m_mesh.nodeCount());
     const auto zone = m_mesh.zoneOf(below(m_mesh.nodeCount()));
     const auto duration = std::chrono::milliseconds(shortestFaultMs + below(longestFaultMs - shortestFaultMs));
-    std::string subject;
-    std::function<std::function<void()>()> begin;
-    if (kind < 4) {
-        subject = Mesh::nodeName(process);
-        begin = [&] {
-            return beginNodeFault(process);
-        };
-    } else if (kind < 6) {
-        subject = Mesh::targetName(process);
-        begin = [&] {
-            return beginTargetFault(process);
-        };
-    } else if (kind < 7) {
-        subject = "store";
-        begin = [&] {
-            return beginStoreFault();
-        };
-    } else if (kind < 9) {
-        subject = "zone " + zone;
-        begin = [&] {
-            return beginZoneFault(zone);
-        };
-    } else {
-        subject = "links";
-        begin = [&] {
-            return beginLinkFault();
-        };
-    }
+    const auto subject = subjectOf(kind, process, zone);
     const bool busy = std::any_of(
         m_faults.begin(), m_faults.end(), [&subject](const Fault &fault) { return fault.subject == subject; });
     if (busy || m_faults.size() >= maxFaults) {
         return;
     }
-    m_faults.push_back({.subject = subject, .undo = begin()});
-    m_faults.back().end = std::chrono::steady_clock::now() + duration;
+    Fault fault{.subject = subject};
+    if (kind < nodeKinds) {
+        fault.undo = beginNodeFault(process);
+    } else if (kind < targetKinds) {
+        fault.undo = beginTargetFault(process);
+    } else if (kind < storeKinds) {
+        fault.undo = beginStoreFault();
+    } else if (kind < zoneKinds) {
+        fault.undo = beginZoneFault(zone);
+    } else {
+        fault.undo = beginLinkFault();
+    }
+    fault.end = std::chrono::steady_clock::now() + duration;
+    m_faults.push_back(std::move(fault));
 }
 
 void FaultInjector::endExpired()
--- a/tests/soak/src/faultinjector.h
+++ b/tests/soak/src/faultinjector.h
@@ -50,8 +50,8 @@
     struct Fault
     {
         std::string subject; ///< Process or group of links that is affected.
-        std::chrono::steady_clock::time_point end;
-        std::function<void()> undo;
+        std::chrono::steady_clock::time_point end{};
+        std::function<void()> undo{};
     };
 
     std::function<void()> beginNodeFault(int node);
