Bound the memory for large responses that are held whole

Found when reading the diff: a response of the host's own target is read whole up to 2 MB and its slot freed, so callers that read slowly could keep any number of them in memory; 88 MB hosts have room for about 40.

Change: only responses of routes with large responses are held, and only while less than 16 MB of them remain to be sent; others are read piece by piece, as before. The new test of LinkPacer states the bound.

--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -20,6 +20,9 @@
 /** Size of a large response before the first one has ended. */
 constexpr double initialLargeBytes = 64.0 * 1024;
 
+/** Bytes of large responses in memory at a time: the smallest hosts have 88 MB, of which a node uses 10 MB. */
+constexpr double maxHeldBytes = 16.0 * 1024 * 1024;
+
 constexpr double sizeWeight = 1.0 / 8;
 
 } // namespace
@@ -84,6 +87,12 @@
     return timeOf(m_largeRemaining);
 }
 
+bool LinkPacer::mayHoldLargeResponse() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_largeRemaining <= maxHeldBytes;
+}
+
 Duration LinkPacer::largeResponseTime() const
 {
     if (!isPacing()) {
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -47,6 +47,9 @@
     /** Time that the link needs for what remains of the large responses which have started. */
     Duration largeResponseWait() const;
 
+    /** Whether memory is left to hold another large response; callers that read slowly can keep many of them. */
+    bool mayHoldLargeResponse() const;
+
     /** Time that a large response of the usual size needs on the link. */
     Duration largeResponseTime() const;
 
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -15,7 +15,7 @@
 
 /**
  * The same for a response of the target on this host, whose slot would otherwise be held while the response passes a
- * slow link. The slots of the target bound how many there are; larger files are read piece by piece to save memory.
+ * slow link. Larger files are read piece by piece to save memory.
  */
 constexpr std::size_t wholeOwnResponseBytes = std::size_t{2} * 1024 * 1024;
 
@@ -79,8 +79,8 @@
     auto status = co_await exchangeOn(exchange);
     auto verdict = judge(exchange, status);
     if (verdict == Verdict::Answered && m_call.signedResponses()) {
-        const auto limit = exchange.lease().isRemote() ? wholeResponseBytes : wholeOwnResponseBytes;
-        status = co_await exchange.readWhole(limit);
+        const bool hold = m_call.route.bulk && !exchange.lease().isRemote() && m_call.core.link.mayHoldLargeResponse();
+        status = co_await exchange.readWhole(hold ? wholeOwnResponseBytes : wholeResponseBytes);
         verdict = status == AttemptStatus::Response ? verdict : Verdict::MayHaveRun;
     }
     reportAttempt(m_call, exchange, status);
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -1,5 +1,7 @@
 #include "linkpacer.h"
 
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Hornbeam;
@@ -58,6 +60,21 @@
     CHECK(pacer.largeResponseWait() == 0ms);
 }
 
+// Guards against a node that runs out of memory because many callers read large responses slowly.
+TEST(LinkPacer, boundsTheLargeResponsesInMemory)
+{
+    for (int i = 0; i < 50; ++i) {
+        pacer.largeResponseEnded(1000000, pacer.largeResponseStarted());
+    }
+    std::vector<double> held;
+    while (pacer.mayHoldLargeResponse()) {
+        held.push_back(pacer.largeResponseStarted());
+    }
+    CHECK(held.size() >= 16 && held.size() <= 18);
+    pacer.largeResponseEnded(0, held.back());
+    CHECK(pacer.mayHoldLargeResponse());
+}
+
 TEST(LinkPacer, leavesFastLinksAlone)
 {
     LinkPacer fast({.megabitsPerSecond = 1000});
