Share when a configuration in the store is read and watched

DocumentSource and StoreSync each had their own copy of the retries, the watch, the reachability and the guard of late answers. StoreConfigSource has them once; the two differ only in what they read.

--- a/libs/config/include/hornbeam/config/documentsource.h
+++ b/libs/config/include/hornbeam/config/documentsource.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <hornbeam/base/backoff.h>
-#include <hornbeam/config/configsource.h>
-#include <hornbeam/store/keyvaluestore.h>
+#include <hornbeam/config/storeconfigsource.h>
 
-#include <memory>
 #include <string>
+#include <string_view>
 
 namespace Hornbeam {
 
@@ -21,9 +19,9 @@
 
 /**
  * Reads a configuration that operators keep as one document under one key of the store, and watches the key. What they
- * write there is in effect without a plan. Failures are tried again with full jitter. Control thread only.
+ * write there is in effect without a plan.
  */
-class DocumentSource : public ConfigSource, private WatchListener
+class DocumentSource : public StoreConfigSource
 {
 public:
     /** The referenced objects outlive the source. */
@@ -32,46 +30,17 @@
                    KeyValueStore &store,
                    TimerService &timers,
                    ConfigSourceListener &listener);
-    ~DocumentSource() override;
-
-    void start(Duration spread) override;
-    void setWatching(bool watching) override;
-    void stopReading() override;
-
-    bool watching() const override
-    {
-        return m_watching;
-    }
-
-    bool reachable() const override
-    {
-        return m_reachable;
-    }
 
 private:
+    void readStore() override;
     void changed(const std::vector<KeyValue> &changes) override;
-    void ended(const Error &error) override;
 
-    void read();
     void received(const Result<RangeResult> &result);
     void decode(const KeyValue &document);
-    void retryLater();
-    void setReachable(bool reachable);
 
     const std::string m_key;
     const DocumentDecoder &m_decoder;
-    KeyValueStore &m_store;
-    TimerService &m_timers;
-    ConfigSourceListener &m_listener;
-    Backoff m_backoff;
-    TimerHandle m_retry;
-    std::unique_ptr<Watch> m_watch;
-    std::shared_ptr<bool> m_alive; ///< Lets answers that arrive after the destruction be ignored.
     std::int64_t m_decodedRevision = 0; ///< Of the document that was decoded last.
-    bool m_watching = false;
-    bool m_reading = false;
-    bool m_readingNeeded = true;
-    bool m_reachable = false;
 };
 
 } // namespace Hornbeam
--- a/libs/config/src/documentsource.cpp
+++ b/libs/config/src/documentsource.cpp
@@ -1,7 +1,5 @@
 #include <hornbeam/config/documentsource.h>
 
-#include <random>
-
 namespace Hornbeam {
 
 namespace {
@@ -18,55 +16,16 @@
                                KeyValueStore &store,
                                TimerService &timers,
                                ConfigSourceListener &listener)
-    : m_key(std::move(key))
+    : StoreConfigSource(store, timers, listener, retryBackoff)
+    , m_key(std::move(key))
     , m_decoder(decoder)
-    , m_store(store)
-    , m_timers(timers)
-    , m_listener(listener)
-    , m_backoff(retryBackoff)
-    , m_alive(std::make_shared<bool>(true))
-{
-}
-
-DocumentSource::~DocumentSource()
 {
-    *m_alive = false;
 }
 
-void DocumentSource::start(Duration spread)
+void DocumentSource::readStore()
 {
-    std::random_device device;
-    const Duration delay(std::uniform_int_distribution<Duration::rep>(0, spread.count())(device));
-    m_retry = m_timers.once(delay, [this] { read(); });
-}
-
-void DocumentSource::setWatching(bool watching)
-{
-    if (watching == m_watching) {
-        return;
-    }
-    m_watching = watching;
-    m_watch.reset();
-    if (watching) {
-        m_retry.reset();
-        read();
-    }
-}
-
-void DocumentSource::stopReading()
-{
-    m_readingNeeded = false;
-}
-
-void DocumentSource::read()
-{
-    if (m_reading || !(m_watching || m_readingNeeded)) {
-        return;
-    }
-    m_reading = true;
-    m_store.range({.key = m_key}, [this, alive = m_alive](const Result<RangeResult> &result) {
+    store().range({.key = m_key}, [this, alive = alive()](const Result<RangeResult> &result) {
         if (*alive) {
-            m_reading = false;
             received(result);
         }
     });
@@ -74,19 +33,18 @@
 
 void DocumentSource::received(const Result<RangeResult> &result)
 {
-    setReachable(result.has_value());
     if (!result) {
-        retryLater();
+        readFailed();
         return;
     }
-    m_backoff.reset();
+    readSucceeded();
     for (const auto &entry : result->entries) {
         decode(entry);
     }
-    if (m_watching) {
-        m_watch = m_store.watch({.prefix = m_key, .startRevision = result->revision + 1}, *this);
+    if (watching()) {
+        watchFrom(m_key, result->revision + 1);
     } else if (result->entries.empty()) {
-        retryLater();
+        readAgain();
     }
 }
 
@@ -99,11 +57,11 @@
     m_decodedRevision = document.modRevision;
     const auto snapshot = m_decoder.decode(document.value);
     if (!snapshot) {
-        m_listener.configurationRefused(snapshot.error());
+        listener().configurationRefused(snapshot.error());
         return;
     }
-    m_listener.storeAnswered((*snapshot)->version());
-    m_listener.receivedSnapshot(*snapshot);
+    listener().storeAnswered((*snapshot)->version());
+    listener().receivedSnapshot(*snapshot);
 }
 
 void DocumentSource::changed(const std::vector<KeyValue> &changes)
@@ -116,27 +74,4 @@
     }
 }
 
-void DocumentSource::ended(const Error &error)
-{
-    m_watch.reset();
-    if (error.code() == ErrorCode::Conflict) {
-        read();
-    } else {
-        retryLater();
-    }
-}
-
-void DocumentSource::retryLater()
-{
-    m_retry = m_timers.once(m_backoff.next(), [this] { read(); });
-}
-
-void DocumentSource::setReachable(bool reachable)
-{
-    if (reachable != m_reachable) {
-        m_reachable = reachable;
-        m_listener.storeReachable(reachable);
-    }
-}
-
 } // namespace Hornbeam
