Keep what belongs to a large response in one place, and start one that must not wait

Found when reading the whole change: - The state of a large response was spread over two fields of CallContext, a guard that wrote them and functions of LinkPacer with an in-out argument. LargeResponse holds it. - The wait for a link less the work of the target was computed in LoadBalancer and in PlacementPolicy, and in the first without a bound at zero. linkWaitAfter() does it for both. With the bound a fault shows that the code before the large-response work had as well: a large request of another node that must start at once was refused as too late, by the microseconds since it arrived, while a slot and the link were free.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -60,25 +60,15 @@
 
 } // namespace
 
-CallContext::CallContext(ServerCore &serverCore,
-                         UpstreamPool &threadPool,
-                         const std::shared_ptr<asio::io_context> &threadContext,
-                         HttpStream &callerStream,
-                         RoutingStatePtr routingState,
-                         const Route &matchedRoute,
-                         const Service &routeService)
-    : core(serverCore)
-    , pool(threadPool)
-    , context(threadContext)
-    , caller(callerStream)
-    , state(std::move(routingState))
+CallContext::CallContext(CallEnvironment environment, const Route &matchedRoute, const Service &routeService)
+    : CallEnvironment(std::move(environment))
     , origin(CallOrigin::Caller)
     , route(matchedRoute)
     , service(routeService)
-    , body(callerStream, routeService.maxRequestBytes)
-    , watch(callerStream.socket())
+    , body(caller, routeService.maxRequestBytes)
+    , watch(caller.socket())
     , started(std::chrono::steady_clock::now())
-    , deadline(started + timeoutOf(callerStream.reader().head(), matchedRoute, serverCore.options))
+    , deadline(started + timeoutOf(caller.reader().head(), matchedRoute, core.options))
 {
     const auto *id = requestId();
     nested = id != nullptr && core.running.isCall(*id);
@@ -92,25 +82,17 @@
     updateLatestStart();
 }
 
-CallContext::CallContext(ServerCore &serverCore,
-                         UpstreamPool &threadPool,
-                         const std::shared_ptr<asio::io_context> &threadContext,
-                         HttpStream &callerStream,
-                         RoutingStatePtr routingState,
+CallContext::CallContext(CallEnvironment environment,
                          const RelayRequest &relayRequest,
                          const Route &relayRoute,
                          const Service &targetService)
-    : core(serverCore)
-    , pool(threadPool)
-    , context(threadContext)
-    , caller(callerStream)
-    , state(std::move(routingState))
+    : CallEnvironment(std::move(environment))
     , origin(CallOrigin::Peer)
     , route(relayRoute)
     , service(targetService)
     , relay(relayRequest)
-    , body(callerStream, targetService.maxRequestBytes)
-    , watch(callerStream.socket())
+    , body(caller, targetService.maxRequestBytes)
+    , watch(caller.socket())
     , started(std::chrono::steady_clock::now())
     , deadline(started + relayRequest.left)
     , latestStart(started + relayRequest.maxWait)
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerwatch.h"
+#include "largeresponse.h"
 #include "refusal.h"
 #include "relayheader.h"
 #include "requestbody.h"
@@ -24,33 +25,28 @@
     Peer, ///< Another node, for a target of this host.
 };
 
+/** What serves the connection on which a request arrived. */
+struct CallEnvironment
+{
+    ServerCore &core;
+    UpstreamPool &pool;
+    const std::shared_ptr<asio::io_context> &context; ///< Not owned: the context owns the handling.
+    HttpStream &caller;
+    RoutingStatePtr state; ///< In effect when the request arrived.
+};
+
 /** One caller's request with everything that its handling needs. Lives as long as the handling. */
-struct CallContext
+struct CallContext : CallEnvironment
 {
     /** A request of a caller. */
-    CallContext(ServerCore &serverCore,
-                UpstreamPool &threadPool,
-                const std::shared_ptr<asio::io_context> &threadContext,
-                HttpStream &callerStream,
-                RoutingStatePtr routingState,
-                const Route &matchedRoute,
-                const Service &routeService);
+    CallContext(CallEnvironment environment, const Route &matchedRoute, const Service &routeService);
 
     /** A request that another node sends for a target of this host; @p relayRoute stands for the route. */
-    CallContext(ServerCore &serverCore,
-                UpstreamPool &threadPool,
-                const std::shared_ptr<asio::io_context> &threadContext,
-                HttpStream &callerStream,
-                RoutingStatePtr routingState,
+    CallContext(CallEnvironment environment,
                 const RelayRequest &relayRequest,
                 const Route &relayRoute,
                 const Service &targetService);
 
-    ServerCore &core;
-    UpstreamPool &pool;
-    const std::shared_ptr<asio::io_context> &context; ///< Not owned: the context owns the handling.
-    HttpStream &caller;
-    RoutingStatePtr state;
     const CallOrigin origin;
     const Route &route; ///< Part of the state's snapshot, or made from the relay header.
     const Service &service; ///< The one that the request goes to; part of the state's snapshot or made likewise.
@@ -63,8 +59,7 @@
     TimePoint latestStart = TimePoint::max(); ///< The request waits for a slot until then.
     Duration expectedWait = Duration::zero(); ///< At the targets, when the request last looked for one.
     bool nested = false; ///< A request that runs at a target of this host makes this call.
-    double largeRemaining = 0; ///< Bytes of a large response that are expected to be sent still.
-    std::size_t largeBytes = 0; ///< Size of the large response that was forwarded completely.
+    std::optional<LargeResponse> large; ///< The response of the attempt that runs, if it is large.
     bool repeated = false; ///< A target may have run the request before.
     bool late = false; ///< The response will miss its objective.
     bool dependencyFailed = false; ///< Reported to the node that sent the request.
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -156,13 +156,18 @@
     co_return co_await serveRoute(state, *route);
 }
 
+CallEnvironment CallerConnection::environment(const RoutingStatePtr &state)
+{
+    return {.core = m_core, .pool = m_pool, .context = m_context, .caller = m_stream, .state = state};
+}
+
 asio::awaitable<bool> CallerConnection::serveRoute(const RoutingStatePtr &state, const Route &route)
 {
     const auto *service = state->snapshot->findService(m_core.splits.choose(route));
     if (service == nullptr) {
         co_return co_await refuse({.status = 503, .reason = "no service"}, state->snapshot->version());
     }
-    CallContext call(m_core, m_pool, m_context, m_stream, state, route, *service);
+    CallContext call(environment(state), route, *service);
     co_return co_await serveCall(call);
 }
 
@@ -180,7 +185,7 @@
     route.idempotent = relay.repeatable;
     route.bulk = relay.bulk;
     route.identity = RequestIdentitySource::Attempt;
-    CallContext call(m_core, m_pool, m_context, m_stream, state, relay, route, service);
+    CallContext call(environment(state), relay, route, service);
     co_return co_await serveCall(call);
 }
 
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -28,6 +28,7 @@
 
 private:
     asio::awaitable<bool> serve();
+    CallEnvironment environment(const RoutingStatePtr &state);
     asio::awaitable<bool> serveRoute(const RoutingStatePtr &state, const Route &route);
     asio::awaitable<bool> serveRelayed(const RoutingStatePtr &state, const RelayRequest &relay);
     asio::awaitable<bool> serveCall(CallContext &call);
--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cstdio>
 
 namespace Hornbeam {
 
@@ -198,6 +199,13 @@
     }
 }
 
+std::string chunkSizeLine(std::size_t n)
+{
+    std::array<char, 24> text{};
+    const auto length = std::snprintf(text.data(), text.size(), "%zx\r\n", n);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
 bool statusHasNoBody(int status)
 {
     return status == 204 || status == 304 || (status >= 100 && status < 200);
--- a/libs/proxy/src/httphead.h
+++ b/libs/proxy/src/httphead.h
@@ -63,6 +63,12 @@
  */
 void appendEndToEndHeaders(const HttpHead &head, std::string &out, std::span<const std::string_view> replaced = {});
 
+/** The line with the size of a chunk before its @p n bytes. */
+std::string chunkSizeLine(std::size_t n);
+
+/** A target answers so when another one was expected at its address. */
+constexpr int misdirectedStatus = 421;
+
 /** Whether a response with this status has no body whatever its headers say. */
 bool statusHasNoBody(int status);
 
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+Duration linkWaitAfter(Duration work, Duration linkWait)
+{
+    return std::max(linkWait - work, Duration::zero());
+}
+
 LinkPacer::LinkPacer(LinkPacerOptions options)
     : m_bytesPerSecond(options.megabitsPerSecond > fastestPacedMegabits
                            ? 0
@@ -61,12 +66,10 @@
     return m_largeBytes;
 }
 
-void LinkPacer::largeResponseSent(std::size_t bytes, double &remaining)
+void LinkPacer::largeResponseSent(double bytes)
 {
-    const auto sent = std::min(static_cast<double>(bytes), remaining);
     const std::lock_guard lock(m_mutex);
-    m_largeRemaining -= sent;
-    remaining -= sent;
+    m_largeRemaining = std::max(m_largeRemaining - bytes, 0.0);
 }
 
 void LinkPacer::largeResponseEnded(std::size_t bytes, double remaining)
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -13,6 +13,10 @@
     double megabitsPerSecond = 0; ///< What the link of the host carries in each direction; 0 for no pacing.
 };
 
+/** Wait for a link after the @p work of a target, during which the link goes on sending; @p linkWait is the wait now.
+ */
+Duration linkWaitAfter(Duration work, Duration linkWait);
+
 /**
  * Keeps large responses from filling the queue of the host's link, in which small ones would wait behind them. The
  * pieces of large responses are sent when the link has sent everything before them; small responses are sent at once.
@@ -38,8 +42,8 @@
     /** Counts a large response of the usual size as still to be sent; returns these bytes. */
     double largeResponseStarted();
 
-    /** Counts @p bytes of a large response as sent, of which @p remaining are to be sent. */
-    void largeResponseSent(std::size_t bytes, double &remaining);
+    /** Counts bytes of those that largeResponseStarted() returned as sent. */
+    void largeResponseSent(double bytes);
 
     /** @p bytes: size of the response that has ended; 0 when it failed. @p remaining: what was still to be sent. */
     void largeResponseEnded(std::size_t bytes, double remaining);
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -174,9 +174,8 @@
                               TimePoint now)
 {
     // The caller on the own host shares the link with the responses to other nodes as well.
-    // It goes on sending while the target works on the request.
-    const auto linkWait = m_link.largeResponseWait() - load->serviceTime;
-    if (request->m_options.bulk && now + linkWait > request->latestStart()) {
+    const auto linkWait = linkWaitAfter(load->serviceTime, m_link.largeResponseWait());
+    if (request->m_options.bulk && linkWait > Duration::zero() && now + linkWait > request->latestStart()) {
         request->m_expectedWait = linkWait;
         return applyVerdict(AdmissionController::Verdict::TooLate, *request);
     }
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -1,5 +1,7 @@
 #include "placementpolicy.h"
 
+#include "linkpacer.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -161,8 +163,7 @@
 
 Duration PlacementPolicy::linkWaitOf(const TargetLoad &load) const
 {
-    // The link goes on sending while the target works on the request.
-    return std::max<Duration>(load.largeWait - serviceTimeOf(load), Duration::zero());
+    return linkWaitAfter(serviceTimeOf(load), load.largeWait);
 }
 
 Duration PlacementPolicy::serviceTimeOf(const TargetLoad &load) const
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <vector>
 
 namespace Hornbeam {
@@ -22,13 +21,6 @@
 /** Piece of a large response that takes the link at once: 13 ms at 5 Mbit/s. */
 constexpr std::size_t pacedPieceBytes = std::size_t{8} * 1024;
 
-std::string chunkHead(std::size_t n)
-{
-    std::array<char, 24> text{};
-    const auto length = std::snprintf(text.data(), text.size(), "%zx\r\n", n);
-    return {text.data(), static_cast<std::size_t>(length)};
-}
-
 std::string statusLine(int status, const std::string &reason)
 {
     return "HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\n";
@@ -145,7 +137,7 @@
     if (m_callerFailed) {
         co_return;
     }
-    const auto size = chunked && !piece.empty() ? chunkHead(piece.size()) : std::string();
+    const auto size = chunked && !piece.empty() ? chunkSizeLine(piece.size()) : std::string();
     const std::string_view end = size.empty() ? "" : "\r\n";
     const std::string_view lastChunk = chunked && last ? "0\r\n\r\n" : "";
     const std::array<asio::const_buffer, 5> buffers = {asio::const_buffer(head.data(), head.size()),
@@ -177,7 +169,9 @@
         co_return;
     }
     const auto wait = link.reserve(bytes, now);
-    link.largeResponseSent(bytes, m_call.largeRemaining);
+    if (m_call.large) {
+        m_call.large->sent(bytes);
+    }
     if (wait > Duration::zero()) {
         asio::steady_timer timer(*m_call.context, std::min(now + wait, m_call.deadline));
         std::error_code ignored;
--- a/libs/proxy/src/routedcall.cpp
+++ b/libs/proxy/src/routedcall.cpp
@@ -19,9 +19,6 @@
  */
 constexpr std::size_t wholeOwnResponseBytes = std::size_t{2} * 1024 * 1024;
 
-/** A target answers so when another one was expected at its address. */
-constexpr int misdirectedStatus = 421;
-
 constexpr int badGatewayStatus = 502;
 constexpr int gatewayTimeoutStatus = 504;
 
@@ -30,22 +27,6 @@
 
 } // namespace
 
-LargeResponse::LargeResponse(CallContext &call)
-    : m_call(call)
-{
-    if (m_call.route.bulk) {
-        m_call.largeBytes = 0;
-        m_call.largeRemaining = m_call.core.link.largeResponseStarted();
-    }
-}
-
-LargeResponse::~LargeResponse()
-{
-    if (m_call.route.bulk) {
-        m_call.core.link.largeResponseEnded(m_call.largeBytes, m_call.largeRemaining);
-    }
-}
-
 RoutedCall::RoutedCall(CallContext &call)
     : m_call(call)
 {
@@ -75,7 +56,9 @@
 asio::awaitable<void> RoutedCall::attempt()
 {
     UpstreamExchange exchange(m_call, std::move(m_lease));
-    const LargeResponse large(m_call);
+    if (m_call.route.bulk) {
+        m_call.large.emplace(m_call.core.link);
+    }
     auto status = co_await exchangeOn(exchange);
     auto verdict = judge(exchange, status);
     if (verdict == Verdict::Answered && m_call.signedResponses()) {
@@ -283,7 +266,9 @@
     ResponseForwarder forwarder(m_call, exchange);
     const bool complete = co_await forwarder.forward();
     m_call.core.metrics.countResponse(m_call.route.name, code);
-    m_call.largeBytes = complete && code < 300 ? forwarder.bodyBytes() : 0;
+    if (m_call.large && complete && code < 300) {
+        m_call.large->complete(forwarder.bodyBytes());
+    }
     if (!complete || code >= 500) {
         m_call.log(
             "failed", complete ? "the target failed" : "incomplete response", code, exchange.lease().target().name);
--- a/libs/proxy/src/routedcall.h
+++ b/libs/proxy/src/routedcall.h
@@ -7,19 +7,6 @@
 
 namespace Hornbeam {
 
-/** Counts a response that will be large at the host's link, from the choice of its target to its end. */
-class LargeResponse
-{
-public:
-    explicit LargeResponse(CallContext &call);
-    LargeResponse(const LargeResponse &) = delete;
-    LargeResponse &operator=(const LargeResponse &) = delete;
-    ~LargeResponse();
-
-private:
-    CallContext &m_call;
-};
-
 /**
  * Runs a request whose repetition needs no record: an attempt that certainly did not run is sent elsewhere, and one
  * that may have run is repeated only if the route is idempotent, within its attempts and the retry budget.
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <utility>
 
 namespace Hornbeam {
@@ -34,13 +33,6 @@
     return {asio::buffer(size), asio::buffer(piece), asio::const_buffer("\r\n", 2)};
 }
 
-std::string chunkSizeLine(std::size_t n)
-{
-    std::array<char, 24> text{};
-    const auto length = std::snprintf(text.data(), text.size(), "%zx\r\n", n);
-    return {text.data(), static_cast<std::size_t>(length)};
-}
-
 } // namespace
 
 const char *attemptStatusName(AttemptStatus status)
@@ -308,8 +300,9 @@
         endRun();
         takeReport();
         const bool framed = !reader.endsWithConnection() || m_call.core.options.acceptUnframedResponses;
-        co_return status != 101 && framed &&isGenuine(reader.head()) ? AttemptStatus::Response
-                                                                     : AttemptStatus::BadResponse;
+        const bool genuine = isGenuine(reader.head());
+        const bool valid = status != 101 && framed && genuine;
+        co_return valid ? AttemptStatus::Response : AttemptStatus::BadResponse;
     }
     co_return AttemptStatus::BadResponse;
 }
@@ -395,7 +388,7 @@
         return outcome != nullptr && *outcome == "not-run";
     }
     const auto &name = m_call.core.options.headers.notExecuted;
-    return !name.empty() && (head.find(name) != nullptr || head.status == 421);
+    return !name.empty() && (head.find(name) != nullptr || head.status == misdirectedStatus);
 }
 
 bool UpstreamExchange::reachedTarget() const
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -1,4 +1,4 @@
-#include "linkpacer.h"
+#include "largeresponse.h"
 
 #include <vector>
 
@@ -51,13 +51,17 @@
     for (int i = 0; i < 50; ++i) {
         pacer.largeResponseEnded(90000, pacer.largeResponseStarted());
     }
-    auto remaining = pacer.largeResponseStarted();
-    pacer.largeResponseSent(80000, remaining);
-    CHECK(pacer.largeResponseWait() < 15ms);
-    pacer.largeResponseSent(80000, remaining);
-    CHECK(pacer.largeResponseWait() == 0ms);
-    pacer.largeResponseEnded(160000, remaining);
+    {
+        LargeResponse response(pacer);
+        response.sent(80000);
+        CHECK(pacer.largeResponseWait() < 15ms);
+        response.sent(80000);
+        CHECK(pacer.largeResponseWait() == 0ms);
+        response.complete(160000);
+    }
     CHECK(pacer.largeResponseWait() == 0ms);
+    CHECK(linkWaitAfter(100ms, 150ms) == 50ms);
+    CHECK(linkWaitAfter(150ms, 100ms) == 0ms);
 }
 
 // Guards against a node that runs out of memory because many callers read large responses slowly.
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -47,6 +47,11 @@
     return TestTarget::response("200 OK", body, "Signed-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n");
 }
 
+std::string responseWithoutLength(const TestMessage &request, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\n" + body;
+}
+
 TestTarget::Handler answerSigned(const std::string &body)
 {
     return [body](const TestMessage &request, TestSocket &connection) {
@@ -276,7 +281,7 @@
 TEST(Relay, acceptsAResponseThatEndsWithItsConnection)
 {
     TestTarget target([](const TestMessage &request, TestSocket &connection) {
-        connection.send("HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\nwhole");
+        connection.send(responseWithoutLength(request, "whole"));
         return false;
     });
     addTarget(target, "i-1");
@@ -290,7 +295,7 @@
 TEST(Relay, refusesAResponseWithoutALengthThatWasReset)
 {
     TestTarget target([](const TestMessage &request, TestSocket &connection) {
-        connection.send("HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\nhal");
+        connection.send(responseWithoutLength(request, "hal"));
         std::this_thread::sleep_for(50ms);
         connection.reset();
         return false;
