Tell why an announcement is not used, and write four small things once

Found when reading the whole change: - An announcement that was refused, or that a later one had overtaken, left no trace at the node: only its sender read the reason. The datagram that compares tables was built twice. - TargetRegistry compared two announcements for the same start in two places. - The soak had its own copy of the reader of the version header, and a test its own copy of the partition of the zones.

Left as they are: X-Hornbeam-Deadline-Ms, which is a header of the product's own interface and older than this change; the platform's own name is in platform/ alone. Repetitions of the generated protobuf code, and declarations that implement the same interface.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -313,7 +313,10 @@
         m_extension = std::make_unique<Platform::Announcements>(
             Platform::AnnouncementOptions{.hostAddress = m_settings.traffic.listen.address()},
             *m_adminFacade,
-            *m_adminFacade);
+            *m_adminFacade,
+            [this](const std::string &target, const std::string &reason) {
+                m_log.warning("announcement not used", {{"target", target}, {"reason", reason}});
+            });
     }
     const AdminDependencies dependencies{.operators = *m_adminFacade,
                                          .announcements = *m_adminFacade,
--- a/libs/membership/src/tablesync.cpp
+++ b/libs/membership/src/tablesync.cpp
@@ -79,8 +79,7 @@
         if (live.contains(seed)) {
             continue;
         }
-        auto datagram = m_channel.makeDatagram();
-        datagram.mutable_table_digest()->set_digest(m_table.digest());
+        auto datagram = makeDigest();
         appendUpdate(datagram, toWire(*self));
         m_channel.sendPlain(seed, datagram);
         ++contacted;
@@ -89,10 +88,12 @@
 
 void TableSync::heardFrom(const Endpoint &sender)
 {
+    if (m_joined || (m_pull && (m_pull->peerHeard || m_pull->peer == sender))) {
+        return;
+    }
     // The seed that was chosen may be unreachable, for example in a zone that is cut off, while this one is not.
     const auto seeds = otherSeeds();
-    const bool isSeed = std::find(seeds.begin(), seeds.end(), sender) != seeds.end();
-    if (m_joined || !isSeed || (m_pull && (m_pull->peerHeard || m_pull->peer == sender))) {
+    if (std::find(seeds.begin(), seeds.end(), sender) == seeds.end()) {
         return;
     }
     startPull(sender, {Range{}}, true);
@@ -233,9 +234,14 @@
     if (!peer) {
         return;
     }
+    m_channel.send(*peer, 0, makeDigest());
+}
+
+Wire::Datagram TableSync::makeDigest() const
+{
     auto datagram = m_channel.makeDatagram();
     datagram.mutable_table_digest()->set_digest(m_table.digest());
-    m_channel.send(*peer, 0, std::move(datagram));
+    return datagram;
 }
 
 std::optional<Endpoint> TableSync::choosePeer()
--- a/libs/membership/src/tablesync.h
+++ b/libs/membership/src/tablesync.h
@@ -67,6 +67,7 @@
 
     void scheduleAntiEntropy();
     void compareWithPeer();
+    Wire::Datagram makeDigest() const;
     std::optional<Endpoint> choosePeer();
     std::optional<Endpoint> chooseDistantPeer();
     MemberList failedMembers() const;
--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -37,6 +37,13 @@
     return !name.empty() && name.size() <= maxNameBytes;
 }
 
+/** Whether an announcement of @p target is of the same start as @p known; one without a number is of the present one.
+ */
+bool isSameStart(const Target &known, const Target &target)
+{
+    return known.name == target.name && (target.instance == 0 || known.instance == target.instance);
+}
+
 bool hasValidLabels(const Target &target)
 {
     return std::all_of(target.labels.begin(), target.labels.end(), [](const Label &label) {
@@ -69,8 +76,7 @@
     }
     const auto it = m_entries.find(target.address);
     const bool known = it != m_entries.end();
-    const bool sameStart = known && it->second.target.name == target.name
-        && (target.instance == 0 || it->second.target.instance == target.instance);
+    const bool sameStart = known && isSameStart(it->second.target, target);
     if (known && !sameStart) {
         bury(it->second.target.name, it->second.target.instance);
     }
@@ -134,9 +140,7 @@
     if (target.instance != 0 && target.instance < entry.target.instance) {
         return true;
     }
-    const bool sameStart =
-        target.name == entry.target.name && (target.instance == 0 || target.instance == entry.target.instance);
-    return sameStart && sequence != 0 && sequence < entry.sequence;
+    return isSameStart(entry.target, target) && sequence != 0 && sequence < entry.sequence;
 }
 
 void TargetRegistry::bury(const std::string &name, std::uint64_t instance)
--- a/libs/membership/tests/failuredetectortest.cpp
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -39,9 +39,9 @@
         };
     }
 
-    void partitionZones()
+    static void partitionZones(MemoryNetwork & partitioned)
     {
-        network.drop = [](const Endpoint &from, const Endpoint &to) {
+        partitioned.drop = [](const Endpoint &from, const Endpoint &to) {
             return from.port() % 2 != to.port() % 2;
         };
     }
@@ -175,7 +175,7 @@
 TEST(FailureDetector, mergesAHealedPartition)
 {
     network.makeCluster(size);
-    partitionZones();
+    partitionZones(network);
     network.time.advance(90s);
     CHECK_EQUAL(size * size / 2, network.aliveViews());
     network.drop = {};
@@ -192,9 +192,7 @@
         MemoryNetwork healing;
         healing.seedBase = run * size;
         healing.makeCluster(6);
-        healing.drop = [](const Endpoint &from, const Endpoint &to) {
-            return from.port() % 2 != to.port() % 2;
-        };
+        partitionZones(healing);
         healing.time.advance(90s);
         std::set<std::string> heard;
         for (auto &viewer : healing.nodes) {
--- a/tests/soak/src/soakledger.cpp
+++ b/tests/soak/src/soakledger.cpp
@@ -1,7 +1,6 @@
 #include "soakledger.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace Hornbeam {
 
@@ -12,14 +11,6 @@
 /** A broken promise breaks again with each request; the first cases are enough to trace it. */
 constexpr std::size_t maxViolations = 20;
 
-std::uint64_t versionOf(const HttpResponse &response)
-{
-    const auto text = response.header("x-hornbeam-version");
-    std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
-    return version;
-}
-
 } // namespace
 
 void SoakLedger::noteRead(int node, const Result<HttpResponse> &response)
--- a/tests/support/include/hornbeam/testsupport/mesh.h
+++ b/tests/support/include/hornbeam/testsupport/mesh.h
@@ -149,6 +149,9 @@
     std::unique_ptr<ProcessGroup> m_processes; ///< Destroyed before the address block is released.
 };
 
+/** Version under which a node answered, or 0 when the response does not tell. */
+std::uint64_t versionOf(const HttpResponse &response);
+
 /** An intent that creates a service with one idempotent and one non-idempotent route. */
 nlohmann::json basicIntent(const std::string &service);
 
--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -41,13 +41,6 @@
     return {.status = response->status, .body = Json::parse(response->body, nullptr, false)};
 }
 
-std::uint64_t parseVersion(const std::string &text)
-{
-    std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
-    return version;
-}
-
 } // namespace
 
 Mesh::Mesh(MeshOptions options)
@@ -264,7 +257,7 @@
     if (!succeeded(response)) {
         return 0;
     }
-    return parseVersion(response->header("x-hornbeam-version"));
+    return versionOf(*response);
 }
 
 std::optional<std::uint64_t> Mesh::decidedVersion(int node, const std::string &path) const
@@ -276,7 +269,7 @@
     if (!response || response->status >= 500) {
         return std::nullopt;
     }
-    return parseVersion(response->header("x-hornbeam-version"));
+    return versionOf(*response);
 }
 
 bool Mesh::waitForVersion(std::uint64_t version,
@@ -455,6 +448,14 @@
     return addresses;
 }
 
+std::uint64_t versionOf(const HttpResponse &response)
+{
+    const auto text = response.header("x-hornbeam-version");
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
 Json basicIntent(const std::string &service)
 {
     const Json bookings = {
