Serve pipelined idempotent requests side by side

Cause: a connection read its next request only after it had answered the one before it, so the latency of a pipelined request included the service times of all requests ahead of it.

Change: CallerConnection keeps reading while requests are in flight. Idempotent requests without a body run side by side, up to eight per connection; beyond that the connection stops reading, so that further requests wait in the socket. Any other request runs alone, after those before it. ResponseOrder gives each response its turn; CallerExchange decides in that turn whether the connection stays open, so only the last accepted request may announce the close. TimedSocket now bounds one read and one write at the same time. A disconnect of the caller cancels all requests in flight on the connection.

Ruled out: a separate read buffer per request, which would hold memory per idle connection.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -65,10 +65,10 @@
     , origin(CallOrigin::Caller)
     , route(matchedRoute)
     , service(routeService)
-    , body(caller, routeService.maxRequestBytes)
-    , watch(caller.socket())
-    , started(std::chrono::steady_clock::now())
-    , deadline(started + timeoutOf(caller.reader().head(), matchedRoute, core.options))
+    , body(caller.stream(), caller.head(), routeService.maxRequestBytes)
+    , watch(caller.watch())
+    , started(caller.received())
+    , deadline(started + timeoutOf(caller.head(), matchedRoute, core.options))
 {
     const auto *id = requestId();
     nested = id != nullptr && core.running.isNestedCall(*id);
@@ -91,9 +91,9 @@
     , route(relayRoute)
     , service(targetService)
     , relay(relayRequest)
-    , body(caller, targetService.maxRequestBytes)
-    , watch(caller.socket())
-    , started(std::chrono::steady_clock::now())
+    , body(caller.stream(), caller.head(), targetService.maxRequestBytes)
+    , watch(caller.watch())
+    , started(caller.received())
     , deadline(started + relayRequest.timeLeft)
     , latestStart(started + relayRequest.maxWait)
     , repeated(relayRequest.repeated)
@@ -205,6 +205,12 @@
     return head().keepAlive && body.isComplete() && !core.draining.load(std::memory_order_relaxed);
 }
 
+asio::awaitable<bool> CallContext::decideKeepAlive(bool possible)
+{
+    co_await caller.waitForTurn();
+    co_return caller.decideKeepAlive(possible && canKeepAlive());
+}
+
 void CallContext::log(std::string_view decision, std::string_view reason, int status, std::string_view target) const
 {
     auto *requestLog = core.dependencies.log;
@@ -228,6 +234,7 @@
                         .fromPeer = origin == CallOrigin::Peer});
 }
 
+/** False if many connections are open, because refused callers open further ones. */
 bool CallContext::canKeepAliveAfterRefusal() const
 {
     return canKeepAlive() && core.connections.load(std::memory_order_relaxed) < core.options.maxConnections / 2;
@@ -241,20 +248,21 @@
     watch.stop();
     core.metrics.countResponse(route.name, refusal.status);
     log(refusal.outcome == RefusalOutcome::Unknown ? "failed" : "refused", refusal.reason, refusal.status);
-    RefusalFormat format{
-        .version = state->snapshot->version(), .keepAlive = canKeepAliveAfterRefusal(), .headers = loadHeader()};
+    co_await caller.waitForTurn();
+    RefusalFormat format{.version = state->snapshot->version(),
+                         .keepAlive = caller.decideKeepAlive(canKeepAliveAfterRefusal()),
+                         .headers = loadHeader()};
     keepOpen = co_await writeRefusal(core, caller, refusal, std::move(format));
 }
 
-asio::awaitable<bool> writeRefusal(ServerCore &core, HttpStream &caller, Refusal refusal, RefusalFormat format)
+asio::awaitable<bool> writeRefusal(ServerCore &core, CallerExchange &caller, Refusal refusal, RefusalFormat format)
 {
     core.metrics.countRefusal(refusal.reason);
-    format.withBody = caller.reader().head().method != "HEAD";
+    format.withBody = caller.head().method != "HEAD";
     format.fractionalRetryAfter = core.options.headers.fractionalRetryAfter;
     const auto text = formatRefusal(refusal, format);
     const std::array buffers = {asio::const_buffer(text.data(), text.size())};
-    std::size_t n = 0;
-    const auto ec = co_await caller.socket().write(buffers, std::chrono::steady_clock::now() + refusalWriteTimeout, n);
+    const auto ec = co_await caller.write(buffers, std::chrono::steady_clock::now() + refusalWriteTimeout);
     co_return format.keepAlive && !ec;
 }
 
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "callerwatch.h"
+#include "callerexchange.h"
 #include "largeresponse.h"
 #include "refusal.h"
 #include "relayheader.h"
@@ -31,7 +31,7 @@
     ServerCore &core;
     UpstreamPool &pool;
     const std::shared_ptr<asio::io_context> &context; ///< Not owned: it owns the coroutine of the call.
-    HttpStream &caller;
+    CallerExchange &caller;
     RoutingStatePtr state; ///< The state in effect when the request arrived.
 };
 
@@ -52,7 +52,7 @@
     const Service &service; ///< Service of the target; from the state's snapshot or made from the relay header.
     std::optional<RelayRequest> relay; ///< Set for a request from another node.
     RequestBody body;
-    CallerWatch watch;
+    CallerWatch &watch;
     TimePoint started;
     TimePoint deadline;
     TimePoint objective = TimePoint::max(); ///< Time by which the route's latency objective is met.
@@ -72,7 +72,7 @@
 
     const HttpHead &head() const
     {
-        return caller.reader().head();
+        return caller.head();
     }
 
     /** Identifies the request in crash reports and the quarantine. Call it after the body was buffered. */
@@ -109,11 +109,11 @@
     /** The load report as a header for the node that sent the request; empty for a caller. */
     std::string loadHeader() const;
 
-    /** Whether the caller's connection can be reused after this request. */
-    bool canKeepAlive() const;
-
-    /** The same after a refusal. False if many connections are open, because refused callers open further ones. */
-    bool canKeepAliveAfterRefusal() const;
+    /**
+     * Waits for the turn of the response and decides whether the caller's connection stays open after it. @p possible:
+     * false if the end of the connection marks the end of the response.
+     */
+    asio::awaitable<bool> decideKeepAlive(bool possible = true);
 
     /** Writes a decision about the request to the request log. */
     void log(std::string_view decision, std::string_view reason, int status, std::string_view target = {}) const;
@@ -122,10 +122,13 @@
     asio::awaitable<void> refuse(Refusal refusal);
 
 private:
+    bool canKeepAlive() const;
+    bool canKeepAliveAfterRefusal() const;
+
     std::optional<Digest> m_crashDigest;
 };
 
 /** Sends a refusal, also for a request without a route. Returns whether the connection can be reused. */
-asio::awaitable<bool> writeRefusal(ServerCore &core, HttpStream &caller, Refusal refusal, RefusalFormat format);
+asio::awaitable<bool> writeRefusal(ServerCore &core, CallerExchange &caller, Refusal refusal, RefusalFormat format);
 
 } // namespace Hornbeam
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -4,6 +4,8 @@
 #include "claimedcall.h"
 #include "retryablecall.h"
 
+#include <asio/co_spawn.hpp>
+
 #include <array>
 
 namespace Hornbeam {
@@ -26,20 +28,28 @@
 constexpr auto lingerTime = std::chrono::seconds(1);
 constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
 
+/**
+ * Largest number of requests of one connection that are served side by side. Responses that wait for earlier ones are
+ * held in memory, each up to the size that is buffered for retries.
+ */
+constexpr std::size_t maxPipelinedRequests = 8;
+
+} // namespace
+
 /** Counts a request as in flight for as long as the guard exists. */
-class InFlightGuard
+class CallerConnection::InFlight
 {
 public:
-    explicit InFlightGuard(std::atomic<std::size_t> &count)
+    explicit InFlight(std::atomic<std::size_t> &count)
         : m_count(count)
     {
         ++m_count;
     }
 
-    InFlightGuard(const InFlightGuard &) = delete;
-    InFlightGuard &operator=(const InFlightGuard &) = delete;
+    InFlight(const InFlight &) = delete;
+    InFlight &operator=(const InFlight &) = delete;
 
-    ~InFlightGuard()
+    ~InFlight()
     {
         --m_count;
     }
@@ -48,8 +58,6 @@
     std::atomic<std::size_t> &m_count;
 };
 
-} // namespace
-
 CallerConnection::CallerConnection(ServerCore &core,
                                    UpstreamPool &pool,
                                    const std::shared_ptr<asio::io_context> &context,
@@ -59,6 +67,8 @@
     , m_pool(pool)
     , m_context(context)
     , m_stream(std::move(socket), HttpMessageReader::Kind::Request, core.options.maxHeaderBytes)
+    , m_order(context->get_executor())
+    , m_channel{.stream = m_stream, .order = m_order}
     , m_origin(origin)
 {
 }
@@ -72,29 +82,137 @@
 {
     bool open = true;
     while (open) {
-        m_stream.reader().reset();
-        m_idle = true;
-        const auto result = co_await m_stream.readHead(std::chrono::steady_clock::now() + idleTimeout());
-        m_idle = false;
-        if (result != ReadResult::Ok) {
-            co_await refuseUnreadable(result);
-            break;
+        open = co_await readRequest();
+        if (open) {
+            co_await accept();
+            open = !m_channel.closing;
         }
-        const InFlightGuard guard(m_core.requestsInFlight);
-        open = co_await serve();
     }
+    co_await m_order.waitForPending(0);
     co_await lingeringClose();
 }
 
-Duration CallerConnection::idleTimeout() const
+asio::awaitable<bool> CallerConnection::readRequest()
+{
+    if (m_order.pending() >= maxInFlight()) {
+        // The request stays in the socket; only a disconnect of the caller is of interest until there is room.
+        m_stream.socket().watchDisconnect([this] { abandon(); });
+        co_await m_order.waitForPending(maxInFlight() - 1);
+        m_stream.socket().stopWatching();
+    }
+    if (m_channel.closing) {
+        co_return false;
+    }
+    m_stream.reader().reset();
+    m_reading = true;
+    const auto result = co_await m_stream.readHead(m_order.pending() == 0 ? idleDeadline() : TimePoint::max());
+    m_reading = false;
+    if (m_channel.closing) {
+        co_return false;
+    }
+    if (result != ReadResult::Ok) {
+        if (result == ReadResult::Closed || result == ReadResult::Reset) {
+            abandon();
+        }
+        co_await m_order.waitForPending(0);
+        if (!m_channel.closing) {
+            co_await refuseUnreadable(result);
+        }
+        co_return false;
+    }
+    m_channel.received = std::chrono::steady_clock::now();
+    co_return true;
+}
+
+std::size_t CallerConnection::maxInFlight() const
+{
+    // During a shutdown, the response in flight announces the end of the connection, so nothing is read behind it.
+    const bool single = m_origin == CallOrigin::Peer || m_core.draining.load(std::memory_order_relaxed);
+    return single ? 1 : maxPipelinedRequests;
+}
+
+asio::awaitable<void> CallerConnection::accept()
+{
+    m_hasPipelined = m_hasPipelined || m_order.pending() > 0 || m_stream.hasUnparsedBytes();
+    if (mayPipeline()) {
+        serveInBackground(m_core.state());
+        co_return;
+    }
+    if (m_order.pending() > 0) {
+        m_stream.socket().watchDisconnect([this] { abandon(); });
+        co_await m_order.waitForPending(0);
+        m_stream.socket().stopWatching();
+        if (m_channel.closing) {
+            co_return;
+        }
+    }
+    CallerExchange exchange(m_channel, false);
+    co_await serve(m_core.state(), exchange);
+}
+
+bool CallerConnection::mayPipeline()
+{
+    auto &reader = m_stream.reader();
+    const auto &head = reader.head();
+    const bool complete = reader.state() == HttpMessageReader::State::Complete && reader.body().empty();
+    if (m_origin == CallOrigin::Peer || !complete || !head.keepAlive || head.minorVersion == 0) {
+        return false;
+    }
+    const auto *route = m_core.state()->snapshot->matchRoute(head.host(), head.method, head.path());
+    return route != nullptr && route->idempotent;
+}
+
+void CallerConnection::serveInBackground(RoutingStatePtr state)
+{
+    const auto exchange = std::make_shared<CallerExchange>(m_channel, true);
+    m_pipelined.push_back(exchange.get());
+    asio::co_spawn(*m_context,
+                   serve(std::move(state), *exchange),
+                   [self = shared_from_this(), exchange](const std::exception_ptr &error) {
+                       std::erase(self->m_pipelined, exchange.get());
+                       if (error) {
+                           // Without this response, the caller would assign the later ones to the wrong requests.
+                           self->m_stream.socket().abort();
+                           self->abandon();
+                       }
+                   });
+}
+
+asio::awaitable<void> CallerConnection::serve(RoutingStatePtr state, CallerExchange &exchange)
+{
+    const InFlight guard(m_core.requestsInFlight);
+    const bool keepOpen = co_await respond(state, exchange);
+    co_await exchange.finish();
+    if (!keepOpen) {
+        // Later responses cannot be delivered either.
+        abandon();
+    } else if (m_order.pending() == 0) {
+        m_stream.socket().setReadDeadline(idleDeadline());
+    }
+}
+
+void CallerConnection::abandon()
+{
+    m_channel.closing = true;
+    for (auto *exchange : m_pipelined) {
+        exchange->watch().notifyDisconnected();
+    }
+    if (m_reading) {
+        m_stream.socket().cancel();
+    }
+}
+
+TimePoint CallerConnection::idleDeadline() const
 {
     const auto limit = m_core.state()->snapshot->limits().idleTimeout;
-    return m_origin == CallOrigin::Caller && limit.count() > 0 ? limit : m_core.options.idleTimeout;
+    const auto timeout = m_origin == CallOrigin::Caller && limit.count() > 0 ? limit : m_core.options.idleTimeout;
+    return std::chrono::steady_clock::now() + timeout;
 }
 
 void CallerConnection::closeIfIdle()
 {
-    if (m_idle && !m_stream.reader().started() && m_stream.socket().isOpenAndIdle()) {
+    const bool idle = m_reading && m_order.pending() == 0 && !m_stream.reader().started();
+    if (idle && m_stream.socket().isOpenAndIdle()) {
         m_stream.socket().cancel();
     }
 }
@@ -102,76 +220,85 @@
 asio::awaitable<void> CallerConnection::refuseUnreadable(ReadResult result)
 {
     const auto version = m_core.state()->snapshot->version();
+    const bool started = m_stream.reader().started();
+    CallerExchange exchange(m_channel, false);
     switch (result) {
     case ReadResult::Malformed:
-        co_await refuse({.status = 400, .reason = "malformed request"}, version);
+        co_await refuse(exchange, {.status = 400, .reason = "malformed request"}, version);
         break;
     case ReadResult::HeadTooLarge:
-        co_await refuse({.status = 431, .reason = "header too large"}, version);
+        co_await refuse(exchange, {.status = 431, .reason = "header too large"}, version);
         break;
     case ReadResult::TimedOut:
-        if (m_stream.reader().started()) {
-            co_await refuse({.status = 408, .reason = "incomplete request"}, version);
+        if (started) {
+            co_await refuse(exchange, {.status = 408, .reason = "incomplete request"}, version);
         }
         break;
     default:
         break;
     }
+    co_await exchange.finish();
 }
 
-asio::awaitable<bool> CallerConnection::refuse(Refusal refusal, std::uint64_t version)
+asio::awaitable<bool> CallerConnection::refuse(CallerExchange &exchange, Refusal refusal, std::uint64_t version)
 {
-    const auto &reader = m_stream.reader();
-    const bool keepAlive = reader.state() == HttpMessageReader::State::Complete && reader.head().keepAlive
-        && !m_core.draining.load(std::memory_order_relaxed) && refusal.status != 400;
+    co_await exchange.waitForTurn();
+    const bool complete = exchange.isPipelined() || m_stream.reader().state() == HttpMessageReader::State::Complete;
+    const bool keepAlive =
+        exchange.decideKeepAlive(complete && exchange.head().keepAlive
+                                 && !m_core.draining.load(std::memory_order_relaxed) && refusal.status != 400);
     m_core.metrics.countResponse({}, refusal.status);
     // A named object, because GCC 12 destroys a temporary aggregate argument of an awaited call twice.
     RefusalFormat format{.version = version, .keepAlive = keepAlive};
-    co_return co_await writeRefusal(m_core, m_stream, refusal, std::move(format));
+    co_return co_await writeRefusal(m_core, exchange, refusal, std::move(format));
 }
 
-asio::awaitable<bool> CallerConnection::serve()
+asio::awaitable<bool> CallerConnection::respond(const RoutingStatePtr &state, CallerExchange &exchange)
 {
-    const auto state = m_core.state();
-    const auto &head = m_stream.reader().head();
+    const auto &head = exchange.head();
     const auto version = state->snapshot->version();
     if (const auto *problem = findRequestProblem(head)) {
-        co_return co_await refuse({.status = 400, .reason = problem}, version);
+        co_return co_await refuse(exchange, {.status = 400, .reason = problem}, version);
     }
     if (m_origin == CallOrigin::Peer) {
         const auto *value = head.find(relayHeaderName);
         const auto relay = value != nullptr ? RelayRequest::parse(*value) : std::nullopt;
         if (!relay) {
-            co_return co_await refuse({.status = 400, .reason = "no valid relay header"}, version);
+            co_return co_await refuse(exchange, {.status = 400, .reason = "no valid relay header"}, version);
         }
-        co_return co_await serveRelayed(state, *relay);
+        co_return co_await serveRelayed(state, exchange, *relay);
     }
     if (!state->ready) {
-        co_return co_await refuse({.status = 503, .reason = "not ready", .retryAfter = notReadyRetryAfter}, version);
+        co_return co_await refuse(
+            exchange, {.status = 503, .reason = "not ready", .retryAfter = notReadyRetryAfter}, version);
     }
     const auto *route = state->snapshot->matchRoute(head.host(), head.method, head.path());
     if (route == nullptr) {
-        co_return co_await refuse({.status = 404, .reason = "no route"}, version);
+        co_return co_await refuse(exchange, {.status = 404, .reason = "no route"}, version);
     }
-    co_return co_await serveRoute(state, *route);
+    co_return co_await serveRoute(state, exchange, *route);
 }
 
-CallEnvironment CallerConnection::environment(const RoutingStatePtr &state)
+CallEnvironment CallerConnection::environment(const RoutingStatePtr &state, CallerExchange &exchange)
 {
-    return {.core = m_core, .pool = m_pool, .context = m_context, .caller = m_stream, .state = state};
+    return {.core = m_core, .pool = m_pool, .context = m_context, .caller = exchange, .state = state};
 }
 
-asio::awaitable<bool> CallerConnection::serveRoute(const RoutingStatePtr &state, const Route &route)
+asio::awaitable<bool> CallerConnection::serveRoute(const RoutingStatePtr &state,
+                                                   CallerExchange &exchange,
+                                                   const Route &route)
 {
     const auto *service = state->snapshot->findService(m_core.splits.choose(route));
     if (service == nullptr) {
-        co_return co_await refuse({.status = 503, .reason = "no service"}, state->snapshot->version());
+        co_return co_await refuse(exchange, {.status = 503, .reason = "no service"}, state->snapshot->version());
     }
-    CallContext call(environment(state), route, *service);
+    CallContext call(environment(state, exchange), route, *service);
     co_return co_await serveCall(call);
 }
 
-asio::awaitable<bool> CallerConnection::serveRelayed(const RoutingStatePtr &state, const RelayRequest &relay)
+asio::awaitable<bool> CallerConnection::serveRelayed(const RoutingStatePtr &state,
+                                                     CallerExchange &exchange,
+                                                     const RelayRequest &relay)
 {
     const auto *known = state->snapshot->findService(relay.service);
     Service service;
@@ -185,7 +312,7 @@
     route.idempotent = relay.idempotent;
     route.bulk = relay.bulk;
     route.identity = RequestIdentitySource::Attempt;
-    CallContext call(environment(state), relay, route, service);
+    CallContext call(environment(state, exchange), relay, route, service);
     co_return co_await serveCall(call);
 }
 
@@ -195,7 +322,8 @@
     if (!prepared) {
         co_return call.keepOpen;
     }
-    if (call.body.isComplete()) {
+    // The connection itself detects that the caller of a pipelined request disconnects, because it keeps reading.
+    if (call.body.isComplete() && !call.caller.isPipelined()) {
         call.watch.start();
     }
     if (call.route.idempotent || call.route.identity == RequestIdentitySource::Attempt) {
@@ -241,7 +369,8 @@
     socket.shutdownSend();
     // Closing a socket with unread bytes resets the connection, and the caller could lose the response.
     const auto &reader = m_stream.reader();
-    const bool mayStillSend = reader.started() && reader.state() != HttpMessageReader::State::Complete;
+    const bool mayStillSend =
+        m_hasPipelined || (reader.started() && reader.state() != HttpMessageReader::State::Complete);
     const auto until = std::chrono::steady_clock::now() + lingerTime;
     std::array<char, 4096> discarded;
     std::size_t total = 0;
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -3,11 +3,16 @@
 #include "callcontext.h"
 
 #include <memory>
+#include <vector>
 
 namespace Hornbeam {
 
-/** Serves one connection of a caller or of another node; its requests are handled one after the other. */
-class CallerConnection
+/**
+ * Serves one connection of a caller or of another node. Idempotent requests without a body that a caller pipelines are
+ * served side by side, up to a bound above which the connection stops reading. Any other request is served alone, after
+ * the requests before it and before the requests behind it.
+ */
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
     /** @p context: the io_context of the thread that owns the connection. */
@@ -27,14 +32,26 @@
     void closeIfIdle();
 
 private:
-    asio::awaitable<bool> serve();
-    CallEnvironment environment(const RoutingStatePtr &state);
-    asio::awaitable<bool> serveRoute(const RoutingStatePtr &state, const Route &route);
-    asio::awaitable<bool> serveRelayed(const RoutingStatePtr &state, const RelayRequest &relay);
+    class InFlight;
+
+    asio::awaitable<bool> readRequest();
+    asio::awaitable<void> accept();
+    bool mayPipeline();
+    std::size_t maxInFlight() const;
+    void serveInBackground(RoutingStatePtr state);
+    asio::awaitable<void> serve(RoutingStatePtr state, CallerExchange &exchange);
+    asio::awaitable<bool> respond(const RoutingStatePtr &state, CallerExchange &exchange);
+    /** Ends the connection and cancels the pipelined requests in flight, whose responses cannot be delivered. */
+    void abandon();
+    CallEnvironment environment(const RoutingStatePtr &state, CallerExchange &exchange);
+    asio::awaitable<bool> serveRoute(const RoutingStatePtr &state, CallerExchange &exchange, const Route &route);
+    asio::awaitable<bool> serveRelayed(const RoutingStatePtr &state,
+                                       CallerExchange &exchange,
+                                       const RelayRequest &relay);
     asio::awaitable<bool> serveCall(CallContext &call);
-    Duration idleTimeout() const;
+    TimePoint idleDeadline() const;
     asio::awaitable<bool> prepare(CallContext &call);
-    asio::awaitable<bool> refuse(Refusal refusal, std::uint64_t version);
+    asio::awaitable<bool> refuse(CallerExchange &exchange, Refusal refusal, std::uint64_t version);
     asio::awaitable<void> refuseUnreadable(ReadResult result);
     asio::awaitable<void> lingeringClose();
 
@@ -42,8 +59,12 @@
     UpstreamPool &m_pool;
     const std::shared_ptr<asio::io_context> &m_context;
     HttpStream m_stream;
+    ResponseOrder m_order;
+    CallerChannel m_channel;
+    std::vector<CallerExchange *> m_pipelined; ///< The exchanges that are served in the background.
     const CallOrigin m_origin;
-    bool m_idle = false;
+    bool m_reading = false; ///< Waiting for the head of a request.
+    bool m_hasPipelined = false; ///< The caller has sent a request before the one before it was answered.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/callerwatch.cpp
+++ b/libs/proxy/src/callerwatch.cpp
@@ -16,17 +16,23 @@
 
 void CallerWatch::start()
 {
-    m_caller.watchDisconnect([this] {
-        m_disconnected = true;
-        if (m_cancel) {
-            m_cancel();
-        }
-    });
+    m_started = true;
+    m_caller.watchDisconnect([this] { notifyDisconnected(); });
+}
+
+void CallerWatch::notifyDisconnected()
+{
+    m_disconnected = true;
+    if (m_cancel) {
+        m_cancel();
+    }
 }
 
 void CallerWatch::stop()
 {
-    m_caller.stopWatching();
+    if (std::exchange(m_started, false)) {
+        m_caller.stopWatching();
+    }
 }
 
 void CallerWatch::setCancelCallback(std::function<void()> cancel)
--- a/libs/proxy/src/callerwatch.h
+++ b/libs/proxy/src/callerwatch.h
@@ -22,6 +22,9 @@
     void start();
     void stop();
 
+    /** Tells the watch that the owner of the connection has seen the caller disconnect. */
+    void notifyDisconnected();
+
     bool isDisconnected() const
     {
         return m_disconnected;
@@ -33,6 +36,7 @@
 private:
     TimedSocket &m_caller;
     std::function<void()> m_cancel;
+    bool m_started = false; ///< Another owner may watch the same socket otherwise.
     bool m_disconnected = false;
 };
 
--- a/libs/proxy/src/claimedcall.cpp
+++ b/libs/proxy/src/claimedcall.cpp
@@ -25,7 +25,7 @@
         return *credentials;
     }
     std::error_code ec;
-    const auto peer = call.caller.socket().socket().remote_endpoint(ec);
+    const auto peer = call.caller.stream().socket().socket().remote_endpoint(ec);
     return ec ? std::string() : peer.address().to_string();
 }
 
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Hornbeam {
 
@@ -52,6 +53,12 @@
         return m_head;
     }
 
+    /** Moves the head out, for an owner that reads the next message before it has handled this one. */
+    HttpHead takeHead()
+    {
+        return std::move(m_head);
+    }
+
     /** Decoded body bytes; the owner clears them after use. */
     std::string &body()
     {
--- a/libs/proxy/src/requestbody.cpp
+++ b/libs/proxy/src/requestbody.cpp
@@ -4,15 +4,18 @@
 
 namespace Hornbeam {
 
-RequestBody::RequestBody(HttpStream &caller, std::uint64_t maxBytes)
+RequestBody::RequestBody(HttpStream &caller, const HttpHead &head, std::uint64_t maxBytes)
     : m_caller(caller)
+    , m_head(head)
     , m_maxBytes(maxBytes)
 {
+    updateComplete();
 }
 
-bool RequestBody::isComplete() const
+void RequestBody::updateComplete()
 {
-    return m_caller.reader().state() == HttpMessageReader::State::Complete && m_caller.reader().body().empty();
+    auto &reader = m_caller.reader();
+    m_complete = m_complete || (reader.state() == HttpMessageReader::State::Complete && reader.body().empty());
 }
 
 asio::awaitable<RequestBody::Result> RequestBody::buffer(std::size_t limit, TimePoint deadline)
@@ -25,6 +28,7 @@
         auto &body = m_caller.reader().body();
         m_buffered += body;
         body.clear();
+        updateComplete();
     }
     co_return Result::Ok;
 }
@@ -38,12 +42,13 @@
     const auto result = co_await read(deadline);
     m_streamed = true;
     piece.swap(m_caller.reader().body());
+    updateComplete();
     co_return result;
 }
 
 asio::awaitable<RequestBody::Result> RequestBody::read(TimePoint deadline)
 {
-    if (m_caller.reader().head().contentLength.value_or(0) > m_maxBytes) {
+    if (m_head.contentLength.value_or(0) > m_maxBytes) {
         co_return Result::TooLarge;
     }
     co_await sendContinue(deadline);
@@ -61,9 +66,8 @@
         co_return;
     }
     m_continueSent = true;
-    const auto *expect = m_caller.reader().head().find("expect");
-    if (expect == nullptr || !equalsIgnoringCase(*expect, "100-continue")
-        || m_caller.reader().head().minorVersion == 0) {
+    const auto *expect = m_head.find("expect");
+    if (expect == nullptr || !equalsIgnoringCase(*expect, "100-continue") || m_head.minorVersion == 0) {
         co_return;
     }
     static constexpr std::string_view response = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/libs/proxy/src/requestbody.h
+++ b/libs/proxy/src/requestbody.h
@@ -17,8 +17,8 @@
         Failed, ///< The caller disconnected, stopped sending or sent malformed chunks.
     };
 
-    /** @p maxBytes: limit of the size of the whole body. */
-    RequestBody(HttpStream &caller, std::uint64_t maxBytes);
+    /** @p head: of the request, must outlive the body. @p maxBytes: limit of the size of the whole body. */
+    RequestBody(HttpStream &caller, const HttpHead &head, std::uint64_t maxBytes);
 
     /** Reads until at least @p limit bytes are buffered or the body is complete. */
     asio::awaitable<Result> buffer(std::size_t limit, TimePoint deadline);
@@ -32,7 +32,10 @@
     }
 
     /** Whether the whole body has been read from the caller. */
-    bool isComplete() const;
+    bool isComplete() const
+    {
+        return m_complete;
+    }
 
     /** Whether the whole body is buffered, so that the request can be sent again. */
     bool isReplayable() const
@@ -50,10 +53,14 @@
     asio::awaitable<Result> read(TimePoint deadline);
     asio::awaitable<void> sendContinue(TimePoint deadline);
 
+    void updateComplete();
+
     HttpStream &m_caller;
+    const HttpHead &m_head;
     std::uint64_t m_maxBytes;
     std::uint64_t m_received = 0;
     std::string m_buffered;
+    bool m_complete = false; ///< Remains valid when the connection reads its next request.
     bool m_streamed = false;
     bool m_continueSent = false;
 };
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -55,12 +55,12 @@
     }
 }
 
-std::string ResponseForwarder::formatHead(bool hasBody)
+asio::awaitable<std::string> ResponseForwarder::formatHead(bool hasBody)
 {
     const auto &head = m_exchange.stream().reader().head();
     const bool chunked = hasBody && !head.contentLength && m_call.head().minorVersion >= 1;
     // HTTP/1.0 has no chunked encoding: without Content-Length, closing the connection marks the end of the body.
-    m_keepAlive = m_call.canKeepAlive() && (!hasBody || head.contentLength || chunked);
+    m_keepAlive = co_await m_call.decideKeepAlive(!hasBody || head.contentLength || chunked);
     std::string out;
     out.reserve(512);
     out += statusLine(head.status, head.reason);
@@ -75,7 +75,7 @@
         out += std::string(loadHeaderName) + ": " + m_exchange.report().format() + "\r\n";
     }
     out += connectionHeader(m_call, m_keepAlive);
-    return out + "\r\n";
+    co_return out + "\r\n";
 }
 
 asio::awaitable<bool> ResponseForwarder::forward()
@@ -83,7 +83,7 @@
     const auto headReceived = std::chrono::steady_clock::now();
     auto &stream = m_exchange.stream();
     const bool hasBody = m_call.head().method != "HEAD" && !statusHasNoBody(stream.reader().head().status);
-    auto head = formatHead(hasBody);
+    auto head = co_await formatHead(hasBody);
     const bool chunked = hasBody && !stream.reader().head().contentLength && m_call.head().minorVersion >= 1;
     const auto stall = std::max<Duration>(bodyStallTimeout, m_call.service.attemptTimeout);
     bool first = true;
@@ -103,7 +103,7 @@
         const auto result = co_await stream.readBody(limit);
         if (result != ReadResult::Ok) {
             m_call.core.metrics.truncatedResponses.add();
-            m_call.caller.socket().abort();
+            m_call.caller.stream().socket().abort();
             co_return false;
         }
     }
@@ -146,8 +146,7 @@
                                                        asio::const_buffer(piece.data(), piece.size()),
                                                        asio::const_buffer(end.data(), end.size()),
                                                        asio::const_buffer(lastChunk.data(), lastChunk.size())};
-    std::size_t n = 0;
-    const auto ec = co_await m_call.caller.socket().write(buffers, m_call.deadline, n);
+    const auto ec = co_await m_call.caller.write(buffers, m_call.deadline);
     m_callerFailed = static_cast<bool>(ec);
 }
 
@@ -195,7 +194,7 @@
 
 asio::awaitable<void> replayResponse(CallContext &call, const RecordedResponse &response)
 {
-    const bool keepAlive = call.canKeepAlive();
+    const bool keepAlive = co_await call.decideKeepAlive();
     auto out = statusLine(response.status, statusText(response.status));
     for (const auto &header : response.headers) {
         out += header.name + ": " + header.value + "\r\n";
@@ -210,8 +209,7 @@
     const bool withBody = call.head().method != "HEAD" && !statusHasNoBody(response.status);
     const std::array<asio::const_buffer, 2> buffers = {
         asio::buffer(out), asio::buffer(withBody ? std::string_view(response.body) : std::string_view())};
-    std::size_t n = 0;
-    const auto ec = co_await call.caller.socket().write(buffers, call.deadline, n);
+    const auto ec = co_await call.caller.write(buffers, call.deadline);
     call.core.metrics.countResponse(call.route.name, response.status);
     call.keepOpen = keepAlive && !ec;
 }
--- a/libs/proxy/src/responseforwarder.h
+++ b/libs/proxy/src/responseforwarder.h
@@ -39,7 +39,7 @@
     }
 
 private:
-    std::string formatHead(bool hasBody);
+    asio::awaitable<std::string> formatHead(bool hasBody);
     asio::awaitable<void> write(const std::string &head, bool chunked);
     asio::awaitable<void> writePiece(std::string_view head, std::string_view piece, bool chunked, bool last);
     asio::awaitable<void> waitForLink(std::size_t bytes);
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -292,7 +292,7 @@
     if (m_call.watch.isDisconnected()) {
         m_call.core.metrics.cancelled.add();
         m_call.log("cancelled", "the caller disconnected", 0);
-        m_call.caller.socket().close();
+        m_call.caller.stream().socket().close();
         co_return;
     }
     co_await m_call.refuse(refusal);
--- a/libs/proxy/src/timedsocket.cpp
+++ b/libs/proxy/src/timedsocket.cpp
@@ -11,67 +11,103 @@
 
 namespace Hornbeam {
 
-struct TimedSocket::State : std::enable_shared_from_this<TimedSocket::State>
+/** Bounds one pending operation of a socket. */
+class TimedSocket::Operation
 {
-    explicit State(asio::ip::tcp::socket peer)
-        : socket(std::move(peer))
-        , timer(socket.get_executor())
+public:
+    explicit Operation(asio::ip::tcp::socket &socket)
+        : m_socket(socket)
+        , m_timer(socket.get_executor())
     {
     }
 
     /** Starts an operation. Rearms the timer only if it would fire too late, which avoids most timer operations. */
-    void begin(TimePoint operationDeadline)
+    void begin(const std::shared_ptr<State> &state, TimePoint deadline)
     {
-        expired = false;
-        deadline = operationDeadline;
-        if (!armed || armedUntil > deadline) {
-            arm();
-        }
+        m_expired = false;
+        m_pending = true;
+        setDeadline(state, deadline);
     }
 
     std::error_code end(const std::error_code &ec)
     {
-        deadline = TimePoint::max();
-        return expired ? std::make_error_code(std::errc::timed_out) : ec;
+        m_pending = false;
+        m_deadline = TimePoint::max();
+        return m_expired ? std::make_error_code(std::errc::timed_out) : ec;
+    }
+
+    bool isPending() const
+    {
+        return m_pending;
+    }
+
+    void setDeadline(const std::shared_ptr<State> &state, TimePoint deadline)
+    {
+        m_deadline = deadline;
+        if (deadline != TimePoint::max() && (!m_armed || m_armedUntil > deadline)) {
+            arm(state);
+        }
+    }
+
+    void cancelTimer()
+    {
+        m_timer.cancel();
     }
 
-    void arm()
+private:
+    /** The timer must not prolong the life of the socket, so it only holds a weak reference to @p state. */
+    void arm(const std::weak_ptr<State> &state)
     {
-        armed = true;
-        armedUntil = deadline;
-        const auto armedGeneration = ++generation;
-        timer.expires_at(deadline);
-        timer.async_wait([weak = weak_from_this(), armedGeneration](const std::error_code & /*ec*/) {
-            const auto self = weak.lock();
-            if (self && self->generation == armedGeneration) {
-                self->fire();
+        m_armed = true;
+        m_armedUntil = m_deadline;
+        const auto generation = ++m_generation;
+        m_timer.expires_at(m_deadline);
+        m_timer.async_wait([this, state, generation](const std::error_code & /*ec*/) {
+            const auto alive = state.lock();
+            if (alive && m_generation == generation) {
+                fire(state);
             }
         });
     }
 
-    void fire()
+    void fire(const std::weak_ptr<State> &state)
     {
-        armed = false;
-        if (deadline == TimePoint::max()) {
+        m_armed = false;
+        if (m_deadline == TimePoint::max()) {
             return;
         }
-        if (deadline > std::chrono::steady_clock::now()) {
-            arm();
+        if (m_deadline > std::chrono::steady_clock::now()) {
+            arm(state);
             return;
         }
-        expired = true;
+        m_expired = true;
         std::error_code ignored;
-        socket.cancel(ignored);
+        m_socket.cancel(ignored);
+    }
+
+    asio::ip::tcp::socket &m_socket;
+    asio::steady_timer m_timer;
+    TimePoint m_deadline = TimePoint::max();
+    TimePoint m_armedUntil;
+    std::uint64_t m_generation = 0;
+    bool m_armed = false;
+    bool m_expired = false;
+    bool m_pending = false;
+};
+
+struct TimedSocket::State
+{
+    explicit State(asio::ip::tcp::socket peer)
+        : socket(std::move(peer))
+        , reading(socket)
+        , writing(socket)
+    {
     }
 
     asio::ip::tcp::socket socket;
-    asio::steady_timer timer;
-    TimePoint deadline = TimePoint::max();
-    TimePoint armedUntil;
-    std::uint64_t generation = 0;
+    Operation reading;
+    Operation writing;
     std::uint64_t watchId = 0;
-    bool armed = false;
-    bool expired = false;
 };
 
 TimedSocket::TimedSocket(asio::ip::tcp::socket socket)
@@ -83,7 +119,8 @@
 {
     if (m_state) {
         close();
-        m_state->timer.cancel();
+        m_state->reading.cancelTimer();
+        m_state->writing.cancelTimer();
     }
 }
 
@@ -91,9 +128,9 @@
 {
     const auto state = m_state;
     std::error_code ec;
-    state->begin(deadline);
+    state->writing.begin(state, deadline);
     co_await state->socket.async_connect(peer, asio::redirect_error(asio::use_awaitable, ec));
-    ec = state->end(ec);
+    ec = state->writing.end(ec);
     if (!ec) {
         state->socket.set_option(asio::ip::tcp::no_delay(true), ec);
     }
@@ -104,18 +141,25 @@
 {
     const auto state = m_state;
     std::error_code ec;
-    state->begin(deadline);
+    state->reading.begin(state, deadline);
     n = co_await state->socket.async_read_some(buffer, asio::redirect_error(asio::use_awaitable, ec));
-    co_return state->end(ec);
+    co_return state->reading.end(ec);
 }
 
 asio::awaitable<std::error_code> TimedSocket::waitReadable(TimePoint deadline)
 {
     const auto state = m_state;
     std::error_code ec;
-    state->begin(deadline);
+    state->reading.begin(state, deadline);
     co_await state->socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
-    co_return state->end(ec);
+    co_return state->reading.end(ec);
+}
+
+void TimedSocket::setReadDeadline(TimePoint deadline)
+{
+    if (m_state->reading.isPending()) {
+        m_state->reading.setDeadline(m_state, deadline);
+    }
 }
 
 std::error_code TimedSocket::readNow(asio::mutable_buffer buffer, std::size_t &n)
@@ -137,9 +181,9 @@
 {
     const auto state = m_state;
     std::error_code ec;
-    state->begin(deadline);
+    state->writing.begin(state, deadline);
     n = co_await asio::async_write(state->socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
-    co_return state->end(ec);
+    co_return state->writing.end(ec);
 }
 
 void TimedSocket::watchDisconnect(std::function<void()> onDisconnect)
--- a/libs/proxy/src/timedsocket.h
+++ b/libs/proxy/src/timedsocket.h
@@ -15,8 +15,9 @@
 namespace Hornbeam {
 
 /**
- * A TCP socket whose operations fail with std::errc::timed_out at a deadline. Only one operation may be pending at a
- * time, besides watchDisconnect(). Use it only on the thread that runs its executor.
+ * A TCP socket whose operations fail with std::errc::timed_out at a deadline. One read and one write may be pending at
+ * the same time, besides watchDisconnect(); if one of them times out, the other fails with operation_aborted. Use it
+ * only on the thread that runs its executor.
  */
 class TimedSocket
 {
@@ -34,6 +35,9 @@
     /** Waits until the peer has sent data or closed the connection. */
     asio::awaitable<std::error_code> waitReadable(TimePoint deadline);
 
+    /** Changes the deadline of the pending read; no effect without one. */
+    void setReadDeadline(TimePoint deadline);
+
     /** Reads without waiting; fails with would_block if no data has arrived. */
     std::error_code readNow(asio::mutable_buffer buffer, std::size_t &n);
 
@@ -46,7 +50,7 @@
     void watchDisconnect(std::function<void()> onDisconnect);
     void stopWatching();
 
-    /** Makes the pending operation fail with operation_aborted; later ones are not affected. */
+    /** Makes the pending operations fail with operation_aborted; later ones are not affected. */
     void cancel();
 
     /** Closes with a reset instead of a FIN, so that the peer cannot mistake the stream for complete. */
@@ -60,6 +64,7 @@
     asio::ip::tcp::socket &socket();
 
 private:
+    class Operation;
     struct State;
 
     std::shared_ptr<State> m_state;
