Let the service times of new targets age in the placement

Cause: a node kept the service time of the last response of a target without limit, and assumed 100 ms for a target without one. A new target looks better than any other until each node has sent it a request; the response then reports its cold start, after which the node avoids it for good.

Change: PlacementPolicy assumes the mean of the service for an unknown target. A reported service time decays towards this mean, with a constant of 5 s, or 2 s if it was reported within 5 s of the target's first appearance. The jitter grows from 8 to 30 ms and the cost of a busy target from 30 to 60 ms, because nodes with equal, sparse data chose the same targets; a load report keeps its weight for 800 instead of 400 ms.

--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -311,15 +311,7 @@
 void LoadBalancer::recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    auto &load = *lease.m_load;
-    load.report = report;
-    load.reportedAt = now;
-    // The report excludes the request whose response carries it, which still counts as outstanding here.
-    load.outstandingAtReport = load.outstanding > 0 ? load.outstanding - 1 : 0;
-    load.slots = report.slots;
-    load.serviceTime = report.serviceTime;
-    load.failureRate = report.failuresPerMille / 1000.0;
-    load.largeResponseWait = report.largeWait;
+    lease.m_load->applyReport(report, now);
 }
 
 LoadReport LoadBalancer::reportOf(const SlotLease &lease) const
@@ -346,7 +338,6 @@
 
 LoadReport LoadBalancer::makeReport(const TargetLoad &load, const ServiceState &service) const
 {
-    constexpr double perMille = 1000;
     return {.running = load.outstanding,
             .waiting = service.admission.queuedByRank(),
             .slots = load.slots,
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -50,7 +50,7 @@
                                                    std::size_t localQueuedAhead,
                                                    TimePoint now)
 {
-    updateMeanOccupancy(targets, query.rank, now);
+    updateMeans(targets, query.rank, now);
     Placement best;
     double lowest = std::numeric_limits<double>::max();
     Duration shortest = Duration::max();
@@ -61,9 +61,9 @@
                 continue;
             }
             const auto requests = expectedRequests(*load, query.rank, localQueuedAhead, now);
-            auto wait = expectedWait(*load, requests);
+            auto wait = expectedWait(*load, requests, now);
             if (query.bulk && load->isRemote()) {
-                wait += linkWaitOf(*load);
+                wait += linkWaitOf(*load, now);
             }
             shortest = std::min(shortest, wait);
             const auto cost = costOf(*load, query, requests, now);
@@ -89,24 +89,24 @@
                                        std::size_t localQueuedAhead,
                                        TimePoint now)
 {
-    updateMeanOccupancy(targets, query.rank, now);
+    updateMeans(targets, query.rank, now);
     Duration shortest = Duration::max();
     for (const auto &load : targets) {
         if (!load->isEjected(now) && isSuitable(*load, query)) {
-            shortest =
-                std::min(shortest, expectedWait(*load, expectedRequests(*load, query.rank, localQueuedAhead, now)));
+            shortest = std::min(shortest,
+                                expectedWait(*load, expectedRequests(*load, query.rank, localQueuedAhead, now), now));
         }
     }
     return shortest == Duration::max() ? Duration::zero() : shortest;
 }
 
-Duration PlacementPolicy::expectedWait(const TargetLoad &load, double requests) const
+Duration PlacementPolicy::expectedWait(const TargetLoad &load, double requests, TimePoint now) const
 {
     const auto ahead = requests + 1 - load.slots;
     if (ahead <= 0) {
         return Duration::zero();
     }
-    const auto wait = Milliseconds(milliseconds(serviceTimeOf(load)) * ahead / load.slots);
+    const auto wait = Milliseconds(milliseconds(serviceTimeOf(load, now)) * ahead / load.slots);
     return std::chrono::duration_cast<Duration>(wait);
 }
 
@@ -129,9 +129,9 @@
 double PlacementPolicy::costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now)
 {
     const auto slots = static_cast<double>(load.slots);
-    auto cost = milliseconds(expectedWait(load, requests)) + milliseconds(serviceTimeOf(load));
+    auto cost = milliseconds(expectedWait(load, requests, now)) + milliseconds(serviceTimeOf(load, now));
     if (query.bulk) {
-        cost += milliseconds(linkWaitOf(load));
+        cost += milliseconds(linkWaitOf(load, now));
     }
     cost += milliseconds(m_options.busyCost) * std::min(requests / slots, 1.0);
     cost += milliseconds(m_options.failureCost) * load.failureRate;
@@ -148,11 +148,15 @@
     return cost + std::uniform_real_distribution<double>(0, milliseconds(m_options.jitter))(m_random);
 }
 
-void PlacementPolicy::updateMeanOccupancy(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now)
+void PlacementPolicy::updateMeans(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now)
 {
     double requests = 0;
     double slots = 0;
+    Duration serviceTimes = Duration::zero();
+    int known = 0;
     for (const auto &load : targets) {
+        serviceTimes += load->serviceTime;
+        known += load->serviceTime > Duration::zero() ? 1 : 0;
         if (load->isRemote() && load->reportedAt != TimePoint::min()
             && now - load->reportedAt <= 2 * m_options.reportTimeConstant) {
             requests += requestsOfOthers(*load, rank);
@@ -160,16 +164,29 @@
         }
     }
     m_meanOccupancy = slots > 0 ? requests / slots : 0;
+    m_meanServiceTime = known > 0 ? serviceTimes / known : Duration(m_options.defaultServiceTime);
 }
 
-Duration PlacementPolicy::linkWaitOf(const TargetLoad &load) const
+Duration PlacementPolicy::linkWaitOf(const TargetLoad &load, TimePoint now) const
 {
-    return linkWaitAfter(serviceTimeOf(load), load.largeResponseWait);
+    return linkWaitAfter(serviceTimeOf(load, now), load.largeResponseWait);
 }
 
-Duration PlacementPolicy::serviceTimeOf(const TargetLoad &load) const
+Duration PlacementPolicy::serviceTimeOf(const TargetLoad &load, TimePoint now) const
 {
-    return load.serviceTime > Duration::zero() ? load.serviceTime : Duration(m_options.defaultServiceTime);
+    if (!load.isRemote()) {
+        return load.serviceTime > Duration::zero() ? load.serviceTime : m_meanServiceTime;
+    }
+    if (load.serviceTime == Duration::zero()) {
+        return m_meanServiceTime;
+    }
+    // A target that was slow when it reported must be tried again, soon if it had just started.
+    const bool warmingUp =
+        load.firstSeen != TimePoint::min() && load.reportedAt - load.firstSeen < m_options.warmUpTime;
+    const auto constant = warmingUp ? m_options.warmUpTimeConstant : m_options.serviceTimeConstant;
+    const auto weight = std::exp(-milliseconds(now - load.reportedAt) / milliseconds(constant));
+    const Milliseconds difference = load.serviceTime - m_meanServiceTime;
+    return m_meanServiceTime + std::chrono::duration_cast<Duration>(difference * weight);
 }
 
 } // namespace Hornbeam
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -18,11 +18,14 @@
     std::chrono::milliseconds zoneCost{40}; ///< Of sending a request and its response across zones.
     std::chrono::milliseconds bulkZoneCost{400}; ///< The same for a large response.
     std::chrono::milliseconds hopCost{3}; ///< Of forwarding a request to another node.
-    std::chrono::milliseconds busyCost{30}; ///< Of a target with all slots in use; proportional below that.
+    std::chrono::milliseconds busyCost{60}; ///< Of a target with all slots in use; proportional below that.
     std::chrono::milliseconds failureCost{600}; ///< Of a target that fails every request; proportional below that.
     std::chrono::milliseconds defaultServiceTime{100}; ///< Service time of a target without samples.
-    std::chrono::milliseconds jitter{8}; ///< Largest random cost; makes nodes with equal data choose different targets.
-    std::chrono::milliseconds reportTimeConstant{400}; ///< Of the exponential decay of a load report's weight.
+    std::chrono::milliseconds jitter{30}; ///< Largest random cost; makes nodes with equal data choose different targets.
+    std::chrono::milliseconds reportTimeConstant{800}; ///< Of the exponential decay of a load report's weight.
+    std::chrono::milliseconds serviceTimeConstant{5000}; ///< The same for the service time in the report.
+    std::chrono::milliseconds warmUpTime{5000}; ///< For which a new target may be slower than later.
+    std::chrono::milliseconds warmUpTimeConstant{2000}; ///< Of the service time in a report from the warm-up.
     std::uint64_t seed = 0; ///< Seed of the jitter; 0 takes one from the operating system.
 };
 
@@ -77,7 +80,7 @@
                           TimePoint now);
 
     /** Expected queueing time of a new request at a target with @p requests running or queued requests. */
-    Duration expectedWait(const TargetLoad &load, double requests) const;
+    Duration expectedWait(const TargetLoad &load, double requests, TimePoint now) const;
 
 private:
     double expectedRequests(const TargetLoad &load,
@@ -85,13 +88,14 @@
                             std::size_t localQueuedAhead,
                             TimePoint now) const;
     double costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now);
-    void updateMeanOccupancy(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now);
-    Duration linkWaitOf(const TargetLoad &load) const;
-    Duration serviceTimeOf(const TargetLoad &load) const;
+    void updateMeans(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now);
+    Duration linkWaitOf(const TargetLoad &load, TimePoint now) const;
+    Duration serviceTimeOf(const TargetLoad &load, TimePoint now) const;
 
     PlacementOptions m_options;
     std::mt19937_64 m_random;
     double m_meanOccupancy = 0; ///< Requests of other nodes per slot, averaged over targets with a recent report.
+    Duration m_meanServiceTime = Duration::zero(); ///< Of the targets that have reported one; the default without any.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/targetload.h
+++ b/libs/proxy/src/targetload.h
@@ -10,6 +10,9 @@
 
 namespace Hornbeam {
 
+/** Denominator of LoadReport::failuresPerMille. */
+inline constexpr double perMille = 1000;
+
 /** The load of one instance of a target as this node knows it. Guarded by the load balancer's mutex. */
 struct TargetLoad
 {
@@ -35,6 +38,19 @@
         return now < ejectedUntil;
     }
 
+    /** Takes over the report that came with the response to one of the outstanding requests. */
+    void applyReport(const LoadReport &received, TimePoint now)
+    {
+        report = received;
+        reportedAt = now;
+        // The report excludes the request whose response carries it, which still counts as outstanding here.
+        outstandingAtReport = outstanding > 0 ? outstanding - 1 : 0;
+        slots = received.slots;
+        serviceTime = received.serviceTime;
+        failureRate = received.failuresPerMille / perMille;
+        largeResponseWait = received.largeWait;
+    }
+
     bool hasFreeSlot() const
     {
         return outstanding < slots && !withdrawn;
