Bound responses of targets that do not end

Cause: an attempt recomputed its deadline for each interim (1xx) or stray response, so a target that kept sending them held the request, its slot and its connection until the caller's deadline, at full speed with a busy traffic thread. A streamed body was checked against the deadline only while reading had to wait, so a body without end at full speed was forwarded for as long as the caller read it. Neither a response that was still incomplete at the deadline nor a body that broke off while it was streamed counted as a failure of the target.

Ruled out: heads, chunk sizes and trailers without end are already bounded by the header limit and http_parser's own.

Change: one deadline for all heads of an attempt, at most 16 interim responses, the deadline checked before each read of a streamed body.

--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -66,6 +66,12 @@
     case AttemptStatus::BadResponse:
         balancer.recordFailure(exchange.lease(), now);
         break;
+    case AttemptStatus::Expired:
+        // A target that is still running the request is only slow; one that sends a response without end has failed.
+        if (!exchange.lease().isRemote() && exchange.hasPartialResponse()) {
+            balancer.recordFailure(exchange.lease(), now);
+        }
+        break;
     default:
         break;
     }
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -21,7 +21,8 @@
     std::chrono::milliseconds busyCost{60}; ///< Of a target with all slots in use; proportional below that.
     std::chrono::milliseconds failureCost{600}; ///< Of a target that fails every request; proportional below that.
     std::chrono::milliseconds defaultServiceTime{100}; ///< Service time of a target without samples.
-    std::chrono::milliseconds jitter{30}; ///< Largest random cost; makes nodes with equal data choose different targets.
+    std::chrono::milliseconds jitter{
+        30}; ///< Largest random cost; makes nodes with equal data choose different targets.
     std::chrono::milliseconds reportTimeConstant{800}; ///< Of the exponential decay of a load report's weight.
     std::chrono::milliseconds serviceTimeConstant{5000}; ///< The same for the service time in the report.
     std::chrono::milliseconds warmUpTime{5000}; ///< For which a new target may be slower than later.
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -21,6 +21,9 @@
 /** Size of the pieces in which a paced response is sent; one takes 13 ms at 5 Mbit/s. */
 constexpr std::size_t pacedPieceBytes = std::size_t{8} * 1024;
 
+/** A caller that does not read a piece of the response for this long is too slow. */
+constexpr auto slowCallerTime = std::chrono::milliseconds(100);
+
 std::string statusLine(int status, const std::string &reason)
 {
     return "HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\n";
@@ -99,8 +102,10 @@
         if (stream.reader().state() == HttpMessageReader::State::Complete || (m_callerFailed && !m_record)) {
             break;
         }
-        const auto limit = std::min(m_call.deadline, std::chrono::steady_clock::now() + stall);
-        const auto result = co_await stream.readBody(limit);
+        const auto now = std::chrono::steady_clock::now();
+        // Reading does not wait while bytes are available, so a body without end has to be stopped here.
+        const auto result = now >= m_call.deadline ? ReadResult::TimedOut
+                                                   : co_await stream.readBody(std::min(m_call.deadline, now + stall));
         if (result != ReadResult::Ok) {
             m_call.core.metrics.truncatedResponses.add();
             m_call.caller.stream().socket().abort();
@@ -146,8 +151,10 @@
                                                        asio::const_buffer(piece.data(), piece.size()),
                                                        asio::const_buffer(end.data(), end.size()),
                                                        asio::const_buffer(lastChunk.data(), lastChunk.size())};
+    const auto started = std::chrono::steady_clock::now();
     const auto ec = co_await m_call.caller.write(buffers, m_call.deadline);
     m_callerFailed = static_cast<bool>(ec);
+    m_overran = ec == std::errc::timed_out && std::chrono::steady_clock::now() - started < slowCallerTime;
 }
 
 std::size_t ResponseForwarder::pieceBytes() const
--- a/libs/proxy/src/responseforwarder.h
+++ b/libs/proxy/src/responseforwarder.h
@@ -27,6 +27,12 @@
      */
     asio::awaitable<bool> forward();
 
+    /** Whether the response is incomplete because the caller disconnected or did not read it in time. */
+    bool callerFailed() const
+    {
+        return m_callerFailed && !m_overran;
+    }
+
     /** Bytes of the body that have been received from the target. */
     std::size_t bodyBytes() const
     {
@@ -53,6 +59,7 @@
     std::size_t m_bodyBytes = 0;
     bool m_keepAlive = false;
     bool m_callerFailed = false;
+    bool m_overran = false; ///< The deadline passed although the caller was reading.
 };
 
 /** Sends the caller the response that was recorded for an earlier attempt at the same request. */
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -271,6 +271,9 @@
     if (m_call.large && complete && code < 300) {
         m_call.large->complete(forwarder.bodyBytes());
     }
+    if (!complete && !forwarder.callerFailed() && !exchange.lease().isRemote()) {
+        m_call.core.balancer.recordFailure(exchange.lease(), std::chrono::steady_clock::now());
+    }
     if (!complete || code >= 500) {
         m_call.log(
             "failed", complete ? "the target failed" : "incomplete response", code, exchange.lease().target().name);
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** Interim responses (1xx) before an attempt fails, so that a target cannot send them without end. */
+constexpr int maxInterimResponses = 16;
+
 /** Requests up to this size fit into one TCP segment, so a target reads either the whole request or none of it. */
 constexpr std::uint64_t smallRequestBytes = 1400;
 
@@ -276,13 +279,19 @@
 asio::awaitable<AttemptStatus> UpstreamExchange::readHead()
 {
     auto &reader = stream().reader();
+    // One deadline for all responses, so that a target which sends interim or stray ones does not extend the attempt.
+    const auto deadline = attemptDeadline();
+    int interim = 0;
     for (int skipped = 0; skipped <= maxSkippedResponses;) {
-        const auto result = co_await stream().readHead(attemptDeadline());
+        const auto result = co_await stream().readHead(deadline);
         if (result != ReadResult::Ok) {
             co_return result == ReadResult::TimedOut ? handleTimeout() : statusOf(result);
         }
         const auto status = reader.head().status;
         if (status < 200 && status != 101) {
+            if (++interim > maxInterimResponses) {
+                co_return AttemptStatus::BadResponse;
+            }
             // Interim responses are not forwarded to the caller.
             reader.reset(m_call.head().method == "HEAD");
             continue;
@@ -290,7 +299,7 @@
         if (answersAnotherRequest(reader.head())) {
             ++skipped;
             m_call.core.metrics.strayResponses.add();
-            const bool complete = co_await skipStrayResponse();
+            const bool complete = co_await skipStrayResponse(deadline);
             if (!complete) {
                 co_return AttemptStatus::BadResponse;
             }
@@ -307,12 +316,12 @@
     co_return AttemptStatus::BadResponse;
 }
 
-asio::awaitable<bool> UpstreamExchange::skipStrayResponse()
+asio::awaitable<bool> UpstreamExchange::skipStrayResponse(TimePoint deadline)
 {
     auto &reader = stream().reader();
     std::size_t bytes = 0;
     while (reader.state() != HttpMessageReader::State::Complete) {
-        const auto result = co_await stream().readBody(attemptDeadline());
+        const auto result = co_await stream().readBody(deadline);
         bytes += reader.body().size();
         reader.body().clear();
         if (result != ReadResult::Ok || bytes > maxSkippedBytes) {
@@ -380,6 +389,12 @@
     return m_connection ? m_connection->stream.reader().head().status : 0;
 }
 
+bool UpstreamExchange::hasPartialResponse() const
+{
+    return m_connection && m_connection->stream.reader().started()
+        && m_connection->stream.reader().state() != HttpMessageReader::State::Complete;
+}
+
 bool UpstreamExchange::statesNotRun() const
 {
     const auto &head = m_connection->stream.reader().head();
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -74,6 +74,9 @@
     /** HTTP status of the response; 0 if there is none. */
     int responseStatus() const;
 
+    /** Whether the target has sent a part of a response but not all of it. */
+    bool hasPartialResponse() const;
+
     /** Whether the response states that the request was not run and will not be. */
     bool statesNotRun() const;
 
@@ -106,7 +109,7 @@
     void endTracking();
     bool isAuthentic(const HttpHead &response) const;
     bool answersAnotherRequest(const HttpHead &response) const;
-    asio::awaitable<bool> skipStrayResponse();
+    asio::awaitable<bool> skipStrayResponse(TimePoint deadline);
     asio::awaitable<AttemptStatus> send();
     asio::awaitable<AttemptStatus> streamBody(bool chunked);
     asio::awaitable<AttemptStatus> readHead();
--- /dev/null
+++ b/libs/proxy/tests/endlessresponsetest.cpp
@@ -0,0 +1,172 @@
+#include "proxyfixture.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A response whose bytes do not end: @p piece is repeated after @p head until the proxy closes the connection. */
+struct EndlessResponse
+{
+    const char *name;
+    std::string head;
+    std::string piece;
+};
+
+const std::vector<EndlessResponse> &endlessResponses()
+{
+    static const std::vector<EndlessResponse> all = {
+        {"no bytes of HTTP", "", "garbage "},
+        {"empty lines", "", "\r\n"},
+        {"status line", "HTTP/1.1 200 ", "Okay "},
+        {"header", "HTTP/1.1 200 OK\r\nX-Long: ", "value "},
+        {"headers", "HTTP/1.1 200 OK\r\n", "X-Name: value\r\n"},
+        {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000"},
+        {"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "name=value;"},
+        {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Name: value\r\n"},
+        {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+        {"body without length", "HTTP/1.1 200 OK\r\n\r\n", "body"},
+        {"body with length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "body"},
+    };
+    return all;
+}
+
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * 4096;
+}
+
+} // namespace
+
+TEST_GROUP(EndlessResponse)
+{
+    static constexpr auto timeout = 400ms;
+    static constexpr std::size_t pieceBytes = 16384;
+
+    std::unique_ptr<ProxyFixture> proxy;
+    std::unique_ptr<TestTarget> target;
+    std::atomic<bool> closed = false;
+
+    /** Starts a proxy with one target that sends @p response below /endless and answers other requests. */
+    void start(const EndlessResponse &response, bool slow, bool signedResponses)
+    {
+        closed = false;
+        proxy = std::make_unique<ProxyFixture>();
+        proxy->timeout = timeout;
+        proxy->options.acceptUnframedResponses = true;
+        if (signedResponses) {
+            proxy->options.headers.signature = "Signed-By";
+        }
+        target = std::make_unique<TestTarget>([this, response, slow](const TestMessage &request, TestSocket &socket) {
+            if (request.startLine.find("/endless") == std::string::npos) {
+                return socket.send(TestTarget::response("200 OK", "fine", "Signed-By: t\r\n"));
+            }
+            std::string head = response.head;
+            if (const auto end = head.find("OK\r\n"); end != std::string::npos) {
+                head.insert(end + 4, "Signed-By: t\r\n");
+            }
+            std::string piece = response.piece;
+            while (!slow && piece.size() < pieceBytes) {
+                piece += response.piece;
+            }
+            bool open = socket.send(head);
+            for (std::size_t i = 0; open; ++i) {
+                open = slow ? socket.send(piece.substr(i % piece.size(), 1)) : socket.send(piece);
+                if (slow) {
+                    std::this_thread::sleep_for(20ms);
+                }
+            }
+            closed = true;
+            return false;
+        });
+        proxy->addTarget(*target);
+        proxy->start();
+    }
+
+    void teardown() override
+    {
+        if (proxy) {
+            proxy->server.reset();
+        }
+    }
+
+    std::uint32_t targetFailures() const
+    {
+        const auto dump = nlohmann::json::parse(proxy->server->dumpJson());
+        return dump["services"]["rota"]["targets"][0]["consecutiveFailures"].get<std::uint32_t>();
+    }
+
+    void check(const EndlessResponse &response, bool slow, bool signedResponses)
+    {
+        const auto name =
+            std::string(response.name) + (slow ? ", slow" : ", fast") + (signedResponses ? ", signed" : "");
+        start(response, slow, signedResponses);
+        auto other = proxy->connect();
+        other.send(ProxyFixture::get("/other"));
+        CHECK_EQUAL(200, other.read().value().status());
+        const auto memory = residentBytes();
+        const auto sent = std::chrono::steady_clock::now();
+        const auto answer = proxy->call(ProxyFixture::get("/endless"));
+        const auto took = std::chrono::steady_clock::now() - sent;
+        CHECK_TEXT(took < timeout + 500ms, name.c_str());
+        CHECK_TEXT(!answer || answer->status() >= 500 || !answer->complete, name.c_str());
+        CHECK_TEXT(ProxyFixture::waitUntil([this] { return closed.load(); }), name.c_str());
+        CHECK_TEXT(targetFailures() >= 1, name.c_str());
+        constexpr std::size_t allowed = std::size_t{8} * 1024 * 1024;
+        const auto after = residentBytes();
+        // The caller of this test keeps the body that it received.
+        const auto received = answer ? 2 * answer->body.size() : 0;
+        CHECK_TEXT(after < memory + allowed + received, name.c_str());
+        other.send(ProxyFixture::get("/other"));
+        CHECK_EQUAL_TEXT(200, other.read().value().status(), name.c_str());
+        proxy->server.reset();
+        target.reset();
+    }
+};
+
+// Guards against a target that keeps a request, a connection and memory with bytes that never become a response.
+TEST(EndlessResponse, endsAtFullSpeed)
+{
+    for (const auto &response : endlessResponses()) {
+        check(response, false, false);
+        check(response, false, true);
+    }
+}
+
+// The same for a target that sends a byte from time to time, so that no wait for a single byte is long.
+TEST(EndlessResponse, endsByteByByte)
+{
+    for (const auto &response : endlessResponses()) {
+        check(response, true, false);
+        check(response, true, true);
+    }
+}
+
+// Guards against interim responses that extend the attempt: another target must still get the request in time.
+TEST(EndlessResponse, leavesTimeForAnotherTarget)
+{
+    start({"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"}, true, true);
+    proxy->service.attemptTimeout = 150ms;
+    proxy->timeout = 3000ms;
+    TestTarget good([](const TestMessage & /*request*/, TestSocket &socket) {
+        return socket.send(TestTarget::response("200 OK", "good", "Signed-By: t\r\n"));
+    });
+    proxy->addTarget(good);
+    proxy->publish();
+    for (int i = 0; i < 4; ++i) {
+        CHECK_EQUAL(200, proxy->call(ProxyFixture::get("/endless")).value().status());
+    }
+    proxy->server.reset();
+}
