Bound the size of responses of the store

Cause: Transfer appended the body of a response, and HttpStore the line of a streamed watch, without a limit, so a server that does not end its response could fill the memory until the timeout; a streamed watch has none.

Change: a transfer fails when its body, or the current message of a watch, exceeds 16 MiB; a read is then reported as unavailable, a write as of unknown outcome. A page of the store has about 1 MB of values.

--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -288,6 +288,7 @@
         if (transfer.status() == 200) {
             handleStreamBytes(state, buffer, bytes);
         }
+        return buffer.size() <= Transfer::maxResponseBytes;
     });
 }
 
--- a/libs/store/src/transfer.cpp
+++ b/libs/store/src/transfer.cpp
@@ -161,11 +161,14 @@
     auto *transfer = static_cast<Transfer *>(self);
     const std::size_t length = size * count;
     transfer->received(length + (transfer->m_chunked ? chunkFraming(length) : 0));
+    // Any other result than the length makes libcurl fail the transfer.
     if (transfer->m_sink) {
-        transfer->m_sink({bytes, length});
-    } else {
-        transfer->m_response.append(bytes, length);
+        return transfer->m_sink({bytes, length}) ? length : 0;
     }
+    if (transfer->m_response.size() + length > maxResponseBytes) {
+        return 0;
+    }
+    transfer->m_response.append(bytes, length);
     return length;
 }
 
--- a/libs/store/src/transfer.h
+++ b/libs/store/src/transfer.h
@@ -39,8 +39,14 @@
 class Transfer
 {
 public:
-    /** Receives body bytes as they arrive, instead of TransferResult::body. */
-    using BodySink = std::function<void(std::string_view)>;
+    /**
+     * Largest body, and largest message of a watch. A transfer that exceeds it fails, so that a server cannot fill the
+     * memory. A page of the store has about 1 MB of values, which JSON and base64 enlarge.
+     */
+    static constexpr std::size_t maxResponseBytes = std::size_t{16} * 1024 * 1024;
+
+    /** Receives body bytes as they arrive, instead of TransferResult::body. Returns false to fail the transfer. */
+    using BodySink = std::function<bool(std::string_view)>;
 
     explicit Transfer(TransferOptions options);
     ~Transfer();
--- a/libs/store/tests/etcdstoretest.cpp
+++ b/libs/store/tests/etcdstoretest.cpp
@@ -128,6 +128,21 @@
     CHECK(ErrorCode::Unavailable == range().error().code());
 }
 
+// Guards against a server that fills the memory with a response, or with a message of a watch, that does not end.
+TEST(EtcdStore, failsAResponseThatIsTooLarge)
+{
+    constexpr std::size_t bytes = std::size_t{32} * 1024 * 1024;
+    ScriptedServer server([&](const ScriptedRequest &) { return ScriptedReply{okResponse(std::string(bytes, 'x'))}; });
+    connect({.endpoints = {server.endpoint()}, .requestTimeout = 5s, .watchIdleTimeout = 5s});
+    CHECK(ErrorCode::Unavailable == range().error().code());
+    CHECK(ErrorCode::OutcomeUnknown == commit().error().code());
+    CHECK(counter("hornbeam_store_bytes_received_total") < std::uint64_t{2} * bytes);
+    const auto before = counter("hornbeam_store_bytes_received_total");
+    const auto watch = store->watch({.prefix = "/a", .startRevision = 1}, listener);
+    runUntil([&] { return listener.end.has_value(); });
+    CHECK(counter("hornbeam_store_bytes_received_total") - before < bytes);
+}
+
 // Guards against libcurl's automatic retry when a pooled connection is closed: the store may have executed the first
 // copy of a write, and the second one would then report a failed comparison.
 TEST(EtcdStore, neverSendsAWriteTwice)
