Test the weights of splits over many nodes with few requests each

Cause: the test of SplitChooser covered one node. The users' bound, a share at most 0.1 off its weight, holds over all nodes together, also with few requests each and after a change of the weights.

Change: a test with 90 choosers, one, three and seven requests each, at four weights. No change of the code: the random start of each node's cycle already gives the shares.

--- a/libs/proxy/tests/splitchoosertest.cpp
+++ b/libs/proxy/tests/splitchoosertest.cpp
@@ -1,11 +1,29 @@
 #include "splitchooser.h"
 
 #include <cstdlib>
+#include <memory>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace Hornbeam;
 
+namespace {
+
+/** Requests of all nodes together that went to the service "new", when each node sends @p requests. */
+double shareOfNew(std::vector<std::unique_ptr<SplitChooser>> &nodes, const Route &route, int requests)
+{
+    int chosen = 0;
+    for (const auto &node : nodes) {
+        for (int i = 0; i < requests; ++i) {
+            chosen += node->choose(route) == "new" ? 1 : 0;
+        }
+    }
+    return static_cast<double>(chosen) / (static_cast<double>(nodes.size()) * requests);
+}
+
+} // namespace
+
 TEST_GROUP(SplitChooser)
 {
     SplitChooser chooser{5};
@@ -52,3 +70,23 @@
     CHECK_EQUAL(0, chosenOf(5));
     STRCMP_EQUAL("old", chooser.choose(route).c_str());
 }
+
+// Guards against nodes that start their cycles in step: with a few requests each, all of them would go to one split.
+// The users allow a share to be off its weight by 0.1.
+TEST(SplitChooser, keepsTheWeightsOverManyNodesWithFewRequestsEach)
+{
+    constexpr double allowed = 0.1;
+    std::vector<std::unique_ptr<SplitChooser>> nodes;
+    for (std::uint64_t seed = 1; seed <= 90; ++seed) {
+        nodes.push_back(std::make_unique<SplitChooser>(seed));
+    }
+    for (const std::uint32_t weight : {10U, 35U, 50U, 80U}) {
+        // Each change of the weights starts new cycles.
+        route.splits = {{.service = "new", .weight = weight}, {.service = "old", .weight = 100 - weight}};
+        for (const int requests : {3, 1, 7}) {
+            const auto share = shareOfNew(nodes, route, requests);
+            CHECK_TEXT(std::abs(share - weight / 100.0) <= allowed,
+                       (std::to_string(share) + " at weight " + std::to_string(weight)).c_str());
+        }
+    }
+}
