Ignore the withdrawal of an earlier run of a target

Cause: a target that restarts keeps its name. TargetRegistry::withdraw() removed the announced target of that name even if the withdrawal named an earlier run, so a withdrawal that arrives after the restart gave up a running target.

Change: a withdrawal with an instance number lower than that of the announced target fails with Conflict and has no effect. Without a start time, the adapter withdraws any run, as before.

Measured: TargetRegistry.ignoresTheWithdrawalOfAnEarlierRun fails before and passes after; 41 membership tests and 20 platform tests pass.

--- a/libs/membership/include/hornbeam/membership/targetregistry.h
+++ b/libs/membership/include/hornbeam/membership/targetregistry.h
@@ -43,7 +43,8 @@
     /**
      * Removes the target with that name. NotFound when it is unknown. For the next 10 minutes, announcements with that
      * name are rejected as stale when their instance number is not higher than that of the removed target or, if the
-     * target was unknown, than @p lastInstance.
+     * target was unknown, than @p lastInstance. Fails with Conflict and keeps the target if its instance number is
+     * higher than @p lastInstance, because the withdrawal is then one of an earlier run; 0 removes any run.
      */
     Result<Target> withdraw(const std::string &name, std::uint64_t lastInstance = 0);
 
--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -114,6 +114,9 @@
         addTombstone(name, lastInstance);
         return makeError(ErrorCode::NotFound, "no target with the name " + name + " is announced");
     }
+    if (lastInstance != 0 && it->second.target.instance > lastInstance) {
+        return makeError(ErrorCode::Conflict, "a later run of the target " + name + " is announced");
+    }
     return withdraw(Endpoint(it->first));
 }
 
--- a/libs/membership/tests/targetregistrytest.cpp
+++ b/libs/membership/tests/targetregistrytest.cpp
@@ -126,6 +126,20 @@
     CHECK(registry.announce(target, 5s, 1).has_value());
 }
 
+// Guards against a late withdrawal of an earlier run that removes a target which has started again under its name.
+TEST(TargetRegistry, ignoresTheWithdrawalOfAnEarlierRun)
+{
+    auto target = makeTarget(80);
+    target.name = "i-1";
+    target.instance = 200;
+    CHECK(registry.announce(target, 5s, 1).has_value());
+    CHECK(ErrorCode::Conflict == registry.withdraw("i-1", 100).error().code());
+    CHECK_EQUAL(1, registry.targets().size());
+    CHECK(registry.announce(target, 5s, 2).has_value());
+    CHECK(registry.withdraw("i-1", 200).has_value());
+    CHECK(registry.targets().empty());
+}
+
 // Guards against requests to a target whose process has ended: it must stay hidden until it announces itself again.
 TEST(TargetRegistry, hidesASuspendedTarget)
 {
