--- a/libs/proxy/tests/overloadtest.cpp
+++ b/libs/proxy/tests/overloadtest.cpp
@@ -145,3 +145,49 @@
         CHECK(caller.waitClosed());
     }
 }
+
+// Guards against a split whose share moves to another service while its own targets have no room: the operator's
+// weights hold for what is served and refused together.
+TEST(Overload, refusesTheShareOfASplitWithoutRoom)
+{
+    constexpr int requests = 20;
+    TestTarget full(holding());
+    TestTarget idle(TestTarget::answer("idle"));
+    proxy.options.maxQueuedRequests = 0;
+    proxy.addTarget(full, 1);
+    proxy.addTarget(idle);
+    proxy.targets.back().service = "spare";
+    proxy.start();
+    auto spare = proxy.service;
+    spare.name = "spare";
+    Route route;
+    route.name = "read";
+    route.service = "rota";
+    route.timeout = proxy.timeout;
+    route.splits = {{.service = "rota", .weight = 50}, {.service = "spare", .weight = 50}};
+    auto state = std::make_shared<RoutingState>();
+    state->snapshot = Snapshot::make(8, {.services = {proxy.service, spare}, .routes = {route}}).value();
+    state->targets = proxy.targets;
+    state->ready = true;
+    proxy.server->publish(state);
+    auto held = proxy.connect();
+    while (full.requests() == 0) {
+        held.send(ProxyFixture::get("/"));
+        CHECK(ProxyFixture::waitUntil([&] { return full.requests() == 1 || !held.staysOpenAndIdle(1); }));
+        if (full.requests() == 0) {
+            CHECK_EQUAL(200, held.read().value().status());
+        }
+    }
+    int served = 0;
+    int refused = 0;
+    for (int i = 0; i < requests; ++i) {
+        const auto response = proxy.call(ProxyFixture::get("/")).value();
+        served += response.status() == 200 ? 1 : 0;
+        refused += response.status() == 503 && response.header("x-hornbeam-outcome") == "not-run" ? 1 : 0;
+    }
+    CHECK_EQUAL(requests / 2, served);
+    CHECK_EQUAL(requests / 2, refused);
+    CHECK_EQUAL(1, full.requests());
+    release = true;
+    proxy.server.reset();
+}
