--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -21,8 +21,8 @@
 /** Size of the pieces in which a paced response is sent; one takes 13 ms at 5 Mbit/s. */
 constexpr std::size_t pacedPieceBytes = std::size_t{8} * 1024;
 
-/** A caller that does not read a piece of the response for this long is too slow. */
-constexpr auto slowCallerTime = std::chrono::milliseconds(100);
+/** A caller that does not read a piece of the response for this long is too slow; lost packets cause shorter pauses. */
+constexpr auto slowCallerTime = std::chrono::seconds(1);
 
 std::string statusLine(int status, const std::string &reason)
 {
