Deliver a streamed response whose turn comes after its deadline

Cause: a streamed body ends at the request's deadline. The response to a pipelined request may get its turn only then, because the requests before it took their whole time; it was cut off, and with it the responses behind it.

Change: such a response has another second.

Measured: Pipelining.streamsALargeResponseBehindARequestThatTimesOut fails before (incomplete) and passes after; the 13 Pipelining tests pass three times in a row, the 4 EndlessResponse tests once.

--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -18,6 +18,9 @@
 /** Longest time without data in the middle of a body; a longer attempt timeout of the service takes precedence. */
 constexpr auto bodyStallTimeout = std::chrono::seconds(10);
 
+/** Time for a response whose turn comes after its deadline. */
+constexpr auto lateResponseTime = std::chrono::seconds(1);
+
 /** Size of the pieces in which a paced response is sent; one takes 13 ms at 5 Mbit/s. */
 constexpr std::size_t pacedPieceBytes = std::size_t{8} * 1024;
 
@@ -87,6 +90,10 @@
     auto &stream = m_exchange.stream();
     const bool hasBody = m_call.head().method != "HEAD" && !statusHasNoBody(stream.reader().head().status);
     auto head = co_await formatHead(hasBody);
+    if (const auto turn = std::chrono::steady_clock::now(); turn >= m_call.deadline) {
+        // Earlier responses of the connection delayed this one, which the target sent in time.
+        m_call.deadline = turn + lateResponseTime;
+    }
     const bool chunked = hasBody && !stream.reader().head().contentLength && m_call.head().minorVersion >= 1;
     const auto stall = std::max<Duration>(bodyStallTimeout, m_call.service.attemptTimeout);
     bool first = true;
--- a/libs/proxy/tests/pipeliningtest.cpp
+++ b/libs/proxy/tests/pipeliningtest.cpp
@@ -153,6 +153,26 @@
     STRCMP_EQUAL(firstLineOf("/b").c_str(), socket.read().value().body.c_str());
 }
 
+// The same for a response that is streamed: its target has answered in time, only its turn came late.
+TEST(Pipelining, streamsALargeResponseBehindARequestThatTimesOut)
+{
+    constexpr std::size_t bytes = std::size_t{4} * 1024 * 1024;
+    proxy.timeout = 200ms;
+    start([this](const TestMessage &request, TestSocket &connection) {
+        if (request.startLine.find("/large") != std::string::npos) {
+            return connection.send(TestTarget::response("200 OK", std::string(bytes, 'x')));
+        }
+        return gate.handler()(request, connection);
+    });
+    auto socket = proxy.connect();
+    socket.send(ProxyFixture::get("/held") + ProxyFixture::get("/large"));
+    CHECK_EQUAL(504, socket.read().value().status());
+    const auto response = socket.read();
+    CHECK(response.has_value());
+    CHECK(response->complete);
+    CHECK_EQUAL(bytes, response->body.size());
+}
+
 // Guards against a non-idempotent request that runs although an earlier response may close the connection, after which
 // the caller sends it again.
 TEST(Pipelining, runsNothingBesideANonIdempotentRequest)
