Log what an interrupted or undelivered response waited for

Cause: the end of a graceful shutdown interrupted requests without a log line, and the node of a target logged nothing when the connection to the caller's node failed while it sent.

Change: a request keeps the time that it spent waiting for its slot, its target, further bytes of the response, the host's link and the caller. The log has a line "interrupted" for each request that the end of a stop interrupts, and a line "undelivered" for each response whose connection to the caller or the caller's node fails, with these times and the bytes that were sent. hornbeam_proxy_interrupted_total counts the former. The node logs the end of the drain.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -398,7 +398,10 @@
     }
     m_configSource->setWatching(false);
     m_detector->leave();
-    m_proxy->drain([this, stopped = std::move(stopped)] { m_executor.post(stopped); });
+    m_proxy->drain([this, stopped = std::move(stopped)] {
+        m_log.info("drained", {{"requestsInFlight", std::to_string(m_proxy->requestsInFlight())}});
+        m_executor.post(stopped);
+    });
 }
 
 SnapshotPtr Node::Impl::currentSnapshot() const
--- a/daemons/hornbeamd/requestlogger.cpp
+++ b/daemons/hornbeamd/requestlogger.cpp
@@ -17,6 +17,18 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+void appendProgress(const RequestProgress &progress, std::vector<LogField> &fields)
+{
+    fields.insert(fields.end(),
+                  {{"stage", std::string(progress.stage)},
+                   {"sentBytes", std::to_string(progress.bytesSent)},
+                   {"ofBytes", std::to_string(progress.bytesExpected)},
+                   {"targetMs", milliseconds(progress.target)},
+                   {"bodyMs", milliseconds(progress.body)},
+                   {"linkMs", milliseconds(progress.link)},
+                   {"callerMs", milliseconds(progress.caller)}});
+}
+
 } // namespace
 
 RequestLogger::RequestLogger(MetricsRegistry &metrics)
@@ -33,19 +45,22 @@
         m_dropped.add();
         return;
     }
-    m_log.info(std::string(event.decision),
-               {{"id", std::string(event.id)},
-                {"route", std::string(event.route)},
-                {"service", std::string(event.service)},
-                {"target", std::string(event.target)},
-                {"reason", std::string(event.reason)},
-                {"status", std::to_string(event.status)},
-                {"version", std::to_string(event.configVersion)},
-                {"rank", std::to_string(event.rank)},
-                {"ageMs", milliseconds(event.age)},
-                {"leftMs", milliseconds(event.timeLeft)},
-                {"expectedWaitMs", milliseconds(event.expectedWait)},
-                {"from", event.fromPeer ? "peer" : "caller"}});
+    std::vector<LogField> fields = {{"id", std::string(event.id)},
+                                    {"route", std::string(event.route)},
+                                    {"service", std::string(event.service)},
+                                    {"target", std::string(event.target)},
+                                    {"reason", std::string(event.reason)},
+                                    {"status", std::to_string(event.status)},
+                                    {"version", std::to_string(event.configVersion)},
+                                    {"rank", std::to_string(event.rank)},
+                                    {"ageMs", milliseconds(event.age)},
+                                    {"leftMs", milliseconds(event.timeLeft)},
+                                    {"expectedWaitMs", milliseconds(event.expectedWait)},
+                                    {"from", event.fromPeer ? "peer" : "caller"}};
+    if (event.progress) {
+        appendProgress(*event.progress, fields);
+    }
+    m_log.info(std::string(event.decision), fields);
 }
 
 bool RequestLogger::takeToken()
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -1,7 +1,5 @@
 #include "callcontext.h"
 
-#include <hornbeam/proxy/requestlog.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -69,6 +67,7 @@
     , watch(caller.watch())
     , started(caller.received())
     , deadline(started + timeoutOf(caller.head(), matchedRoute, core.options))
+    , stages(started)
 {
     const auto *id = requestId();
     nested = id != nullptr && core.running.isNestedCall(*id);
@@ -97,6 +96,7 @@
     , deadline(started + relayRequest.timeLeft)
     , latestStart(started + relayRequest.maxWait)
     , repeated(relayRequest.repeated)
+    , stages(started)
 {
 }
 
@@ -211,27 +211,49 @@
     co_return caller.decideKeepAlive(possible && canKeepAlive());
 }
 
+RequestEvent CallContext::eventOf(std::string_view decision, std::string_view reason, int status, TimePoint now) const
+{
+    const auto *id = requestId();
+    return {.id = id != nullptr ? std::string_view(*id) : std::string_view(),
+            .route = routeName(),
+            .service = service.name,
+            .target = {},
+            .decision = decision,
+            .reason = reason,
+            .status = status,
+            .configVersion = state->snapshot->version(),
+            .rank = rank().value(),
+            .age = now - started,
+            .timeLeft = deadline - now,
+            .expectedWait = expectedWait,
+            .fromPeer = origin == CallOrigin::Peer};
+}
+
 void CallContext::log(std::string_view decision, std::string_view reason, int status, std::string_view target) const
 {
-    auto *requestLog = core.dependencies.log;
-    if (requestLog == nullptr) {
+    if (core.dependencies.log != nullptr) {
+        auto event = eventOf(decision, reason, status, std::chrono::steady_clock::now());
+        event.target = target;
+        core.dependencies.log->record(event);
+    }
+}
+
+void CallContext::logIncomplete(std::string_view decision, std::string_view reason, int status) const
+{
+    if (core.dependencies.log == nullptr) {
         return;
     }
-    const auto *id = requestId();
     const auto now = std::chrono::steady_clock::now();
-    requestLog->record({.id = id != nullptr ? std::string_view(*id) : std::string_view(),
-                        .route = routeName(),
-                        .service = service.name,
-                        .target = target,
-                        .decision = decision,
-                        .reason = reason,
-                        .status = status,
-                        .configVersion = state->snapshot->version(),
-                        .rank = rank().value(),
-                        .age = now - started,
-                        .timeLeft = deadline - now,
-                        .expectedWait = expectedWait,
-                        .fromPeer = origin == CallOrigin::Peer});
+    auto event = eventOf(decision, reason, status, now);
+    event.target = targetName;
+    event.progress = RequestProgress{.stage = callStageName(stages.current()),
+                                     .bytesSent = sentBytes,
+                                     .bytesExpected = responseBytes,
+                                     .target = stages.timeIn(CallStage::Target, now),
+                                     .body = stages.timeIn(CallStage::Body, now),
+                                     .link = stages.timeIn(CallStage::Link, now),
+                                     .caller = stages.timeIn(CallStage::Caller, now)};
+    core.dependencies.log->record(event);
 }
 
 /** False if many connections are open, because refused callers open further ones. */
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerexchange.h"
+#include "callstages.h"
 #include "largeresponse.h"
 #include "refusal.h"
 #include "relayheader.h"
@@ -9,6 +10,7 @@
 #include "upstreampool.h"
 
 #include <hornbeam/base/digest.h>
+#include <hornbeam/proxy/requestlog.h>
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
@@ -66,6 +68,10 @@
     bool arrivedAtTarget = false; ///< A target refused the request; reported to the sending node.
     bool offeredFullWait = false; ///< The last remote target was allowed to queue the request until its latest start.
     Duration waited = Duration::zero(); ///< For slots, claims and the caller's body; not counted as proxy latency.
+    CallStages stages; ///< What the request has waited for.
+    std::string targetName; ///< Target of the last attempt.
+    std::uint64_t responseBytes = 0; ///< Size of the response body; 0 if it is not known.
+    std::uint64_t sentBytes = 0; ///< Bytes of the response body that were passed to the caller's connection.
     TimePoint firstSend; ///< Time at which the first attempt started to send.
     bool sentToTarget = false; ///< A target may have received part of the request.
     bool keepOpen = false; ///< The caller got a complete response and its connection can be reused.
@@ -118,10 +124,14 @@
     /** Writes a decision about the request to the request log. */
     void log(std::string_view decision, std::string_view reason, int status, std::string_view target = {}) const;
 
+    /** Also writes what the request has waited for, for one whose response is incomplete. */
+    void logIncomplete(std::string_view decision, std::string_view reason, int status) const;
+
     /** Sends a refusal and counts it. Its outcome NotRun becomes Unknown if a target may have received the request. */
     asio::awaitable<void> refuse(Refusal refusal);
 
 private:
+    RequestEvent eventOf(std::string_view decision, std::string_view reason, int status, TimePoint now) const;
     bool canKeepAlive() const;
     bool canKeepAliveAfterRefusal() const;
 
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -58,6 +58,30 @@
     std::atomic<std::size_t> &m_count;
 };
 
+/** Lists a request in CallerConnection::m_calls for as long as the guard exists. */
+class CallerConnection::ActiveCall
+{
+public:
+    ActiveCall(std::vector<const CallContext *> &calls, const CallContext &call)
+        : m_calls(calls)
+        , m_call(call)
+    {
+        m_calls.push_back(&m_call);
+    }
+
+    ActiveCall(const ActiveCall &) = delete;
+    ActiveCall &operator=(const ActiveCall &) = delete;
+
+    ~ActiveCall()
+    {
+        std::erase(m_calls, &m_call);
+    }
+
+private:
+    std::vector<const CallContext *> &m_calls;
+    const CallContext &m_call;
+};
+
 CallerConnection::CallerConnection(ServerCore &core,
                                    UpstreamPool &pool,
                                    const std::shared_ptr<asio::io_context> &context,
@@ -217,6 +241,14 @@
     }
 }
 
+void CallerConnection::reportInterrupted() const
+{
+    for (const auto *call : m_calls) {
+        m_core.metrics.interrupted.add();
+        call->logIncomplete("interrupted", "the process stops", 0);
+    }
+}
+
 asio::awaitable<void> CallerConnection::refuseUnreadable(ReadResult result)
 {
     const auto version = m_core.state()->snapshot->version();
@@ -318,6 +350,7 @@
 
 asio::awaitable<bool> CallerConnection::serveCall(CallContext &call)
 {
+    const ActiveCall active(m_calls, call);
     const bool prepared = co_await prepare(call);
     if (!prepared) {
         co_return call.keepOpen;
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -31,8 +31,12 @@
     /** Closes the connection if it is waiting for a request and no byte of it has arrived. */
     void closeIfIdle();
 
+    /** Logs and counts the requests in progress, which the end of the process interrupts. */
+    void reportInterrupted() const;
+
 private:
     class InFlight;
+    class ActiveCall;
 
     asio::awaitable<bool> readRequest();
     asio::awaitable<void> accept();
@@ -62,6 +66,7 @@
     ResponseOrder m_order;
     CallerChannel m_channel;
     std::vector<CallerExchange *> m_pipelined; ///< The exchanges that are served in the background.
+    std::vector<const CallContext *> m_calls; ///< The requests in progress that match a route.
     const CallOrigin m_origin;
     bool m_reading = false; ///< Waiting for the head of a request.
     bool m_hasPipelined = false; ///< The caller has sent a request before the one before it was answered.
--- a/libs/proxy/src/proxymetrics.cpp
+++ b/libs/proxy/src/proxymetrics.cpp
@@ -10,6 +10,8 @@
     , truncatedResponses(
           registry.counter("hornbeam_proxy_truncated_total", "Responses that ended before they were complete."))
     , cancelled(registry.counter("hornbeam_proxy_cancelled_total", "Requests whose caller disconnected."))
+    , interrupted(registry.counter("hornbeam_proxy_interrupted_total",
+                                   "Requests in progress when a graceful shutdown reached its time limit."))
     , strayResponses(registry.counter("hornbeam_proxy_stray_responses_total",
                                       "Responses to a request other than the last one on the connection."))
     , socketOptionFailures(registry.counter("hornbeam_proxy_socket_option_failures_total",
--- a/libs/proxy/src/proxymetrics.h
+++ b/libs/proxy/src/proxymetrics.h
@@ -24,6 +24,7 @@
     Counter &silentConnections;
     Counter &truncatedResponses;
     Counter &cancelled;
+    Counter &interrupted;
     Counter &strayResponses;
     Counter &socketOptionFailures;
     LatencyRecorder &addedTime;
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -142,14 +142,29 @@
 
 void ProxyServerImpl::checkDrained(TimePoint bound, const std::function<void()> &drained)
 {
-    const bool empty = m_core.requestsInFlight == 0 && m_core.connections == 0;
-    if (empty || std::chrono::steady_clock::now() >= bound) {
+    if (m_core.requestsInFlight == 0 && m_core.connections == 0) {
         drained();
         return;
     }
+    if (std::chrono::steady_clock::now() >= bound) {
+        interrupt(drained);
+        return;
+    }
     m_threads.front()->runAfter(drainCheckPeriod, [this, bound, drained] { checkDrained(bound, drained); });
 }
 
+void ProxyServerImpl::interrupt(const std::function<void()> &drained)
+{
+    const auto remaining = std::make_shared<std::atomic<std::size_t>>(m_threads.size());
+    for (const auto &thread : m_threads) {
+        thread->reportInterrupted([remaining, drained] {
+            if (--*remaining == 0) {
+                drained();
+            }
+        });
+    }
+}
+
 std::size_t ProxyServerImpl::requestsInFlight() const
 {
     return m_core.requestsInFlight;
--- a/libs/proxy/src/proxyserverimpl.h
+++ b/libs/proxy/src/proxyserverimpl.h
@@ -28,6 +28,7 @@
 private:
     Result<Endpoint> listen(const Endpoint &where, CallOrigin origin);
     void checkDrained(TimePoint bound, const std::function<void()> &drained);
+    void interrupt(const std::function<void()> &drained);
 
     ServerCore m_core;
     std::vector<std::unique_ptr<TrafficThread>> m_threads;
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -88,6 +88,8 @@
 {
     const auto headReceived = std::chrono::steady_clock::now();
     auto &stream = m_exchange.stream();
+    m_call.responseBytes = stream.reader().head().contentLength.value_or(0);
+    m_call.stages.enter(CallStage::Caller, headReceived);
     const bool hasBody = m_call.head().method != "HEAD" && !statusHasNoBody(stream.reader().head().status);
     auto head = co_await formatHead(hasBody);
     if (const auto turn = std::chrono::steady_clock::now(); turn >= m_call.deadline) {
@@ -110,6 +112,7 @@
             break;
         }
         const auto now = std::chrono::steady_clock::now();
+        m_call.stages.enter(CallStage::Body, now);
         // Reading does not wait while bytes are available, so a body without end has to be stopped here.
         const auto result = now >= m_call.deadline ? ReadResult::TimedOut
                                                    : co_await stream.readBody(std::min(m_call.deadline, now + stall));
@@ -159,8 +162,10 @@
                                                        asio::const_buffer(end.data(), end.size()),
                                                        asio::const_buffer(lastChunk.data(), lastChunk.size())};
     const auto started = std::chrono::steady_clock::now();
+    m_call.stages.enter(CallStage::Caller, started);
     const auto ec = co_await m_call.caller.write(buffers, m_call.deadline);
     m_callerFailed = static_cast<bool>(ec);
+    m_call.sentBytes += ec ? 0 : piece.size();
     m_overran = ec == std::errc::timed_out && std::chrono::steady_clock::now() - started < slowCallerTime;
 }
 
@@ -187,6 +192,7 @@
         m_call.large->sent(bytes);
     }
     if (wait > Duration::zero()) {
+        m_call.stages.enter(CallStage::Link, now);
         asio::steady_timer timer(*m_call.context, std::min(now + wait, m_call.deadline));
         std::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/libs/proxy/src/responseforwarder.h
+++ b/libs/proxy/src/responseforwarder.h
@@ -33,6 +33,12 @@
         return m_callerFailed && !m_overran;
     }
 
+    /** Whether the connection to the caller failed before the whole response was written. */
+    bool isUndelivered() const
+    {
+        return m_callerFailed;
+    }
+
     /** Bytes of the body that have been received from the target. */
     std::size_t bodyBytes() const
     {
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -274,9 +274,15 @@
     if (!complete && !forwarder.callerFailed() && !exchange.lease().isRemote()) {
         m_call.core.balancer.recordFailure(exchange.lease(), std::chrono::steady_clock::now());
     }
-    if (!complete || code >= 500) {
-        m_call.log(
-            "failed", complete ? "the target failed" : "incomplete response", code, exchange.lease().target().name);
+    if (forwarder.isUndelivered()) {
+        m_call.logIncomplete("undelivered",
+                             forwarder.callerFailed() ? "the caller disconnected or did not read in time"
+                                                      : "the deadline passed while the response was sent",
+                             code);
+    } else if (!complete) {
+        m_call.logIncomplete("failed", "incomplete response", code);
+    } else if (code >= 500) {
+        m_call.log("failed", "the target failed", code, exchange.lease().target().name);
     }
     if (m_call.nested && (!complete || code >= 400)) {
         m_call.core.running.callFailed(*m_call.requestId());
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -65,6 +65,7 @@
 
 asio::awaitable<SlotGrant> waitForSlot(CallContext &call, std::vector<Endpoint> excluded)
 {
+    call.stages.enter(CallStage::Slot, std::chrono::steady_clock::now());
     if (excluded.empty()) {
         call.updateLatestStart();
     }
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -184,6 +184,16 @@
     runAfter(idleCheckPeriod, [this] { closeIdleConnections(); });
 }
 
+void TrafficThread::reportInterrupted(std::function<void()> reported)
+{
+    asio::post(*m_context, [this, reported = std::move(reported)] {
+        for (const auto &connection : m_connections) {
+            connection->reportInterrupted();
+        }
+        reported();
+    });
+}
+
 void TrafficThread::closeOlder(const Endpoint &target, TimePoint since)
 {
     asio::post(*m_context, [this, target, since] { m_pool.closeOlder(target, since); });
--- a/libs/proxy/src/trafficthread.h
+++ b/libs/proxy/src/trafficthread.h
@@ -38,6 +38,9 @@
     /** Waits for the stop notice, accepts pending connections, stops listening and closes idle ones. Any thread. */
     void drain();
 
+    /** Logs the requests in progress and then calls @p reported on this thread. Any thread. */
+    void reportInterrupted(std::function<void()> reported);
+
     /** Closes idle upstream connections, see UpstreamPool::closeOlder(). Any thread. */
     void closeOlder(const Endpoint &target, TimePoint since);
 
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -93,6 +93,8 @@
 
 asio::awaitable<bool> UpstreamExchange::connect(bool fresh)
 {
+    m_call.stages.enter(CallStage::Target, now());
+    m_call.targetName = m_lease.target().name;
     const auto &target = m_lease.isRemote() ? m_lease.target().gateway : m_lease.address();
     if (!fresh) {
         // If the target closes an idle connection as the request is sent, it is unknown whether the request ran.
--- a/libs/proxy/tests/proxyfixture.cpp
+++ b/libs/proxy/tests/proxyfixture.cpp
@@ -64,7 +64,7 @@
 
 void ProxyFixture::start()
 {
-    auto made = ProxyServer::make(options, {.claims = claims, .crashes = crashes, .metrics = metrics});
+    auto made = ProxyServer::make(options, {.claims = claims, .crashes = crashes, .metrics = metrics, .log = log});
     if (made) {
         server = std::move(*made);
         publish();
--- a/libs/proxy/tests/proxyfixture.h
+++ b/libs/proxy/tests/proxyfixture.h
@@ -5,6 +5,7 @@
 
 #include <hornbeam/base/metrics.h>
 #include <hornbeam/proxy/proxyserver.h>
+#include <hornbeam/proxy/requestlog.h>
 
 #include <functional>
 #include <memory>
@@ -48,6 +49,7 @@
     FakeClaims claims;
     FakeCrashReporter crashes;
     MetricsRegistry metrics;
+    RequestLog *log = nullptr;
     std::chrono::milliseconds timeout{5000}; ///< Timeout of all routes.
     std::unique_ptr<ProxyServer> server;
 
