Let other tests use the nodes of the relay tests

Cause: tests of a node that stops need nodes with relay listeners, which only relaytest.cpp had. Change: RelayNode and the functions of the test group are a fixture of their own; no test changes.

--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -1,4 +1,4 @@
-#include "proxyfixture.h"
+#include "relayfixture.h"
 
 #include <thread>
 
@@ -9,128 +9,19 @@
 
 namespace {
 
-/** A node with a relay listener. Callers connect to one node; each target is on the host of another one. */
-struct RelayNode
-{
-    FakeClaims claims;
-    FakeCrashReporter crashes;
-    MetricsRegistry metrics;
-    std::unique_ptr<ProxyServer> server;
-
-    void start(const std::string &hostService, double linkMegabits)
-    {
-        ProxyOptions options;
-        options.listen = Endpoint("127.0.0.1", 0);
-        options.relayListen = Endpoint("127.0.0.1", 0);
-        options.zone = "turku";
-        options.threads = 1;
-        options.headers = {.deadline = "Left-Ms",
-                           .requestId = "Call-Id",
-                           .signature = "Signed-By",
-                           .expectedTarget = "For-Target",
-                           .originService = "From-Service",
-                           .notExecuted = "Not-Run",
-                           .fractionalRetryAfter = true};
-        options.hostService = hostService;
-        options.linkMegabitsPerSecond = linkMegabits;
-        options.routeTimeoutCapsDeadline = true;
-        options.acceptUnframedResponses = true;
-        options.quarantineStatus = 503;
-        options.retryBudgetRatio = 0.2;
-        options.retryBudgetReserve = 20;
-        server = std::move(*ProxyServer::make(options, {.claims = claims, .crashes = crashes, .metrics = metrics}));
-    }
-};
-
-std::string signedResponse(const TestMessage &request, const std::string &body)
-{
-    return TestTarget::response("200 OK", body, "Signed-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n");
-}
-
 std::string responseWithoutLength(const TestMessage &request, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\n" + body;
 }
 
-TestTarget::Handler answerSigned(const std::string &body)
+/** CppUTest needs a default constructible base class of a test group. */
+class RelayTest : public Utest, protected RelayFixture
 {
-    return [body](const TestMessage &request, TestSocket &connection) {
-        return connection.send(signedResponse(request, body));
-    };
-}
+};
 
 } // namespace
 
-TEST_GROUP(Relay)
-{
-    std::unique_ptr<RelayNode> front;
-    std::vector<std::unique_ptr<RelayNode>> nodes;
-    std::vector<Target> targets;
-    std::chrono::milliseconds timeout{3000};
-    double linkMegabits = 0; ///< Link capacity of the nodes that are added from now on.
-    int nextId = 0;
-
-    /** Adds a target that only its own node can reach. */
-    void addTarget(const TestTarget &target, const std::string &name, std::uint32_t slots = 10)
-    {
-        nodes.push_back(std::make_unique<RelayNode>());
-        nodes.back()->start("rota", linkMegabits);
-        Target it;
-        it.address = target.address();
-        it.service = "rota";
-        it.zone = "turku";
-        it.slots = slots;
-        it.name = name;
-        it.instance = 1;
-        it.gateway = nodes.back()->server->relayEndpoint();
-        targets.push_back(it);
-    }
-
-    void start()
-    {
-        front = std::make_unique<RelayNode>();
-        front->start("desk", 0);
-        publish(*front->server, {});
-        for (std::size_t i = 0; i < nodes.size(); ++i) {
-            publish(*nodes[i]->server, {targets[i]});
-        }
-    }
-
-    void publish(ProxyServer & server, const std::vector<Target> &own) const
-    {
-        SnapshotContent content;
-        content.services = {{.name = "rota"}};
-        Route read;
-        read.name = "read";
-        read.service = "rota";
-        read.timeout = timeout;
-        read.attempts = 2;
-        auto book = read;
-        book.name = "book";
-        book.pathPrefix = "/book";
-        book.idempotent = false;
-        book.identity = RequestIdentitySource::Attempt;
-        auto download = read;
-        download.name = "export";
-        download.pathPrefix = "/export";
-        download.bulk = true;
-        content.routes = {read, book, download};
-        auto state = std::make_shared<RoutingState>();
-        state->snapshot = Snapshot::make(7, content).value();
-        state->targets = targets;
-        state->localTargets = own;
-        state->ready = true;
-        server.publish(state);
-    }
-
-    TestMessage call(const std::string &method, const std::string &path, const std::string &headers = {})
-    {
-        auto socket = TestSocket::connectTo(front->server->localEndpoint());
-        socket.send(method + " " + path + " HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c" + std::to_string(++nextId)
-                    + "\r\nContent-Length: 2\r\n" + headers + "\r\nhi");
-        return socket.read().value_or(TestMessage());
-    }
-};
+TEST_GROUP_BASE(Relay, RelayTest){};
 
 // Guards against a slot that stays taken while a large response waits for a slow link: 1 MB takes 1.9 s.
 TEST(Relay, freesTheSlotWhileALargeResponseIsSent)
