Let the log of ShutdownLog outlive the server

Cause: ShutdownLog.saysThatTheCallerDidNotRead aborted with "free(): invalid pointer" in 1 of 160 runs of its group beside others. The test's log was destroyed before the server, whose thread logs that the response was not delivered when the test closes the caller's socket. Change: the log is declared first. Measured: 320 runs of the group, eight at a time: all passed.

--- a/libs/proxy/tests/shutdownlogtest.cpp
+++ b/libs/proxy/tests/shutdownlogtest.cpp
@@ -43,8 +43,8 @@
 
 TEST_GROUP(ShutdownLog)
 {
-    ProxyFixture proxy;
     IncompleteLog log;
+    ProxyFixture proxy; ///< After the log, which its threads use until it is destroyed.
 
     void start(const TestTarget &target)
     {
