Limit the deadline of a request to the end of the stop

Cause: a stopping node still accepts requests, because callers learn of the stop only after seconds. The deadline of such a request can be later than the end of the stop. The nodes and the target on its way went by that deadline, so they gave it time that the stopping node did not have.

Change: while a node stops, the deadline of a new request is at most the end of the stop, less 200 ms for the response to arrive. The node of the target and the target get this deadline. A request that is not expected to end by then is refused at once as not run, with Retry-After.

Measured: without the change, StoppingNode.limitsTheDeadlineOfARequestToTheEndOfTheStop fails (2998 ms for the target, 1 s until the end of the stop), and StoppingNode.refusesARequestThatItCannotFinishAtOnce (no response at all); with it, both pass.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -29,6 +29,9 @@
 /** Time limit for writing a refusal, which may be sent after the request's deadline. */
 constexpr auto refusalWriteTimeout = std::chrono::seconds(1);
 
+/** Time before the end of a shutdown that is left for a late response to reach the caller. */
+constexpr std::chrono::milliseconds stopReserve{200};
+
 /** Factor on the typical service time that leaves time for a slower than typical response. */
 constexpr double serviceTimeMargin = 1.25;
 
@@ -56,6 +59,20 @@
     return options.routeTimeoutCapsDeadline ? std::min(*given, route.timeout) : *given;
 }
 
+/**
+ * Moves @p deadline before the end of a graceful shutdown, so that the nodes and the target on the way of the request
+ * know by when its response must be complete. Returns whether it was later.
+ */
+bool limitToStop(const ServerCore &core, TimePoint &deadline)
+{
+    const auto stopEnd = core.stopEnd.load(std::memory_order_relaxed);
+    if (stopEnd == TimePoint::max() || deadline <= stopEnd - stopReserve) {
+        return false;
+    }
+    deadline = stopEnd - stopReserve;
+    return true;
+}
+
 } // namespace
 
 CallContext::CallContext(CallEnvironment environment, const Route &matchedRoute, const Service &routeService)
@@ -68,6 +85,7 @@
     , started(caller.received())
     , deadline(started + timeoutOf(caller.head(), matchedRoute, core.options))
     , stages(started)
+    , m_limitedByStop(limitToStop(core, deadline))
 {
     const auto *id = requestId();
     nested = id != nullptr && core.running.isNestedCall(*id);
@@ -97,6 +115,7 @@
     , latestStart(started + relayRequest.maxWait)
     , repeated(relayRequest.repeated)
     , stages(started)
+    , m_limitedByStop(limitToStop(core, deadline))
 {
 }
 
@@ -135,14 +154,28 @@
     });
 }
 
+bool CallContext::outlastsStop() const
+{
+    if (!m_limitedByStop) {
+        return false;
+    }
+    const auto transfer = route.bulk ? core.linkPacer.largeResponseTime() : Duration::zero();
+    return std::chrono::steady_clock::now() + typicalTime() + transfer > deadline;
+}
+
+Duration CallContext::typicalTime() const
+{
+    const auto mean = core.routeTimes.of(routeName(), core.balancer.typicalServiceTime(service.name));
+    return std::chrono::duration_cast<Duration>(mean * serviceTimeMargin);
+}
+
 void CallContext::updateLatestStart()
 {
     const bool knowsService = !core.options.headers.requestId.empty();
     if (origin == CallOrigin::Peer || (objective == TimePoint::max() && !knowsService)) {
         return;
     }
-    const auto mean = core.routeTimes.of(route.name, core.balancer.typicalServiceTime(service.name));
-    const auto typical = std::chrono::duration_cast<Duration>(mean * serviceTimeMargin);
+    const auto typical = typicalTime();
     const auto now = std::chrono::steady_clock::now();
     const auto inTime = std::min(objective, deadline) - typical;
     late = inTime < now;
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -103,6 +103,9 @@
      */
     bool isDependencyBusy() const;
 
+    /** Whether this node probably stops before the response is complete, so that the request should not be started. */
+    bool outlastsStop() const;
+
     /** Computes the end of the wait for a slot from the latency objective and the typical service time. */
     void updateLatestStart();
 
@@ -134,7 +137,9 @@
     RequestEvent eventOf(std::string_view decision, std::string_view reason, int status, TimePoint now) const;
     bool canKeepAlive() const;
     bool canKeepAliveAfterRefusal() const;
+    Duration typicalTime() const;
 
+    const bool m_limitedByStop; ///< The deadline is the end of a graceful shutdown of this node.
     std::optional<Digest> m_crashDigest;
 };
 
--- a/libs/proxy/src/claimedcall.cpp
+++ b/libs/proxy/src/claimedcall.cpp
@@ -58,6 +58,10 @@
         co_await m_call.refuse({.status = 400, .reason = "Idempotency-Key is missing"});
         co_return;
     }
+    if (m_call.outlastsStop()) {
+        co_await m_call.refuse(stoppingRefusal(m_call));
+        co_return;
+    }
     auto grant = co_await waitForSlot(m_call, {});
     if (!grant.lease) {
         co_await m_call.refuse(refusalFor(grant, m_call));
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -131,11 +131,12 @@
 
 void ProxyServerImpl::drain(std::function<void()> drained)
 {
+    const auto bound = std::chrono::steady_clock::now() + m_core.options.drainBound;
+    m_core.stopEnd = bound;
     m_core.draining = true;
     for (const auto &thread : m_threads) {
         thread->drain();
     }
-    const auto bound = std::chrono::steady_clock::now() + m_core.options.drainBound;
     const auto first = m_core.options.relayListen ? m_core.options.stopNotice : drainCheckPeriod;
     m_threads.front()->runAfter(first, [this, bound, drained = std::move(drained)] { checkDrained(bound, drained); });
 }
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -39,6 +39,10 @@
         co_await refuse(notRunRefusal("a service that the request calls is busy", m_call));
         co_return;
     }
+    if (m_call.outlastsStop()) {
+        co_await refuse(stoppingRefusal(m_call));
+        co_return;
+    }
     auto grant = co_await waitForSlot(m_call, {});
     if (!grant.lease) {
         co_await refuse(refusalFor(grant, m_call));
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -39,6 +39,7 @@
     std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::size_t> connections = 0;
     std::atomic<bool> draining = false;
+    std::atomic<TimePoint> stopEnd = TimePoint::max(); ///< When a graceful shutdown interrupts the remaining requests.
 
     RoutingStatePtr state() const;
     void publish(RoutingStatePtr state);
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -119,4 +119,9 @@
     return {.status = 503, .reason = reason, .retryAfter = retryAfter};
 }
 
+Refusal stoppingRefusal(CallContext &call)
+{
+    return notRunRefusal("the node stops before a response is expected", call);
+}
+
 } // namespace Hornbeam
--- a/libs/proxy/src/slotwait.h
+++ b/libs/proxy/src/slotwait.h
@@ -28,4 +28,7 @@
 /** A 503 refusal of a request that did not run, with a Retry-After. */
 Refusal notRunRefusal(const char *reason, CallContext &call);
 
+/** The refusal of a request that would outlast the stop of this node. */
+Refusal stoppingRefusal(CallContext &call);
+
 } // namespace Hornbeam
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-std::string exportRequest(const std::string &id)
+std::string getRequest(const std::string &path, const std::string &id)
 {
-    return "GET /export HTTP/1.1\r\nHost: rota.example\r\nCall-Id: " + id + "\r\n\r\n";
+    return "GET " + path + " HTTP/1.1\r\nHost: rota.example\r\nCall-Id: " + id + "\r\n\r\n";
 }
 
 /** A front node that is stopped while a test runs; its process ends when the stop does. */
@@ -19,17 +19,28 @@
 {
 protected:
     std::atomic<bool> drained = false;
+    std::atomic<bool> answeredBeforeStop =
+        false; ///< The response of callUntilStopped() came before the end of the stop.
 
     void beginStop()
     {
         front->server->drain([this] { drained = true; });
     }
 
-    /** Ends the process of the front node at the end of its stop. */
-    void endStop()
+    /** Sends a request to the front node, and ends its process when the stop ends. Returns the response, if any. */
+    std::optional<TestMessage> callUntilStopped(const std::string &request)
     {
+        auto socket = TestSocket::connectTo(front->server->localEndpoint());
+        socket.send(request);
+        std::optional<TestMessage> response;
+        std::jthread caller([&] {
+            response = socket.read();
+            answeredBeforeStop = !drained;
+        });
         CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
         front->server.reset();
+        caller.join();
+        return response;
     }
 };
 
@@ -57,18 +68,55 @@
     std::vector<TestSocket> others;
     for (int i = 0; i < 4; ++i) {
         others.push_back(TestSocket::connectTo(neighbour->server->localEndpoint()));
-        others.back().send(exportRequest("o" + std::to_string(i)));
+        others.back().send(getRequest("/export", "o" + std::to_string(i)));
     }
     CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 4; }));
     beginStop();
-    auto socket = TestSocket::connectTo(front->server->localEndpoint());
-    socket.send(exportRequest("c"));
-    std::optional<TestMessage> response;
-    std::jthread caller([&] { response = socket.read(); });
-    endStop();
-    caller.join();
+    const auto response = callUntilStopped(getRequest("/export", "c"));
     CHECK(response.has_value());
     CHECK(response->complete);
     CHECK_EQUAL(200, response->status());
     CHECK_EQUAL(bytes, response->body.size());
 }
+
+// Guards against targets that keep working on a request after the node that must deliver the response has stopped.
+TEST(StoppingNode, limitsTheDeadlineOfARequestToTheEndOfTheStop)
+{
+    std::atomic<int> left = 0;
+    const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        left = std::stoi(request.header("left-ms"));
+        return connection.send(signedResponse(request, "ok"));
+    });
+    frontOptions.drainBound = 1000ms;
+    addTarget(target, "first");
+    start();
+    CHECK_EQUAL(200, call("GET", "/").status());
+    CHECK(left > 2000);
+    beginStop();
+    CHECK(callUntilStopped(getRequest("/", "c")).has_value());
+    CHECK_COMPARE(left.load(), <, 1000);
+}
+
+// Guards against a request that waits for a response which the node cannot deliver before it stops.
+TEST(StoppingNode, refusesARequestThatItCannotFinishAtOnce)
+{
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        std::this_thread::sleep_for(500ms);
+        return connection.send(signedResponse(request, "ok"));
+    });
+    frontOptions.stopNotice = 400ms;
+    frontOptions.drainBound = 400ms;
+    addTarget(target, "first");
+    start();
+    for (int i = 0; i < 3; ++i) {
+        CHECK_EQUAL(200, call("GET", "/").status());
+    }
+    beginStop();
+    const auto response = callUntilStopped(getRequest("/", "c"));
+    CHECK(response.has_value());
+    CHECK(answeredBeforeStop);
+    CHECK_EQUAL(503, response->status());
+    STRCMP_EQUAL("not-run", response->header("x-hornbeam-outcome").c_str());
+    CHECK(!response->header("retry-after").empty());
+    CHECK_EQUAL(3, target.requests());
+}
