Send the large response with the earliest deadline first

Cause: large responses shared a slow link evenly, piece by piece. Each of them ended about as late as the last one, and a response whose caller's node was about to stop waited for responses that had seconds more.

Change: the link is granted to the response with the earliest deadline (LinkQueue).

--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -18,8 +18,8 @@
 
 /**
  * Paces large responses, so that small responses do not wait behind them in the queue of the host's link. Each piece
- * of a large response is sent when the link has sent everything before it; small responses are sent at once. Also
- * estimates how long another large response would wait. Thread-safe.
+ * of a large response is sent when the link has sent everything before it; small responses are sent at once. LinkQueue
+ * decides which response sends the next piece. Also estimates how long another large response would wait. Thread-safe.
  */
 class LinkPacer
 {
--- /dev/null
+++ b/libs/proxy/src/linkqueue.cpp
@@ -0,0 +1,45 @@
+#include "linkqueue.h"
+
+#include <utility>
+
+namespace Hornbeam {
+
+LinkQueue::Ticket LinkQueue::enter(TimePoint deadline, std::function<void()> granted)
+{
+    const std::lock_guard lock(m_mutex);
+    const Ticket ticket{.deadline = deadline, .number = m_nextNumber++};
+    if (m_granted) {
+        m_waiting.emplace(ticket, std::move(granted));
+    } else {
+        m_granted = ticket;
+    }
+    return ticket;
+}
+
+bool LinkQueue::isGranted(const Ticket &ticket) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_granted == ticket;
+}
+
+void LinkQueue::leave(const Ticket &ticket)
+{
+    std::function<void()> granted;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_granted != ticket) {
+            m_waiting.erase(ticket);
+            return;
+        }
+        m_granted.reset();
+        if (m_waiting.empty()) {
+            return;
+        }
+        auto next = m_waiting.extract(m_waiting.begin());
+        m_granted = next.key();
+        granted = std::move(next.mapped());
+    }
+    granted();
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/linkqueue.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <hornbeam/base/timerservice.h>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace Hornbeam {
+
+/**
+ * Decides which of several large responses sends its next piece over the host's link: the one with the earliest
+ * deadline. If responses shared the link evenly, all of them would end late, and one whose caller's node is about to
+ * stop would wait for others that have more time. Answers a load of more large responses than the link transfers at
+ * once; how many are admitted is decided elsewhere. Thread-safe.
+ */
+class LinkQueue
+{
+public:
+    /** Identifies a piece. Pieces with the same deadline are sent in the order of their numbers. */
+    struct Ticket
+    {
+        TimePoint deadline;
+        std::uint64_t number = 0;
+
+        friend auto operator<=>(const Ticket &, const Ticket &) = default;
+    };
+
+    /**
+     * Adds a piece. @p granted is called once when the link is granted to it, on the thread that calls leave(), unless
+     * isGranted() is true at once. Must not block.
+     */
+    Ticket enter(TimePoint deadline, std::function<void()> granted);
+
+    bool isGranted(const Ticket &ticket) const;
+
+    /** Removes a piece and grants the link to the next one if it had been granted to this one. */
+    void leave(const Ticket &ticket);
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<Ticket, std::function<void()>> m_waiting;
+    std::optional<Ticket> m_granted;
+    std::uint64_t m_nextNumber = 0;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/linkturn.cpp
@@ -0,0 +1,33 @@
+#include "linkturn.h"
+
+#include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace Hornbeam {
+
+LinkTurn::LinkTurn(LinkQueue &queue, const std::shared_ptr<asio::io_context> &context, TimePoint deadline)
+    : m_queue(queue)
+    , m_timer(std::make_shared<asio::steady_timer>(*context, deadline))
+    , m_ticket(queue.enter(deadline, [timer = m_timer, weak = std::weak_ptr(context)] {
+        if (const auto running = weak.lock()) {
+            asio::post(*running, [timer] { timer->cancel(); });
+        }
+    }))
+{
+}
+
+LinkTurn::~LinkTurn()
+{
+    m_queue.leave(m_ticket);
+}
+
+asio::awaitable<void> LinkTurn::wait()
+{
+    if (!m_queue.isGranted(m_ticket)) {
+        std::error_code ignored;
+        co_await m_timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/proxy/src/linkturn.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "linkqueue.h"
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace Hornbeam {
+
+/** The place of one piece of a large response in the LinkQueue, which it leaves when it is destroyed. */
+class LinkTurn
+{
+public:
+    /** Enters the queue. @p context: the io_context of the thread that waits. */
+    LinkTurn(LinkQueue &queue, const std::shared_ptr<asio::io_context> &context, TimePoint deadline);
+    LinkTurn(const LinkTurn &) = delete;
+    LinkTurn &operator=(const LinkTurn &) = delete;
+    ~LinkTurn();
+
+    /** Waits until the link is granted or the deadline has passed. */
+    asio::awaitable<void> wait();
+
+private:
+    LinkQueue &m_queue;
+    const std::shared_ptr<asio::steady_timer> m_timer;
+    const LinkQueue::Ticket m_ticket;
+};
+
+} // namespace Hornbeam
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -1,5 +1,7 @@
 #include "responseforwarder.h"
 
+#include "linkturn.h"
+
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -187,13 +189,19 @@
         link.addUnpaced(bytes, now);
         co_return;
     }
-    const auto wait = link.reserve(bytes, now);
+    m_call.stages.enter(CallStage::Link, now);
+    LinkTurn turn(m_call.core.linkQueue, m_call.context, m_call.deadline);
+    co_await turn.wait();
+    const auto granted = std::chrono::steady_clock::now();
+    if (granted >= m_call.deadline) {
+        co_return;
+    }
+    const auto wait = link.reserve(bytes, granted);
     if (m_call.large) {
         m_call.large->sent(bytes);
     }
     if (wait > Duration::zero()) {
-        m_call.stages.enter(CallStage::Link, now);
-        asio::steady_timer timer(*m_call.context, std::min(now + wait, m_call.deadline));
+        asio::steady_timer timer(*m_call.context, std::min(granted + wait, m_call.deadline));
         std::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -3,6 +3,7 @@
 #include "callageestimator.h"
 #include "crashsuspects.h"
 #include "linkpacer.h"
+#include "linkqueue.h"
 #include "loadbalancer.h"
 #include "proxymetrics.h"
 #include "routetimes.h"
@@ -29,6 +30,7 @@
     const ProxyOptions options;
     const ProxyDependencies dependencies;
     LinkPacer linkPacer;
+    LinkQueue linkQueue;
     LoadBalancer balancer;
     CrashSuspects suspects;
     ProxyMetrics metrics;
