Admit a large response by the responses that send before it

Cause: with the link granted by deadline, a response waits only for those with an earlier one. The node of the target still refused requests by the bytes of all large responses, so a request whose caller's node was about to stop was refused although its response would have been sent first.

Change: LinkPacer keeps the large responses with their deadlines, and the node of the target asks for the wait before the request's own deadline. Load reports still carry the wait behind all of them.

Measured: LinkPacer.countsOnlyTheResponsesWithAnEarlierDeadline. The tests of LinkPacer and LoadBalancer hold ids where they held estimates and name a deadline; their checks are unchanged.

--- a/libs/proxy/src/largeresponse.h
+++ b/libs/proxy/src/largeresponse.h
@@ -2,7 +2,6 @@
 
 #include "linkpacer.h"
 
-#include <algorithm>
 #include <cstddef>
 
 namespace Hornbeam {
@@ -12,9 +11,9 @@
 {
 public:
     /** @p link must outlive the object. */
-    explicit LargeResponse(LinkPacer &link)
+    LargeResponse(LinkPacer &link, TimePoint deadline)
         : m_link(link)
-        , m_remaining(link.largeResponseStarted())
+        , m_id(link.largeResponseStarted(deadline))
     {
     }
 
@@ -23,15 +22,13 @@
 
     ~LargeResponse()
     {
-        m_link.largeResponseEnded(m_size, m_remaining);
+        m_link.largeResponseEnded(m_size, m_id);
     }
 
     /** Records that @p bytes have been sent. */
     void sent(std::size_t bytes)
     {
-        const auto part = std::min(static_cast<double>(bytes), m_remaining);
-        m_link.largeResponseSent(part);
-        m_remaining -= part;
+        m_link.largeResponseSent(bytes, m_id);
     }
 
     /** Records the size of a response that has been forwarded completely. */
@@ -42,7 +39,7 @@
 
 private:
     LinkPacer &m_link;
-    double m_remaining; ///< Bytes that are expected to be sent.
+    const std::uint64_t m_id;
     std::size_t m_size = 0; ///< 0 until the response is complete.
 };
 
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -1,6 +1,7 @@
 #include "linkpacer.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Hornbeam {
 
@@ -60,41 +61,49 @@
     }
 }
 
-double LinkPacer::largeResponseStarted()
+std::uint64_t LinkPacer::largeResponseStarted(TimePoint deadline)
 {
     const std::lock_guard lock(m_mutex);
-    m_largeRemaining += m_largeBytes;
-    return m_largeBytes;
+    m_large.emplace(m_nextId, LargeResponseEntry{.deadline = deadline, .remaining = m_largeBytes});
+    return m_nextId++;
 }
 
-void LinkPacer::largeResponseSent(double bytes)
+void LinkPacer::largeResponseSent(std::size_t bytes, std::uint64_t id)
 {
     const std::lock_guard lock(m_mutex);
-    m_largeRemaining = std::max(m_largeRemaining - bytes, 0.0);
+    auto &remaining = m_large.at(id).remaining;
+    remaining = std::max(remaining - static_cast<double>(bytes), 0.0);
 }
 
-void LinkPacer::largeResponseEnded(std::size_t bytes, double remaining)
+void LinkPacer::largeResponseEnded(std::size_t bytes, std::uint64_t id)
 {
     const std::lock_guard lock(m_mutex);
-    m_largeRemaining = std::max(m_largeRemaining - remaining, 0.0);
+    m_large.erase(id);
     if (bytes > 0) {
         m_largeBytes += (static_cast<double>(bytes) - m_largeBytes) * sizeWeight;
     }
 }
 
-Duration LinkPacer::largeResponseWait() const
+double LinkPacer::remainingBytes(TimePoint deadline) const
+{
+    return std::accumulate(m_large.begin(), m_large.end(), 0.0, [deadline](double sum, const auto &it) {
+        return it.second.deadline <= deadline ? sum + it.second.remaining : sum;
+    });
+}
+
+Duration LinkPacer::largeResponseWait(TimePoint deadline) const
 {
     if (!isPacing()) {
         return Duration::zero();
     }
     const std::lock_guard lock(m_mutex);
-    return timeOf(m_largeRemaining);
+    return timeOf(remainingBytes(deadline));
 }
 
 bool LinkPacer::canBufferLargeResponse() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_largeRemaining <= maxBufferedBytes;
+    return remainingBytes(TimePoint::max()) <= maxBufferedBytes;
 }
 
 Duration LinkPacer::largeResponseTime() const
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <mutex>
 
 namespace Hornbeam {
@@ -38,17 +39,18 @@
     /** Accounts for bytes that are sent without pacing. */
     void addUnpaced(std::size_t bytes, TimePoint now);
 
-    /** Adds a large response of average size to the bytes that remain to be sent; returns that size. */
-    double largeResponseStarted();
+    /** Adds a large response of average size to those that remain to be sent; returns its id. */
+    std::uint64_t largeResponseStarted(TimePoint deadline);
 
-    /** Subtracts bytes that have been sent, at most those that largeResponseStarted() returned. */
-    void largeResponseSent(double bytes);
+    /** Subtracts bytes that have been sent, at most those that remain of the response. */
+    void largeResponseSent(std::size_t bytes, std::uint64_t id);
 
-    /** @p bytes: size of the response that has ended, 0 if it failed. @p remaining: its bytes still accounted for. */
-    void largeResponseEnded(std::size_t bytes, double remaining);
+    /** Removes a response. @p bytes: its size, 0 if it failed. */
+    void largeResponseEnded(std::size_t bytes, std::uint64_t id);
 
-    /** Time that the link needs for the remaining bytes of all large responses that have started. */
-    Duration largeResponseWait() const;
+    /** Time that the link needs for the remaining bytes of the large responses with a deadline of at most @p deadline.
+     */
+    Duration largeResponseWait(TimePoint deadline = TimePoint::max()) const;
 
     /** Whether memory allows to buffer another large response; callers that read slowly can keep many of them alive. */
     bool canBufferLargeResponse() const;
@@ -57,13 +59,21 @@
     Duration largeResponseTime() const;
 
 private:
+    struct LargeResponseEntry
+    {
+        TimePoint deadline;
+        double remaining = 0; ///< Bytes that are expected to be sent.
+    };
+
     Duration timeOf(double bytes) const;
+    double remainingBytes(TimePoint deadline) const;
 
     const double m_bytesPerSecond;
     mutable std::mutex m_mutex;
     TimePoint m_freeAt = TimePoint::min(); ///< When the link will have sent everything that is accounted for.
     double m_largeBytes; ///< Moving average of the size of a large response.
-    double m_largeRemaining = 0; ///< Bytes that large responses in progress are expected to send.
+    std::map<std::uint64_t, LargeResponseEntry> m_large; ///< The large responses in progress by id.
+    std::uint64_t m_nextId = 0;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -177,7 +177,7 @@
                                 TimePoint now)
 {
     // This also applies to callers on this host: their large responses share the link with those to other nodes.
-    const auto linkWait = linkWaitAfter(load->serviceTime, m_link.largeResponseWait());
+    const auto linkWait = linkWaitAfter(load->serviceTime, m_link.largeResponseWait(request->deadline()));
     if (request->m_options.bulk && linkWait > Duration::zero() && now + linkWait > request->latestStart()) {
         request->m_expectedWait = linkWait;
         return applyDecision(AdmissionController::Decision::TooLate, *request);
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -61,7 +61,7 @@
 {
     UpstreamExchange exchange(m_call, std::move(m_lease));
     if (m_call.route.bulk) {
-        m_call.large.emplace(m_call.core.linkPacer);
+        m_call.large.emplace(m_call.core.linkPacer, m_call.deadline);
     }
     auto status = co_await exchangeOn(exchange);
     auto outcome = classify(exchange, status);
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -35,10 +35,10 @@
 {
     CHECK(pacer.largeResponseWait() == 0ms);
     for (int i = 0; i < 50; ++i) {
-        pacer.largeResponseEnded(90000, pacer.largeResponseStarted());
+        pacer.largeResponseEnded(90000, pacer.largeResponseStarted(now));
     }
-    const auto first = pacer.largeResponseStarted();
-    pacer.largeResponseStarted();
+    const auto first = pacer.largeResponseStarted(now);
+    pacer.largeResponseStarted(now);
     CHECK(pacer.largeResponseWait() > 190ms && pacer.largeResponseWait() < 210ms);
     CHECK(pacer.largeResponseTime() > 95ms && pacer.largeResponseTime() < 105ms);
     pacer.largeResponseEnded(0, first);
@@ -49,10 +49,10 @@
 TEST(LinkPacer, countsOnlyTheRemainingBytesOfALargeResponse)
 {
     for (int i = 0; i < 50; ++i) {
-        pacer.largeResponseEnded(90000, pacer.largeResponseStarted());
+        pacer.largeResponseEnded(90000, pacer.largeResponseStarted(now));
     }
     {
-        LargeResponse response(pacer);
+        LargeResponse response(pacer, now);
         response.sent(80000);
         CHECK(pacer.largeResponseWait() < 15ms);
         response.sent(80000);
@@ -64,15 +64,28 @@
     CHECK(linkWaitAfter(150ms, 100ms) == 0ms);
 }
 
+// Guards against refusing a request that ends early because of responses that send after its own.
+TEST(LinkPacer, countsOnlyTheResponsesWithAnEarlierDeadline)
+{
+    for (int i = 0; i < 50; ++i) {
+        pacer.largeResponseEnded(90000, pacer.largeResponseStarted(now));
+    }
+    const LargeResponse urgent(pacer, now + 1s);
+    const LargeResponse other(pacer, now + 4s);
+    CHECK(pacer.largeResponseWait(now + 500ms) == 0ms);
+    CHECK(pacer.largeResponseWait(now + 2s) > 95ms && pacer.largeResponseWait(now + 2s) < 105ms);
+    CHECK(pacer.largeResponseWait() > 190ms && pacer.largeResponseWait() < 210ms);
+}
+
 // Guards against a node that runs out of memory because many callers read large responses slowly.
 TEST(LinkPacer, limitsTheLargeResponsesInMemory)
 {
     for (int i = 0; i < 50; ++i) {
-        pacer.largeResponseEnded(1000000, pacer.largeResponseStarted());
+        pacer.largeResponseEnded(1000000, pacer.largeResponseStarted(now));
     }
-    std::vector<double> held;
+    std::vector<std::uint64_t> held;
     while (pacer.canBufferLargeResponse()) {
-        held.push_back(pacer.largeResponseStarted());
+        held.push_back(pacer.largeResponseStarted(now));
     }
     CHECK(held.size() >= 16 && held.size() <= 18);
     pacer.largeResponseEnded(0, held.back());
@@ -82,7 +95,7 @@
 TEST(LinkPacer, doesNotPaceFastLinks)
 {
     LinkPacer fast({.megabitsPerSecond = 1000});
-    fast.largeResponseStarted();
+    fast.largeResponseStarted(now);
     fast.addUnpaced(1000000, now);
     CHECK(fast.reserve(1000000, now) == 0ms);
     CHECK(fast.largeResponseWait() == 0ms);
--- a/libs/proxy/tests/loadbalancertest.cpp
+++ b/libs/proxy/tests/loadbalancertest.cpp
@@ -61,9 +61,9 @@
 TEST(LoadBalancer, refusesALargeResponseThatWouldWaitForTheLink)
 {
     for (int i = 0; i < 50; ++i) {
-        link.largeResponseEnded(900000, link.largeResponseStarted());
+        link.largeResponseEnded(900000, link.largeResponseStarted(now));
     }
-    link.largeResponseStarted();
+    link.largeResponseStarted(now);
     const auto refused = ask(now + 500ms);
     CHECK(balancer.finish(refused) == SlotResult::TooLate);
     CHECK(refused->expectedWait() > 900ms && refused->expectedWait() < 1100ms);
