Account for the announced size of a large response

Cause: the node of a target accounted for a large response by the mean size, and by 64 KB until its first response had ended. A node that had just started reported a fourth of its link's real wait, so it attracted and admitted more exports than its link could send in time.

Change: the bytes that remain follow the Content-Length of the response as soon as its head has arrived, at most 16 MB. The mean size is a plain mean of the first responses and also follows their heads.

Measured: LinkPacer.countsTheAnnouncedSizeOfALargeResponse and limitsTheAnnouncedSize. They do not compile before, because the function is new.

--- a/libs/proxy/src/largeresponse.h
+++ b/libs/proxy/src/largeresponse.h
@@ -25,22 +25,30 @@
         m_link.largeResponseEnded(m_size, m_id);
     }
 
+    /** Records the size that the head of the response announces; call it before any byte is sent. */
+    void announced(std::size_t bytes)
+    {
+        m_link.largeResponseAnnounced(bytes, m_id);
+        m_announced = true;
+    }
+
     /** Records that @p bytes have been sent. */
     void sent(std::size_t bytes)
     {
         m_link.largeResponseSent(bytes, m_id);
     }
 
-    /** Records the size of a response that has been forwarded completely. */
+    /** Records the size of a response that has been forwarded completely, unless it was announced. */
     void complete(std::size_t size)
     {
-        m_size = size;
+        m_size = m_announced ? 0 : size;
     }
 
 private:
     LinkPacer &m_link;
     const std::uint64_t m_id;
-    std::size_t m_size = 0; ///< 0 until the response is complete.
+    std::size_t m_size = 0; ///< 0 until the response is complete, and if its size was announced.
+    bool m_announced = false;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -18,10 +18,11 @@
 /** Queueing delay that is allowed at the link, so that it does not idle between two pieces. */
 constexpr std::chrono::milliseconds allowedQueueDelay{10};
 
-/** Assumed size of a large response until the first one has ended. */
+/** Assumed size of a large response until the size of the first one is known. */
 constexpr double initialLargeBytes = 64.0 * 1024;
 
-/** Limit for buffered large responses. The smallest hosts have 88 MB of memory, of which a node uses 10 MB. */
+/** Limit for buffered large responses, and for the size that a target can announce. The smallest hosts have 88 MB of
+ * memory, of which a node uses 10 MB. */
 constexpr double maxBufferedBytes = 16.0 * 1024 * 1024;
 
 /** Weight of a new sample in the moving average of the size. */
@@ -68,6 +69,14 @@
     return m_nextId++;
 }
 
+void LinkPacer::largeResponseAnnounced(std::size_t bytes, std::uint64_t id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto size = std::min(static_cast<double>(bytes), maxBufferedBytes);
+    m_large.at(id).remaining = size;
+    learnSize(static_cast<std::size_t>(size));
+}
+
 void LinkPacer::largeResponseSent(std::size_t bytes, std::uint64_t id)
 {
     const std::lock_guard lock(m_mutex);
@@ -80,10 +89,18 @@
     const std::lock_guard lock(m_mutex);
     m_large.erase(id);
     if (bytes > 0) {
-        m_largeBytes += (static_cast<double>(bytes) - m_largeBytes) * sizeWeight;
+        learnSize(bytes);
     }
 }
 
+void LinkPacer::learnSize(std::size_t bytes)
+{
+    // A plain mean at first: a node that has just started must not admit responses by the assumed size for long.
+    ++m_learnedSizes;
+    const auto weight = std::max(sizeWeight, 1.0 / static_cast<double>(m_learnedSizes));
+    m_largeBytes += (static_cast<double>(bytes) - m_largeBytes) * weight;
+}
+
 double LinkPacer::remainingBytes(TimePoint deadline) const
 {
     return std::accumulate(m_large.begin(), m_large.end(), 0.0, [deadline](double sum, const auto &it) {
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -42,6 +42,10 @@
     /** Adds a large response of average size to those that remain to be sent; returns its id. */
     std::uint64_t largeResponseStarted(TimePoint deadline);
 
+    /** Replaces the average size by the one that the head of the response announces; call it before any byte is sent.
+     */
+    void largeResponseAnnounced(std::size_t bytes, std::uint64_t id);
+
     /** Subtracts bytes that have been sent, at most those that remain of the response. */
     void largeResponseSent(std::size_t bytes, std::uint64_t id);
 
@@ -67,11 +71,13 @@
 
     Duration timeOf(double bytes) const;
     double remainingBytes(TimePoint deadline) const;
+    void learnSize(std::size_t bytes);
 
     const double m_bytesPerSecond;
     mutable std::mutex m_mutex;
     TimePoint m_freeAt = TimePoint::min(); ///< When the link will have sent everything that is accounted for.
     double m_largeBytes; ///< Moving average of the size of a large response.
+    std::size_t m_learnedSizes = 0; ///< Number of responses in the average.
     std::map<std::uint64_t, LargeResponseEntry> m_large; ///< The large responses in progress by id.
     std::uint64_t m_nextId = 0;
 };
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -65,6 +65,9 @@
     }
     auto status = co_await exchangeOn(exchange);
     auto outcome = classify(exchange, status);
+    if (outcome == Outcome::Answered && m_call.large) {
+        announceSize(exchange);
+    }
     if (outcome == Outcome::Answered && m_call.signedResponses()) {
         const bool bufferLarge =
             m_call.route.bulk && !exchange.lease().isRemote() && m_call.core.linkPacer.canBufferLargeResponse();
@@ -100,6 +103,14 @@
     }
 }
 
+void RetryableCall::announceSize(UpstreamExchange &exchange)
+{
+    const auto &head = exchange.stream().reader().head();
+    if (head.status < 300 && head.contentLength) {
+        m_call.large->announced(*head.contentLength);
+    }
+}
+
 asio::awaitable<AttemptStatus> RetryableCall::exchangeOn(UpstreamExchange &exchange)
 {
     const bool connected = co_await exchange.connect(m_needsNewConnection);
--- a/libs/proxy/src/retryablecall.h
+++ b/libs/proxy/src/retryablecall.h
@@ -30,6 +30,7 @@
 
     asio::awaitable<void> attempt();
     asio::awaitable<AttemptStatus> exchangeOn(UpstreamExchange &exchange);
+    void announceSize(UpstreamExchange &exchange);
     Outcome classify(UpstreamExchange &exchange, AttemptStatus status);
     asio::awaitable<void> checkTarget(UpstreamExchange &exchange, AttemptStatus status);
     void recordNotRun(const UpstreamExchange &exchange, AttemptStatus status);
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -77,6 +77,29 @@
     CHECK(pacer.largeResponseWait() > 190ms && pacer.largeResponseWait() < 210ms);
 }
 
+// Guards against admitting large responses by an assumed or mean size although their targets have announced the size.
+TEST(LinkPacer, countsTheAnnouncedSizeOfALargeResponse)
+{
+    LargeResponse first(pacer, now);
+    first.announced(900000);
+    CHECK(pacer.largeResponseWait() > 990ms && pacer.largeResponseWait() < 1010ms);
+    first.sent(450000);
+    CHECK(pacer.largeResponseWait() > 490ms && pacer.largeResponseWait() < 510ms);
+    CHECK(pacer.largeResponseTime() > 990ms);
+    LargeResponse second(pacer, now);
+    CHECK(pacer.largeResponseWait() > 1490ms);
+    second.announced(90000);
+    CHECK(pacer.largeResponseWait() < 610ms);
+}
+
+// Guards against a target that makes its link look busy for hours by announcing a size that it does not send.
+TEST(LinkPacer, limitsTheAnnouncedSize)
+{
+    LargeResponse response(pacer, now);
+    response.announced(std::size_t{1} << 60);
+    CHECK(pacer.largeResponseWait() < 20s);
+}
+
 // Guards against a node that runs out of memory because many callers read large responses slowly.
 TEST(LinkPacer, limitsTheLargeResponsesInMemory)
 {
