Derive the time limit of a stop from the grace period

Cause: the settings on the users' platform limited a stop to 5.5 s on every deployment. On a deployment with a shorter grace period, a node would be killed before it had logged what it interrupts.

Change: the setting stopGraceSeconds, which the platform fills with its grace period; the stop takes at most half a second less. drainBoundMs remains for the standalone environment.

--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::size_t maxNameLength = 128;
+
+/** Part of the grace period in which the process exits after its last response. */
+constexpr std::chrono::milliseconds exitTime{500};
+
 const nlohmann::json emptyObject = nlohmann::json::object();
 
 // Names become parts of store keys and metric labels, so their characters are restricted.
@@ -116,6 +120,21 @@
     return node;
 }
 
+/** The time limit of a graceful shutdown: either set directly or derived from the time after which the host kills. */
+std::chrono::milliseconds readDrainBound(Section &section, std::chrono::milliseconds defaultValue)
+{
+    constexpr const char *graceKey = "stopGraceSeconds";
+    const auto grace = section.reader().optionalNumber(graceKey, {.minimum = 1, .maximum = 3600});
+    const auto bound = section.reader().optionalUnsigned("drainBoundMs", {0, 3600000});
+    if (grace && bound) {
+        section.reader().report(graceKey, "must not be set together with drainBoundMs");
+    }
+    if (grace) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(*grace)) - exitTime;
+    }
+    return bound ? std::chrono::milliseconds(*bound) : defaultValue;
+}
+
 TrafficSettings readTraffic(Section section)
 {
     TrafficSettings traffic;
@@ -125,7 +144,7 @@
     traffic.maxHeaderBytes = section.count("maxHeaderBytes", traffic.maxHeaderBytes, {1024, 1048576});
     traffic.maxQueuedRequests = section.count("maxQueuedRequests", traffic.maxQueuedRequests, {0, 100000});
     traffic.idleTimeout = section.duration("idleTimeoutMs", traffic.idleTimeout, {100, 3600000});
-    traffic.drainBound = section.duration("drainBoundMs", traffic.drainBound, {0, 3600000});
+    traffic.drainBound = readDrainBound(section, traffic.drainBound);
     traffic.retryBudgetPercent = section.count("retryBudgetPercent", traffic.retryBudgetPercent, {0, 100});
     traffic.relayListen = section.optionalEndpoint("relayListen");
     traffic.retryBudgetRatio =
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 using namespace Hornbeam;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -107,6 +108,19 @@
     STRCMP_EQUAL("127.0.0.1:8084", settings->admin.metricsListen->toString().c_str());
 }
 
+// Guards against a stop that cuts off requests although the platform would leave it more time, or is killed first.
+TEST(Settings, derivesTheDrainBoundFromTheGracePeriod)
+{
+    const auto withTraffic = [](const std::string &setting) {
+        return replaced("\"127.0.0.1:8080\"", "\"127.0.0.1:8080\", " + setting);
+    };
+    CHECK(Settings::parse(withTraffic("\"stopGraceSeconds\": 10"))->traffic.drainBound == 9500ms);
+    CHECK(Settings::parse(withTraffic("\"stopGraceSeconds\": 2.5"))->traffic.drainBound == 2000ms);
+    CHECK(Settings::parse(withTraffic("\"drainBoundMs\": 700"))->traffic.drainBound == 700ms);
+    CHECK(reports(withTraffic("\"stopGraceSeconds\": 0"), "$.traffic.stopGraceSeconds"));
+    CHECK(reports(withTraffic("\"stopGraceSeconds\": 6, \"drainBoundMs\": 700"), "$.traffic.stopGraceSeconds"));
+}
+
 // Guards against a misspelt environment, with which the node would start with other interfaces than its operators
 // expect.
 TEST(Settings, refusesAnUnknownEnvironment)
