Log restorations of the store and skipped configurations

Cause: the log of the incident could not tell its hypotheses apart. Nodes skip a document with an older revision, end a watch whose history is gone and register in the directory without a line.

Change: responses of the store carry its generation, which the platform sends in a header and which changes when the store is restored from a copy. Nodes log and count restorations, skipped documents, watches that end because the store no longer has their changes, and registrations in the directory with their reason; a gauge has the configuration version in the store. No decision depends on the generation yet.

--- a/bench/baselinenode/baselinenode.cpp
+++ b/bench/baselinenode/baselinenode.cpp
@@ -94,6 +94,12 @@
 
     void storeReachable(bool) override {}
 
+    void storeRestored(StoreGeneration, StoreGeneration) override {}
+
+    void storeHistoryLost(const Error & /*error*/) override {}
+
+    void documentSkipped(std::int64_t, std::int64_t) override {}
+
     const BaselineNodeOptions m_options;
     AsioExecutor m_executor;
     AsioTimerService m_timers;
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -88,6 +88,17 @@
             .requestTimeout = settings.store.requestTimeout};
 }
 
+const char *registrationReasonName(RegistrationReason reason)
+{
+    switch (reason) {
+    case RegistrationReason::Start:
+        return "start";
+    case RegistrationReason::LeaseExpired:
+        return "lease expired";
+    }
+    return "unknown";
+}
+
 FailureDetectorOptions detectorOptions(const Settings &settings, const std::string &id)
 {
     return {.id = id,
@@ -137,6 +148,9 @@
     void receivedSnapshot(const SnapshotPtr &snapshot) override;
     void receivedStoreVersion(ConfigVersion version) override;
     void storeReachable(bool reachable) override;
+    void storeRestored(StoreGeneration earlier, StoreGeneration current) override;
+    void storeHistoryLost(const Error &error) override;
+    void documentSkipped(std::int64_t revision, std::int64_t decodedRevision) override;
     void configurationRefused(const Error &error) override;
 
     Result<bool> buildMembership();
@@ -146,6 +160,7 @@
     void subscribe();
     void startStoreAccess();
     bool isOnPlatform() const;
+    void registeredInDirectory(RegistrationReason reason);
     void targetsChanged(std::vector<Target> targets);
     void versionApplied(const SnapshotPtr &snapshot);
     void memberChanged(const MemberPtr &before, const MemberPtr &after);
@@ -259,7 +274,8 @@
             NodeDirectoryOptions{.address = m_settings.peer.advertise},
             *m_store,
             m_timers,
-            [this](const std::vector<Endpoint> &nodes) { m_detector->setSeeds(nodes); });
+            [this](const std::vector<Endpoint> &nodes) { m_detector->setSeeds(nodes); },
+            [this](RegistrationReason reason) { registeredInDirectory(reason); });
         return true;
     }
     m_configSource = std::make_unique<RepositorySource>(*m_store, m_timers, listener);
@@ -413,6 +429,8 @@
 
 void Node::Impl::receivedStoreVersion(ConfigVersion version)
 {
+    m_metrics.gauge("hornbeam_store_config_version", "Configuration version in the store.")
+        .set(static_cast<std::int64_t>(version));
     m_disseminator->setStoreHeadVersion(version);
 }
 
@@ -428,6 +446,36 @@
     }
 }
 
+void Node::Impl::storeRestored(StoreGeneration earlier, StoreGeneration current)
+{
+    m_metrics.counter("hornbeam_store_restorations_total", "Restorations of the store from an older copy.").add();
+    m_log.warning("store restored from an older copy",
+                  {{"generation", std::to_string(current)},
+                   {"earlierGeneration", std::to_string(earlier)},
+                   {"version", std::to_string(m_configuration.current()->version())}});
+}
+
+void Node::Impl::storeHistoryLost(const Error &error)
+{
+    m_metrics
+        .counter("hornbeam_store_history_lost_total",
+                 "Watches that ended because the store no longer had the changes to report.")
+        .add();
+    m_log.info("watch of the store ended; reading again", {{"error", error.message()}});
+}
+
+void Node::Impl::documentSkipped(std::int64_t revision, std::int64_t decodedRevision)
+{
+    m_metrics
+        .counter("hornbeam_config_documents_skipped_total",
+                 "Documents that were not decoded because their store revision was older.")
+        .add();
+    m_log.warning("configuration document skipped",
+                  {{"version", std::to_string(m_configuration.current()->version())},
+                   {"revision", std::to_string(revision)},
+                   {"decodedRevision", std::to_string(decodedRevision)}});
+}
+
 void Node::Impl::configurationRefused(const Error &error)
 {
     m_log.warning("configuration rejected; keeping the version in effect",
@@ -439,6 +487,17 @@
     return m_settings.environment == Environment::Platform;
 }
 
+void Node::Impl::registeredInDirectory(RegistrationReason reason)
+{
+    const std::string name = registrationReasonName(reason);
+    m_metrics
+        .counter("hornbeam_directory_registrations_total",
+                 "Registrations of this node in the directory.",
+                 {{"reason", name}})
+        .add();
+    m_log.info("registered in the directory", {{"reason", name}});
+}
+
 void Node::Impl::targetsChanged(std::vector<Target> targets)
 {
     m_log.info("targets on this host changed", {{"count", std::to_string(targets.size())}});
--- a/libs/config/include/hornbeam/config/configsource.h
+++ b/libs/config/include/hornbeam/config/configsource.h
@@ -2,7 +2,9 @@
 
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/config/snapshot.h>
+#include <hornbeam/store/storegeneration.h>
 
+#include <cstdint>
 #include <string>
 
 namespace Hornbeam {
@@ -24,6 +26,15 @@
     /** Called when the store becomes reachable or unreachable. */
     virtual void storeReachable(bool reachable) = 0;
 
+    /** The store was restored from an older copy between two reads that found these generations. */
+    virtual void storeRestored(StoreGeneration earlier, StoreGeneration current) = 0;
+
+    /** A watch ended because the store no longer has the changes to report; the store is read again. */
+    virtual void storeHistoryLost(const Error &error) = 0;
+
+    /** The store's document was skipped because its revision is older than @p decodedRevision, the last one decoded. */
+    virtual void documentSkipped(std::int64_t revision, std::int64_t decodedRevision) = 0;
+
     /** The store has an invalid configuration; the current one stays in effect. */
     virtual void configurationRefused(const Error &error) = 0;
 };
--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -45,7 +45,8 @@
     /** Starts to read the newest version; each read must end with readSucceeded() or readFailed(). */
     virtual void readStore() = 0;
 
-    void readSucceeded();
+    /** @p generation is that of the store at the time of the read. */
+    void readSucceeded(StoreGeneration generation);
     void readFailed();
 
     /** Starts a watch of the keys with @p prefix if setWatching() has enabled it. */
@@ -84,6 +85,7 @@
     TimerHandle m_retry;
     std::unique_ptr<Watch> m_watch;
     std::shared_ptr<bool> m_alive;
+    StoreGeneration m_generation = 0; ///< Of the last read whose generation is known.
     bool m_watching = false;
     bool m_reading = false;
     bool m_readingNeeded = true; ///< Whether to read the store even when not watching.
--- a/libs/config/src/documentsource.cpp
+++ b/libs/config/src/documentsource.cpp
@@ -37,7 +37,7 @@
         readFailed();
         return;
     }
-    readSucceeded();
+    readSucceeded(result->generation);
     for (const auto &entry : result->entries) {
         decode(entry);
     }
@@ -51,7 +51,11 @@
 void DocumentSource::decode(const KeyValue &document)
 {
     // The same revision can be read repeatedly; it is decoded only once.
-    if (document.key != m_key || document.modRevision <= m_decodedRevision) {
+    if (document.key != m_key || document.modRevision == m_decodedRevision) {
+        return;
+    }
+    if (document.modRevision < m_decodedRevision) {
+        listener().documentSkipped(document.modRevision, m_decodedRevision);
         return;
     }
     m_decodedRevision = document.modRevision;
--- a/libs/config/src/storeconfigsource.cpp
+++ b/libs/config/src/storeconfigsource.cpp
@@ -46,9 +46,15 @@
     m_readingNeeded = false;
 }
 
-void StoreConfigSource::readSucceeded()
+void StoreConfigSource::readSucceeded(StoreGeneration generation)
 {
     m_reading = false;
+    if (isRestoration(m_generation, generation)) {
+        m_listener.storeRestored(m_generation, generation);
+    }
+    if (generation != 0) {
+        m_generation = generation;
+    }
     setReachable(true);
     m_backoff.reset();
 }
@@ -76,6 +82,7 @@
 void StoreConfigSource::ended(const Error &error)
 {
     if (error.code() == ErrorCode::Conflict) {
+        m_listener.storeHistoryLost(error);
         m_watch.reset();
         read();
     } else {
--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -47,6 +47,15 @@
         reachable = isReachable;
     }
 
+    void storeRestored(StoreGeneration /*earlier*/, StoreGeneration /*current*/) override
+    {
+        ++restorations;
+    }
+
+    void storeHistoryLost(const Error & /*error*/) override {}
+
+    void documentSkipped(std::int64_t /*revision*/, std::int64_t /*decodedRevision*/) override {}
+
     void configurationRefused(const Error & /*error*/) override
     {
         ++refusals;
@@ -56,6 +65,7 @@
     ConfigVersion storeVersion = 0;
     bool reachable = false;
     int refusals = 0;
+    int restorations = 0;
 };
 
 } // namespace
--- a/libs/directory/include/hornbeam/directory/nodedirectory.h
+++ b/libs/directory/include/hornbeam/directory/nodedirectory.h
@@ -12,6 +12,12 @@
 
 namespace Hornbeam {
 
+/** Why a node writes its entry. */
+enum class RegistrationReason {
+    Start,
+    LeaseExpired,
+};
+
 /** Parameters of the registration of this node and of the discovery of others. */
 struct NodeDirectoryOptions
 {
@@ -34,8 +40,15 @@
     /** Called after each successful read with the addresses of all listed nodes except this one. */
     using Listener = std::function<void(const std::vector<Endpoint> &)>;
 
+    /** Called after each write of this node's entry. */
+    using RegistrationListener = std::function<void(RegistrationReason)>;
+
     /** The referenced objects must outlive the directory. */
-    NodeDirectory(NodeDirectoryOptions options, KeyValueStore &store, TimerService &timers, Listener listener);
+    NodeDirectory(NodeDirectoryOptions options,
+                  KeyValueStore &store,
+                  TimerService &timers,
+                  Listener listener,
+                  RegistrationListener registered);
     ~NodeDirectory();
 
     /** Registers this node, and reads the list periodically. */
@@ -56,9 +69,11 @@
     KeyValueStore &m_store;
     TimerService &m_timers;
     Listener m_listener;
+    RegistrationListener m_registrationListener;
     Backoff m_registrationBackoff;
     Backoff m_readBackoff;
     LeaseId m_lease = 0;
+    RegistrationReason m_reason = RegistrationReason::Start; ///< Of the current or last registration.
     bool m_firstRead = true; ///< The first read must not be stale: a starting node needs the others immediately.
     TimerHandle m_registrationTimer;
     TimerHandle m_readTimer;
--- a/libs/directory/src/nodedirectory.cpp
+++ b/libs/directory/src/nodedirectory.cpp
@@ -5,11 +5,13 @@
 NodeDirectory::NodeDirectory(NodeDirectoryOptions options,
                              KeyValueStore &store,
                              TimerService &timers,
-                             Listener listener)
+                             Listener listener,
+                             RegistrationListener registered)
     : m_options(std::move(options))
     , m_store(store)
     , m_timers(timers)
     , m_listener(std::move(listener))
+    , m_registrationListener(std::move(registered))
     , m_registrationBackoff(m_options.retry)
     , m_readBackoff(m_options.retry)
     , m_alive(std::make_shared<bool>(true))
@@ -69,6 +71,7 @@
         }
         m_registrationBackoff.reset();
         m_registrationTimer = m_timers.once(m_options.renewPeriod, [this] { renewLease(); });
+        m_registrationListener(m_reason);
     });
 }
 
@@ -80,6 +83,7 @@
         }
         if (!grant && grant.error().code() == ErrorCode::NotFound) {
             // The lease has expired and the store has removed the entry with it, so the node registers again.
+            m_reason = RegistrationReason::LeaseExpired;
             grantLease();
         } else if (!grant) {
             m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] { renewLease(); });
--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -17,10 +17,12 @@
 {
     ListedNode(TimerService &timers, const InMemoryStore &shared, const std::string &address)
         : store(executor, shared)
-        , directory({.address = *Endpoint::parse(address), .retry = {.initial = 100ms, .maximum = 1s, .seed = 3}},
-                    store,
-                    timers,
-                    [this](const std::vector<Endpoint> &nodes) { known = nodes; })
+        , directory(
+              {.address = *Endpoint::parse(address), .retry = {.initial = 100ms, .maximum = 1s, .seed = 3}},
+              store,
+              timers,
+              [this](const std::vector<Endpoint> &nodes) { known = nodes; },
+              [this](RegistrationReason reason) { registrations.push_back(reason); })
     {
     }
 
@@ -32,6 +34,7 @@
     ManualExecutor executor;
     InMemoryStore store;
     std::vector<Endpoint> known;
+    std::vector<RegistrationReason> registrations;
     NodeDirectory directory;
 };
 
@@ -92,6 +95,7 @@
     first.store.setFaults({});
     run(10s);
     CHECK(second.knows("10.0.0.1:7380"));
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::LeaseExpired}));
 }
 
 // Guards against a missing entry when the request that registers the node is lost, and its outcome is unknown.
--- a/libs/store/include/hornbeam/store/keyvaluestore.h
+++ b/libs/store/include/hornbeam/store/keyvaluestore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeam/base/error.h>
+#include <hornbeam/store/storegeneration.h>
 #include <hornbeam/store/transaction.h>
 
 #include <chrono>
@@ -55,6 +56,7 @@
     std::vector<KeyValue> entries;
     std::int64_t revision = 0; ///< Revision of the store at the time of the read.
     bool more = false; ///< More pages follow. Not set by KeyValueStore::range(), which reads all pages.
+    StoreGeneration generation = 0; ///< Generation of the store, to which the revisions belong.
 };
 
 struct LeaseGrant
--- a/libs/store/include/hornbeam/store/storeprotocol.h
+++ b/libs/store/include/hornbeam/store/storeprotocol.h
@@ -22,6 +22,7 @@
 {
     int status = 0; ///< HTTP status.
     std::string_view body;
+    std::string_view generation{}; ///< Value of the header StoreProtocol::generationHeader(); empty without it.
 };
 
 /** One message of a watch. */
@@ -55,6 +56,9 @@
     /** How long the store holds back the response to a long poll while nothing changes; unused with Stream. */
     virtual std::chrono::milliseconds longPollWait() const = 0;
 
+    /** Name of the response header that carries the generation of the store; empty if there is none. */
+    virtual std::string generationHeader() const = 0;
+
     virtual StoreCall rangeCall(const RangeRequest &request) const = 0;
 
     /** InvalidArgument when the store does not support such a transaction. */
--- a/libs/store/src/etcdstore.cpp
+++ b/libs/store/src/etcdstore.cpp
@@ -25,6 +25,11 @@
         return std::chrono::milliseconds(0); // Unused with WatchStyle::Stream.
     }
 
+    std::string generationHeader() const override
+    {
+        return {};
+    }
+
     StoreCall rangeCall(const RangeRequest &request) const override
     {
         return {.path = EtcdProtocol::rangePath, .body = EtcdProtocol::encodeRangeRequest(request)};
--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -157,7 +157,7 @@
     : m_options(std::move(options))
     , m_protocol(std::move(protocol))
     , m_executor(executor)
-    , m_transfers(m_options, metrics)
+    , m_transfers(m_options, m_protocol->generationHeader(), metrics)
 {
     for (std::size_t i = 0; i < callKinds; ++i) {
         const std::vector<MetricLabel> labels = {{.name = "call", .value = callNames[i]}};
@@ -187,7 +187,7 @@
         metrics.latency->record(std::chrono::steady_clock::now() - started);
         Result<T> result = tl::make_unexpected(transferError(transfer, write));
         if (transfer.code == CURLE_OK) {
-            result = decode({.status = transfer.status, .body = transfer.body});
+            result = decode({.status = transfer.status, .body = transfer.body, .generation = transfer.generation});
             if (!result && transfer.status == 200 && result.error().code() == ErrorCode::InvalidArgument) {
                 const auto code = write ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
                 result = makeError(code, "malformed response from the store: " + result.error().message());
@@ -227,6 +227,7 @@
             // The pages do not form a snapshot: to miss no change, a watch must start at the first page's revision.
             collected.revision =
                 collected.entries.empty() ? page->revision : std::min(collected.revision, page->revision);
+            collected.generation = page->generation;
             std::move(page->entries.begin(), page->entries.end(), std::back_inserter(collected.entries));
             if (!page->more || collected.entries.empty()) {
                 done(std::move(collected));
--- a/libs/store/src/transfer.cpp
+++ b/libs/store/src/transfer.cpp
@@ -115,7 +115,8 @@
     return {.code = code,
             .status = status(),
             .sent = preTransferTime > 0 || bytesSent() > 0,
-            .body = std::move(m_response)};
+            .body = std::move(m_response),
+            .generation = std::move(m_generation)};
 }
 
 int Transfer::status() const
@@ -178,9 +179,22 @@
     const std::string_view line(bytes, size * count);
     transfer->received(line.size());
     transfer->m_chunked = transfer->m_chunked || startsWithIgnoringCase(line, chunkedHeader);
+    transfer->keepGeneration(line);
     return line.size();
 }
 
+void Transfer::keepGeneration(std::string_view line)
+{
+    const auto &name = m_options.generationHeader;
+    if (name.empty() || !startsWithIgnoringCase(line, name + ":")) {
+        return;
+    }
+    constexpr std::string_view blanks = " \t\r\n";
+    const auto value = line.substr(name.size() + 1);
+    const auto begin = std::min(value.find_first_not_of(blanks), value.size());
+    m_generation = value.substr(begin, value.find_last_not_of(blanks) + 1 - begin);
+}
+
 void Transfer::received(std::size_t bytes)
 {
     m_bytesReceived += bytes;
--- a/libs/store/src/transfer.h
+++ b/libs/store/src/transfer.h
@@ -20,6 +20,7 @@
     int status = 0; ///< HTTP status; 0 without a response.
     bool sent = false; ///< Part of the request may have reached the store.
     std::string body;
+    std::string generation; ///< Value of TransferOptions::generationHeader in the response.
 };
 
 struct TransferOptions
@@ -28,6 +29,7 @@
     std::string method = "POST"; ///< GET, POST or DELETE.
     std::string body;
     std::string localAddress;
+    std::string generationHeader{}; ///< Lower-case name of the response header to keep; empty for none.
     std::chrono::milliseconds connectTimeout{0};
     std::chrono::milliseconds timeout{0}; ///< Limit for the whole transfer; 0 for none.
     bool freshConnection = false; ///< Do not reuse a pooled connection.
@@ -94,12 +96,14 @@
     static std::size_t writeHeader(char *bytes, std::size_t size, std::size_t count, void *self);
 
     void received(std::size_t bytes);
+    void keepGeneration(std::string_view line);
 
     TransferOptions m_options;
     CURL *m_handle;
     curl_slist *m_headers = nullptr;
     std::size_t m_bodyOffset = 0;
     std::string m_response;
+    std::string m_generation;
     BodySink m_sink;
     bool m_chunked = false;
     std::uint64_t m_bytesReceived = 0;
--- a/libs/store/src/transferloop.cpp
+++ b/libs/store/src/transferloop.cpp
@@ -1,6 +1,7 @@
 #include "transferloop.h"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace Hornbeam {
@@ -27,6 +28,12 @@
     return kind == TransferKind::Poll || kind == TransferKind::Stream;
 }
 
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
 void initCurl()
 {
     static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
@@ -35,8 +42,11 @@
 
 } // namespace
 
-TransferLoop::TransferLoop(const HttpStoreOptions &options, MetricsRegistry &metrics)
+TransferLoop::TransferLoop(const HttpStoreOptions &options,
+                           const std::string &generationHeader,
+                           MetricsRegistry &metrics)
     : m_options(options)
+    , m_generationHeader(lowerCase(generationHeader))
     , m_bytesSent(metrics.counter("hornbeam_store_bytes_sent_total", "Bytes sent to the store, HTTP framing included."))
     , m_bytesReceived(metrics.counter("hornbeam_store_bytes_received_total",
                                       "Bytes received from the store, HTTP framing included."))
@@ -205,6 +215,7 @@
             .method = std::move(storeCall.method),
             .body = std::move(storeCall.body),
             .localAddress = m_options.localAddress,
+            .generationHeader = m_generationHeader,
             .connectTimeout = m_options.connectTimeout,
             .timeout = isWatch(kind) ? std::chrono::milliseconds(0) : m_options.requestTimeout,
             .freshConnection = kind == TransferKind::Stream || sinceFailure < freshConnectionTime,
--- a/libs/store/src/transferloop.h
+++ b/libs/store/src/transferloop.h
@@ -32,8 +32,11 @@
 public:
     using FinishedCallback = std::function<void(TransferResult)>;
 
-    /** Keeps a reference to @p options, which must outlive the loop. */
-    TransferLoop(const HttpStoreOptions &options, MetricsRegistry &metrics);
+    /**
+     * Keeps a reference to @p options, which must outlive the loop. The results of the transfers have the value of the
+     * response header @p generationHeader, unless the name is empty.
+     */
+    TransferLoop(const HttpStoreOptions &options, const std::string &generationHeader, MetricsRegistry &metrics);
     ~TransferLoop();
     TransferLoop(const TransferLoop &) = delete;
     TransferLoop &operator=(const TransferLoop &) = delete;
@@ -72,6 +75,7 @@
     TransferOptions transferOptions(TransferKind kind, StoreCall storeCall) const;
 
     const HttpStoreOptions &m_options;
+    std::string m_generationHeader; ///< In lower case.
     Counter &m_bytesSent;
     Counter &m_bytesReceived;
     CURLM *m_multi;
