Let StoreModel be restored from a copy

Change: StoreModel and InMemoryStore can be copied and restored: revisions and lease ids go back and are given out again, the generation changes. A watch beyond the next revision ends with Conflict, as on the platform; etcd waits instead.

--- a/libs/store/include/hornbeam/store/inmemorystore.h
+++ b/libs/store/include/hornbeam/store/inmemorystore.h
@@ -10,6 +10,8 @@
 
 namespace Hornbeam {
 
+class StoreModel;
+
 struct InMemoryStoreOptions
 {
     Duration requestTimeout = std::chrono::seconds(2); ///< A call that faults delay for this long times out.
@@ -59,6 +61,15 @@
     void revokeLease(LeaseId lease, Callback<bool> callback) override;
     [[nodiscard]] std::unique_ptr<Watch> watch(WatchRequest request, WatchListener &listener) override;
 
+    /** Returns a copy of the current state. */
+    StoreModel copy() const;
+
+    /**
+     * Restores the store from @p copy, an earlier copy of it, for all handles. Calls that have not taken effect yet do
+     * so in the restored store; watches of later revisions end with Conflict.
+     */
+    void restore(const StoreModel &copy);
+
     /** Replaces the faults of this handle. */
     void setFaults(InMemoryStoreFaults faults);
 
--- a/libs/store/include/hornbeam/store/storemodel.h
+++ b/libs/store/include/hornbeam/store/storemodel.h
@@ -34,6 +34,17 @@
 public:
     explicit StoreModel(StoreModelOptions options = {});
 
+    /**
+     * Replaces the state by that of @p copy, an earlier copy of this model. Later revisions and lease ids are given out
+     * again, and the generation changes.
+     */
+    void restore(const StoreModel &copy);
+
+    StoreGeneration generation() const
+    {
+        return m_generation;
+    }
+
     /** The revision of the last change; 1 for an empty store. */
     std::int64_t revision() const
     {
@@ -67,7 +78,7 @@
     /**
      * Returns the changes under @p prefix with a revision of at least @p startRevision, in order. A deletion has an
      * empty value, createRevision 0 and its own revision in modRevision. Conflict when the history no longer reaches
-     * back to @p startRevision.
+     * back to @p startRevision, and, unlike etcd, when it is beyond the next revision.
      */
     Result<std::vector<KeyValue>> changesSince(const std::string &prefix, std::int64_t startRevision) const;
 
@@ -105,6 +116,7 @@
     void setRevision(TransactionResult &result) const;
 
     StoreModelOptions m_options;
+    StoreGeneration m_generation = 1;
     std::int64_t m_revision = 1;
     bool m_changed = false; ///< A key has changed, so the next finishWrite() advances the revision.
     std::map<std::string, KeyValue> m_entries;
--- a/libs/store/src/inmemorystore.cpp
+++ b/libs/store/src/inmemorystore.cpp
@@ -346,6 +346,17 @@
     return m_impl->watch(std::move(request), listener);
 }
 
+StoreModel InMemoryStore::copy() const
+{
+    return m_impl->m_state->model();
+}
+
+void InMemoryStore::restore(const StoreModel &copy)
+{
+    m_impl->m_state->model().restore(copy);
+    m_impl->m_state->publish();
+}
+
 void InMemoryStore::setFaults(InMemoryStoreFaults faults)
 {
     m_impl->setFaults(std::move(faults));
--- a/libs/store/src/storemodel.cpp
+++ b/libs/store/src/storemodel.cpp
@@ -19,6 +19,13 @@
 {
 }
 
+void StoreModel::restore(const StoreModel &copy)
+{
+    const auto next = m_generation + 1;
+    *this = copy;
+    m_generation = next;
+}
+
 RangeResult StoreModel::range(const RangeRequest &request, std::int64_t staleness) const
 {
     const std::int64_t readRevision = std::max(m_revision - staleness, m_firstHistoryRevision - 1);
@@ -40,7 +47,7 @@
             found.emplace(key, std::move(*previous));
         }
     }
-    RangeResult result{.entries = {}, .revision = std::min(readRevision, m_revision)};
+    RangeResult result{.entries = {}, .revision = std::min(readRevision, m_revision), .generation = m_generation};
     for (auto &[key, entry] : found) {
         if (request.limit > 0 && result.entries.size() >= static_cast<std::size_t>(request.limit)) {
             break;
@@ -133,6 +140,9 @@
     if (startRevision < m_firstHistoryRevision) {
         return makeError(ErrorCode::Conflict, "the start revision has been compacted");
     }
+    if (startRevision > m_revision + 1) {
+        return makeError(ErrorCode::Conflict, "the store has not reached the start revision");
+    }
     const auto first = std::lower_bound(
         m_history.begin(), m_history.end(), startRevision, [](const Change &change, std::int64_t revision) {
             return change.entry.modRevision < revision;
--- a/libs/store/tests/inmemorystoretest.cpp
+++ b/libs/store/tests/inmemorystoretest.cpp
@@ -3,6 +3,7 @@
 #include <hornbeam/base/faketimerservice.h>
 #include <hornbeam/store/inmemorystore.h>
 #include <hornbeam/store/manualexecutor.h>
+#include <hornbeam/store/storemodel.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -175,3 +176,20 @@
     executor.run();
     CHECK_EQUAL(1, listener.changes.size());
 }
+
+TEST(InMemoryStore, isRestoredFromACopy)
+{
+    commit(createOnly("/a", "1"));
+    const auto copy = store.copy();
+    const auto lost = grant(10s);
+    commit(createOnly("/b", "2", lost));
+    const auto watch = store.watch({.prefix = "/", .startRevision = store.revision() + 1}, listener);
+    store.restore(copy);
+    executor.run();
+    CHECK_EQUAL(2, store.revision());
+    STRCMP_EQUAL("1", valueOf("/a").c_str());
+    STRCMP_EQUAL("", valueOf("/b").c_str());
+    CHECK(listener.end && ErrorCode::Conflict == listener.end->code());
+    CHECK_EQUAL(lost, grant(10s));
+    CHECK_EQUAL(3, commit(createOnly("/c", "3"))->revision);
+}
