Apply a configuration whose revision a restored store gives out again

Cause: DocumentSource compared the revision of the document with that of the last one decoded, and skipped it if it was not higher. Revisions order the changes of one history of the store only.

Change: a document is skipped only if both its revision and the generation of the store are those of the last one decoded. The order of versions is kept by SnapshotHolder, which ignores older ones, so the order of revisions is not needed. Nothing is skipped for its lower revision now; the line and the counter of it are removed.

Why this works: the generation changes with each restoration, and within a generation a revision belongs to one change.

Tests: DocumentSource.receivesAChangeThatARestoredStoreGivesALowerRevision and DocumentSource.receivesAChangeThatARestoredStoreGivesTheSameRevision. Both failed before: "CHECK((listener.versions == std::vector<ConfigVersion>{4, 9})) failed".

--- a/bench/baselinenode/baselinenode.cpp
+++ b/bench/baselinenode/baselinenode.cpp
@@ -98,8 +98,6 @@
 
     void storeHistoryLost(const Error & /*error*/) override {}
 
-    void documentSkipped(std::int64_t, std::int64_t) override {}
-
     const BaselineNodeOptions m_options;
     AsioExecutor m_executor;
     AsioTimerService m_timers;
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -150,7 +150,6 @@
     void storeReachable(bool reachable) override;
     void storeRestored(StoreGeneration earlier, StoreGeneration current) override;
     void storeHistoryLost(const Error &error) override;
-    void documentSkipped(std::int64_t revision, std::int64_t decodedRevision) override;
     void configurationRefused(const Error &error) override;
 
     Result<bool> buildMembership();
@@ -464,18 +463,6 @@
     m_log.info("watch of the store ended; reading again", {{"error", error.message()}});
 }
 
-void Node::Impl::documentSkipped(std::int64_t revision, std::int64_t decodedRevision)
-{
-    m_metrics
-        .counter("hornbeam_config_documents_skipped_total",
-                 "Documents that were not decoded because their store revision was older.")
-        .add();
-    m_log.warning("configuration document skipped",
-                  {{"version", std::to_string(m_configuration.current()->version())},
-                   {"revision", std::to_string(revision)},
-                   {"decodedRevision", std::to_string(decodedRevision)}});
-}
-
 void Node::Impl::configurationRefused(const Error &error)
 {
     m_log.warning("configuration rejected; keeping the version in effect",
--- a/libs/config/include/hornbeam/config/configsource.h
+++ b/libs/config/include/hornbeam/config/configsource.h
@@ -4,7 +4,6 @@
 #include <hornbeam/config/snapshot.h>
 #include <hornbeam/store/storegeneration.h>
 
-#include <cstdint>
 #include <string>
 
 namespace Hornbeam {
@@ -32,9 +31,6 @@
     /** A watch ended because the store no longer has the changes to report; the store is read again. */
     virtual void storeHistoryLost(const Error &error) = 0;
 
-    /** The store's document was skipped because its revision is older than @p decodedRevision, the last one decoded. */
-    virtual void documentSkipped(std::int64_t revision, std::int64_t decodedRevision) = 0;
-
     /** The store has an invalid configuration; the current one stays in effect. */
     virtual void configurationRefused(const Error &error) = 0;
 };
--- a/libs/config/include/hornbeam/config/documentsource.h
+++ b/libs/config/include/hornbeam/config/documentsource.h
@@ -40,7 +40,8 @@
 
     const std::string m_key;
     const DocumentDecoder &m_decoder;
-    std::int64_t m_decodedRevision = 0; ///< Store revision of the last decoded document.
+    StoreGeneration m_decodedGeneration = 0; ///< Store generation of the last decoded document.
+    std::int64_t m_decodedRevision = 0; ///< Store revision of the last decoded document, in its generation.
 };
 
 } // namespace Hornbeam
--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -58,6 +58,12 @@
     /** Reads at once when the store no longer has the revisions that the watch needs, otherwise after a delay. */
     void ended(const Error &error) override;
 
+    /** Generation of the store at the last read; 0 while it is unknown. */
+    StoreGeneration generation() const
+    {
+        return m_generation;
+    }
+
     KeyValueStore &store() const
     {
         return m_store;
--- a/libs/config/src/documentsource.cpp
+++ b/libs/config/src/documentsource.cpp
@@ -50,14 +50,15 @@
 
 void DocumentSource::decode(const KeyValue &document)
 {
-    // The same revision can be read repeatedly; it is decoded only once.
-    if (document.key != m_key || document.modRevision == m_decodedRevision) {
+    if (document.key != m_key) {
         return;
     }
-    if (document.modRevision < m_decodedRevision) {
-        listener().documentSkipped(document.modRevision, m_decodedRevision);
+    // The same revision can be read repeatedly; it is decoded only once. A lower one is decoded, because a restored
+    // store gives revisions out again; the listener ignores versions older than the one in effect.
+    if (document.modRevision == m_decodedRevision && generation() == m_decodedGeneration) {
         return;
     }
+    m_decodedGeneration = generation();
     m_decodedRevision = document.modRevision;
     const auto snapshot = m_decoder.decode(document.value);
     if (!snapshot) {
--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -2,6 +2,7 @@
 #include <hornbeam/config/documentsource.h>
 #include <hornbeam/store/inmemorystore.h>
 #include <hornbeam/store/manualexecutor.h>
+#include <hornbeam/store/storemodel.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -54,8 +55,6 @@
 
     void storeHistoryLost(const Error & /*error*/) override {}
 
-    void documentSkipped(std::int64_t /*revision*/, std::int64_t /*decodedRevision*/) override {}
-
     void configurationRefused(const Error & /*error*/) override
     {
         ++refusals;
@@ -155,3 +154,32 @@
     CHECK(listener.reachable);
     CHECK((listener.versions == std::vector<ConfigVersion>{4, 8}));
 }
+
+// Guards against a confirmed change that is skipped because the restored store gives it a lower revision.
+TEST(DocumentSource, receivesAChangeThatARestoredStoreGivesALowerRevision)
+{
+    const auto copy = operatorStore.copy();
+    write("x", "other");
+    write("4");
+    start();
+    operatorStore.restore(copy);
+    run(1s);
+    write("9");
+    run(100ms);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+    CHECK_EQUAL(1, listener.restorations);
+}
+
+// Guards against a confirmed change that is skipped because the restored store gives it the same revision.
+TEST(DocumentSource, receivesAChangeThatARestoredStoreGivesTheSameRevision)
+{
+    const auto copy = operatorStore.copy();
+    write("4");
+    start();
+    store.setFaults({.unavailable = true});
+    operatorStore.restore(copy);
+    write("9");
+    store.setFaults({});
+    run(2s);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+}
