End a watch whose start revision belongs to an earlier generation

Cause: a watch continues after a revision of the read before it. If the store is restored from a copy in between, or while a poll is pending, the store may have given that revision out again. Changes up to it are then never reported, and the store cannot notice, because the revision exists.

Change: a watch has the generation of its start revision. It ends with Conflict, and reports no change, as soon as a response has another generation; the source then reads the keys again.

Why this works: a read and the watch after it either belong to one generation or the first response to the watch ends it.

--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -49,7 +49,10 @@
     void readSucceeded(StoreGeneration generation);
     void readFailed();
 
-    /** Starts a watch of the keys with @p prefix if setWatching() has enabled it. */
+    /**
+     * Starts a watch of the keys with @p prefix if setWatching() has enabled it. @p revision belongs to the generation
+     * of the last read.
+     */
     void watchFrom(const std::string &prefix, std::int64_t revision);
 
     /** Ends any running watch and reads the store after a delay. */
--- a/libs/config/src/storeconfigsource.cpp
+++ b/libs/config/src/storeconfigsource.cpp
@@ -69,7 +69,7 @@
 void StoreConfigSource::watchFrom(const std::string &prefix, std::int64_t revision)
 {
     if (m_watching) {
-        m_watch = m_store.watch({.prefix = prefix, .startRevision = revision}, *this);
+        m_watch = m_store.watch({.prefix = prefix, .startRevision = revision, .generation = m_generation}, *this);
     }
 }
 
--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -183,3 +183,38 @@
     run(2s);
     CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
 }
+
+// Guards against a change that is missed because a late response of the earlier generation determines the watch.
+TEST(DocumentSource, readsAgainWhenAResponseIsOlderThanTheRestoration)
+{
+    write("4");
+    const auto copy = operatorStore.copy();
+    write("x", "other");
+    write("x", "other");
+    store.setFaults({.answerDelay = 300ms});
+    source.start(0ms);
+    source.setWatching(true);
+    run(100ms);
+    operatorStore.restore(copy);
+    write("9");
+    write("x", "other");
+    write("x", "other");
+    run(1s);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+}
+
+// Guards against state of the first restoration that hides the second one.
+TEST(DocumentSource, receivesChangesAfterEachOfTwoRestorations)
+{
+    write("4");
+    start();
+    const auto copy = operatorStore.copy();
+    for (const std::string version : {"7", "9"}) {
+        operatorStore.restore(copy);
+        write("x", "other");
+        write(version);
+        run(1s);
+    }
+    CHECK_EQUAL(9, listener.versions.back());
+    CHECK_EQUAL(2, listener.restorations);
+}
--- a/libs/store/include/hornbeam/store/keyvaluestore.h
+++ b/libs/store/include/hornbeam/store/keyvaluestore.h
@@ -27,8 +27,8 @@
 
     /**
      * Reports that the watch ended, for example because the store became unreachable. It does not resume by itself.
-     * Conflict means that the store no longer has the start revision: read the keys again, and start a new watch after
-     * the revision of that read.
+     * Conflict means that the store does not have the start revision, or that its generation has changed: read the keys
+     * again, and start a new watch after the revision of that read.
      */
     virtual void ended(const Error &error) = 0;
 };
@@ -69,6 +69,7 @@
 {
     std::string prefix;
     std::int64_t startRevision = 0; ///< First revision to report; 0 starts at the current one.
+    StoreGeneration generation = 0; ///< Generation of the start revision; the watch reports no other one.
 };
 
 /**
--- a/libs/store/include/hornbeam/store/storeprotocol.h
+++ b/libs/store/include/hornbeam/store/storeprotocol.h
@@ -34,6 +34,7 @@
     std::int64_t compactRevision = 0; ///< Not 0 when the store no longer has the start revision.
     std::string cancelReason;
     std::vector<KeyValue> changes; ///< In the form described at WatchListener::changed().
+    StoreGeneration generation = 0; ///< Generation of the store when it sent the message.
 };
 
 /**
--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -42,6 +42,7 @@
     WatchListener *listener = nullptr; ///< Executor's thread only; null once the watch has ended.
     std::uint64_t transferId = 0; ///< The running transfer of the watch.
     bool stopped = false; ///< I/O thread only. When set, no further poll is started.
+    StoreGeneration generation = 0; ///< I/O thread only. Of the watched revisions, as soon as it is known.
 };
 
 using WatchStatePtr = std::shared_ptr<WatchState>;
@@ -243,6 +244,7 @@
     const auto state = std::make_shared<WatchState>();
     state->listener = &listener;
     state->transferId = m_nextTransferId.fetch_add(1);
+    state->generation = request.generation;
     m_transfers.submit([this, state, request] { beginWatch(request, state); });
     return std::make_unique<WatchHandle>(weak_from_this(), state);
 }
@@ -317,7 +319,8 @@
         postWatchEnded(state, transferError(result, false));
         return;
     }
-    auto message = m_protocol->decodeWatch({.status = result.status, .body = result.body});
+    auto message =
+        m_protocol->decodeWatch({.status = result.status, .body = result.body, .generation = result.generation});
     const auto revision = message ? message->revision : 0;
     if (!handleWatchMessage(state, std::move(message))) {
         return;
@@ -360,6 +363,13 @@
         postWatchEnded(state, Error(code, "the store cancelled the watch: " + message->cancelReason));
         return false;
     }
+    if (isRestoration(state->generation, message->generation)) {
+        postWatchEnded(state, Error(ErrorCode::Conflict, "the store was restored from a copy"));
+        return false;
+    }
+    if (message->generation != 0) {
+        state->generation = message->generation;
+    }
     if (!message->changes.empty()) {
         post([state, changes = std::move(message->changes)] {
             if (state->listener != nullptr) {
--- a/libs/store/src/inmemorystore.cpp
+++ b/libs/store/src/inmemorystore.cpp
@@ -14,6 +14,7 @@
 {
     std::string prefix;
     std::int64_t nextRevision = 0;
+    StoreGeneration generation = 0;
     WatchListener *listener = nullptr; ///< Null once the watch has ended.
     Executor *executor = nullptr;
     const void *owner = nullptr; ///< The handle that started the watch.
@@ -121,6 +122,9 @@
     void publishTo(const WatchStatePtr &watch)
     {
         auto changes = m_model.changesSince(watch->prefix, watch->nextRevision);
+        if (isRestoration(watch->generation, m_model.generation())) {
+            changes = makeError(ErrorCode::Conflict, "the store was restored from a copy");
+        }
         if (!changes) {
             postEnded(watch, changes.error());
             std::erase(m_watches, watch);
@@ -253,6 +257,7 @@
     {
         const auto watch = std::make_shared<WatchState>();
         watch->nextRevision = request.startRevision > 0 ? request.startRevision : m_state->model().revision() + 1;
+        watch->generation = request.generation != 0 ? request.generation : m_state->model().generation();
         watch->prefix = std::move(request.prefix);
         watch->listener = &listener;
         watch->executor = &m_executor;
