Fail a paged read of the store that spans a restoration

Cause: a list is read in pages that begin after the last key of the page before. If the store is restored from a copy between two pages, the list is neither the old nor the new one, and the smaller of the revisions, after which a watch would start, compares numbers of different generations.

Change: such a read fails as Unavailable, and its caller repeats it as after any failed read.

Test: PlatformStore.failsARangeWhosePagesDifferInGeneration, over HTTP. It failed before: "CHECK_FALSE(result->has_value()) failed".

--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -225,6 +225,11 @@
                 done(std::move(page));
                 return;
             }
+            // Pages of different generations could miss keys, and their revisions cannot be compared.
+            if (isRestoration(collected.generation, page->generation)) {
+                done(makeError(ErrorCode::Unavailable, "the store was restored between two pages"));
+                return;
+            }
             // The pages do not form a snapshot: to miss no change, a watch must start at the first page's revision.
             collected.revision =
                 collected.entries.empty() ? page->revision : std::min(collected.revision, page->revision);
