Register a node again when the store has lost its entry

A node that starts after a restoration finds only the nodes whose entries are in the copy.

Cause: a node took a renewed lease as proof that it is listed. After a restoration from a copy, its entry may be gone while its lease id has been given to another node; it then renews that node's lease, and is not listed until it starts again. A delayed write that attaches the entry to an earlier lease has the same effect.

Change: each read of the list checks that the node's own entry is there and belongs to its lease. A list that may be stale only leads to a read that is not, so that no entry is written again because a list is old. When the store was restored, the list is read at once. Ruled out: registering again whenever the generation changes, which costs two writes per node at the same moment also where no entry was lost; the check needs one read, and finds lost entries of any cause. The cost without a restoration is one read that is not stale for each list that is older than the node's entry.

Why this works: the check does not compare lease ids or revisions of different generations; it looks at what the others read.

Tests: NodeDirectory.registersAgainWhenARestoredStoreHasLostItsEntry failed before ("CHECK(second.knows("10.0.0.1:7380")) failed"), NodeDirectory.registersAgainWhenADelayedWriteHasReplacedItsEntry failed before ("CHECK((first.registrations == ...)) failed"); refreshRegistersALostEntryAtOnce and keepsItsEntryWhenTheListIsStale guard the new code.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -95,6 +95,8 @@
         return "start";
     case RegistrationReason::LeaseExpired:
         return "lease expired";
+    case RegistrationReason::EntryLost:
+        return "entry lost";
     }
     return "unknown";
 }
@@ -452,6 +454,9 @@
                   {{"generation", std::to_string(current)},
                    {"earlierGeneration", std::to_string(earlier)},
                    {"version", std::to_string(m_configuration.current()->version())}});
+    if (m_directory) {
+        m_directory->refresh();
+    }
 }
 
 void Node::Impl::storeHistoryLost(const Error &error)
--- a/libs/directory/include/hornbeam/directory/nodedirectory.h
+++ b/libs/directory/include/hornbeam/directory/nodedirectory.h
@@ -5,6 +5,7 @@
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/store/keyvaluestore.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,6 +17,7 @@
 enum class RegistrationReason {
     Start,
     LeaseExpired,
+    EntryLost, ///< The store no longer has the entry that the node has written.
 };
 
 /** Parameters of the registration of this node and of the discovery of others. */
@@ -32,7 +34,8 @@
 /**
  * Registers this node in the store and lists the registered nodes, so that nodes find each other without configured
  * seeds. The list only says which addresses to contact; the membership protocol determines which nodes are alive.
- * Control thread only.
+ * A renewed lease does not prove that the node is listed: after a restoration of the store, the entry may be gone and
+ * the lease id may belong to another node. Each read of the list therefore checks the entry. Control thread only.
  */
 class NodeDirectory
 {
@@ -54,14 +57,21 @@
     /** Registers this node, and reads the list periodically. */
     void start();
 
+    /** Reads the list at once, and not a stale one. Call it when the store has been restored from a copy. */
+    void refresh();
+
     /** Revokes the lease of this node's entry, which removes the entry, and stops all activity. */
     void leave();
 
 private:
+    void registerAgain(RegistrationReason reason);
     void grantLease();
     void writeEntry();
     void renewLease();
+    void scheduleRenewal(Duration delay);
     void readList();
+    bool hasOwnEntry(const RangeResult &list) const;
+    void handleMissingEntry(bool stale);
     void reportOtherNodes(const RangeResult &list);
     void retryRegistration();
 
@@ -72,9 +82,13 @@
     RegistrationListener m_registrationListener;
     Backoff m_registrationBackoff;
     Backoff m_readBackoff;
+    const std::string m_key; ///< Key of this node's entry.
     LeaseId m_lease = 0;
+    bool m_registered = false; ///< The entry has been written, and the lease has not expired since.
+    std::uint64_t m_registrations = 0; ///< Counts registrations; results for an earlier one are ignored.
     RegistrationReason m_reason = RegistrationReason::Start; ///< Of the current or last registration.
-    bool m_firstRead = true; ///< The first read must not be stale: a starting node needs the others immediately.
+    bool m_reading = false;
+    bool m_freshReadNeeded = true; ///< The next read must not be stale: a starting node needs the others immediately.
     TimerHandle m_registrationTimer;
     TimerHandle m_readTimer;
     std::shared_ptr<bool> m_alive; ///< False after leave() or destruction; callbacks of the store then do nothing.
--- a/libs/directory/src/nodedirectory.cpp
+++ b/libs/directory/src/nodedirectory.cpp
@@ -1,5 +1,9 @@
 #include <hornbeam/directory/nodedirectory.h>
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 namespace Hornbeam {
 
 NodeDirectory::NodeDirectory(NodeDirectoryOptions options,
@@ -14,6 +18,7 @@
     , m_registrationListener(std::move(registered))
     , m_registrationBackoff(m_options.retry)
     , m_readBackoff(m_options.retry)
+    , m_key(m_options.prefix + m_options.address.toString())
     , m_alive(std::make_shared<bool>(true))
 {
 }
@@ -29,6 +34,15 @@
     readList();
 }
 
+void NodeDirectory::refresh()
+{
+    m_freshReadNeeded = true;
+    if (*m_alive && !m_reading) {
+        m_readTimer.reset();
+        readList();
+    }
+}
+
 void NodeDirectory::leave()
 {
     m_registrationTimer.reset();
@@ -40,6 +54,15 @@
     }
 }
 
+void NodeDirectory::registerAgain(RegistrationReason reason)
+{
+    ++m_registrations;
+    m_registered = false;
+    m_reason = reason;
+    m_registrationTimer.reset();
+    grantLease();
+}
+
 void NodeDirectory::grantLease()
 {
     m_store.grantLease(m_options.timeToLive, [this, alive = m_alive](const Result<LeaseGrant> &grant) {
@@ -57,9 +80,8 @@
 
 void NodeDirectory::writeEntry()
 {
-    const auto address = m_options.address.toString();
     Transaction transaction;
-    transaction.success.push_back(Operation::put(m_options.prefix + address, address, m_lease));
+    transaction.success.push_back(Operation::put(m_key, m_options.address.toString(), m_lease));
     m_store.commit(std::move(transaction), [this, alive = m_alive](const Result<TransactionResult> &result) {
         if (!*alive) {
             return;
@@ -69,29 +91,30 @@
             retryRegistration();
             return;
         }
+        m_registered = true;
         m_registrationBackoff.reset();
-        m_registrationTimer = m_timers.once(m_options.renewPeriod, [this] { renewLease(); });
+        scheduleRenewal(m_options.renewPeriod);
         m_registrationListener(m_reason);
     });
 }
 
 void NodeDirectory::renewLease()
 {
-    m_store.keepLeaseAlive(m_lease, [this, alive = m_alive](const Result<LeaseGrant> &grant) {
-        if (!*alive) {
+    const auto renewed = [this, alive = m_alive, registration = m_registrations](const Result<LeaseGrant> &grant) {
+        if (!*alive || registration != m_registrations) {
             return;
         }
         if (!grant && grant.error().code() == ErrorCode::NotFound) {
             // The lease has expired and the store has removed the entry with it, so the node registers again.
-            m_reason = RegistrationReason::LeaseExpired;
-            grantLease();
+            registerAgain(RegistrationReason::LeaseExpired);
         } else if (!grant) {
-            m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] { renewLease(); });
+            scheduleRenewal(m_registrationBackoff.next());
         } else {
             m_registrationBackoff.reset();
-            m_registrationTimer = m_timers.once(m_options.renewPeriod, [this] { renewLease(); });
+            scheduleRenewal(m_options.renewPeriod);
         }
-    });
+    };
+    m_store.keepLeaseAlive(m_lease, renewed);
 }
 
 void NodeDirectory::retryRegistration()
@@ -99,24 +122,53 @@
     m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] { grantLease(); });
 }
 
+void NodeDirectory::scheduleRenewal(Duration delay)
+{
+    m_registrationTimer = m_timers.once(delay, [this] { renewLease(); });
+}
+
 void NodeDirectory::readList()
 {
-    const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = !m_firstRead};
-    m_store.range(request, [this, alive = m_alive](const Result<RangeResult> &result) {
+    m_reading = true;
+    const bool stale = !std::exchange(m_freshReadNeeded, false);
+    // Only a read that is sent after the entry was written must have the entry.
+    const auto registration = m_registered ? std::optional(m_registrations) : std::nullopt;
+    const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = stale};
+    m_store.range(request, [this, alive = m_alive, stale, registration](const Result<RangeResult> &result) {
         if (!*alive) {
             return;
         }
+        m_reading = false;
         if (!result) {
+            m_freshReadNeeded = m_freshReadNeeded || !stale;
             m_readTimer = m_timers.once(m_readBackoff.next(), [this] { readList(); });
             return;
         }
         m_readBackoff.reset();
-        m_firstRead = false;
-        m_readTimer = m_timers.once(m_options.refreshPeriod, [this] { readList(); });
+        if (registration == m_registrations && !hasOwnEntry(*result)) {
+            handleMissingEntry(stale);
+        }
+        m_readTimer = m_timers.once(m_freshReadNeeded ? Duration(0) : m_options.refreshPeriod, [this] { readList(); });
         reportOtherNodes(*result);
     });
 }
 
+bool NodeDirectory::hasOwnEntry(const RangeResult &list) const
+{
+    return std::any_of(list.entries.begin(), list.entries.end(), [this](const KeyValue &entry) {
+        return entry.key == m_key && entry.lease == m_lease;
+    });
+}
+
+void NodeDirectory::handleMissingEntry(bool stale)
+{
+    if (stale) {
+        m_freshReadNeeded = true; // The list may be older than the entry.
+    } else {
+        registerAgain(RegistrationReason::EntryLost);
+    }
+}
+
 void NodeDirectory::reportOtherNodes(const RangeResult &list)
 {
     std::vector<Endpoint> addresses;
--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -2,6 +2,7 @@
 #include <hornbeam/directory/nodedirectory.h>
 #include <hornbeam/store/inmemorystore.h>
 #include <hornbeam/store/manualexecutor.h>
+#include <hornbeam/store/storemodel.h>
 
 #include <algorithm>
 
@@ -12,6 +13,23 @@
 
 namespace {
 
+/** Returns the state of @c staleness revisions ago to the reads that permit it. */
+class StaleListStore : public InMemoryStore
+{
+public:
+    using InMemoryStore::InMemoryStore;
+
+    void range(RangeRequest request, Callback<RangeResult> callback) override
+    {
+        auto current = faults();
+        current.staleReads = request.mayBeStale ? staleness : 0;
+        setFaults(current);
+        InMemoryStore::range(std::move(request), std::move(callback));
+    }
+
+    std::int64_t staleness = 0;
+};
+
 /** A node with its own executor and its own handle to the shared store. */
 struct ListedNode
 {
@@ -32,7 +50,7 @@
     }
 
     ManualExecutor executor;
-    InMemoryStore store;
+    StaleListStore store;
     std::vector<Endpoint> known;
     std::vector<RegistrationReason> registrations;
     NodeDirectory directory;
@@ -128,3 +146,52 @@
     run(6s);
     CHECK(first.known.empty());
 }
+
+// Guards against a node that renews the lease of another node, while its own entry was lost with the restored store.
+TEST(NodeDirectory, registersAgainWhenARestoredStoreHasLostItsEntry)
+{
+    const auto copy = shared.copy();
+    first.directory.start();
+    run(2s);
+    shared.restore(copy);
+    second.directory.start(); // Gets the lease id that the first node had.
+    run(30s);
+    CHECK(second.knows("10.0.0.1:7380"));
+    CHECK(first.knows("10.0.0.2:7380"));
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::EntryLost}));
+    CHECK_EQUAL(1, second.registrations.size());
+}
+
+// Guards against an entry that expires because a delayed write has attached it to an earlier lease.
+TEST(NodeDirectory, registersAgainWhenADelayedWriteHasReplacedItsEntry)
+{
+    first.directory.start();
+    run(2s);
+    Transaction transaction;
+    transaction.success.push_back(Operation::put("hornbeamring/nodes/10.0.0.1:7380", "10.0.0.1:7380"));
+    shared.commit(std::move(transaction), [](const Result<TransactionResult> &) {});
+    run(30s);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::EntryLost}));
+}
+
+// Guards against waiting for the next periodic read, which may be stale, after the store was restored.
+TEST(NodeDirectory, refreshRegistersALostEntryAtOnce)
+{
+    const auto copy = shared.copy();
+    first.directory.start();
+    run(2s);
+    shared.restore(copy);
+    first.directory.refresh();
+    run(200ms);
+    CHECK_EQUAL(2, first.registrations.size());
+}
+
+// Guards against a new registration for each list that is older than the node's entry.
+TEST(NodeDirectory, keepsItsEntryWhenTheListIsStale)
+{
+    first.store.staleness = 1000;
+    first.directory.start();
+    second.directory.start();
+    run(30s);
+    CHECK_EQUAL(1, first.registrations.size());
+}
