Remove only the own entry when a node leaves the directory

Cause: a leaving node revoked its lease to remove its entry. After a restoration of the store from a copy, the id of a lease that was granted after the copy may belong to another node; revoking it removes that node's entry, which is missing until the node renews its lease, up to 15 s later.

Change: a leaving node deletes its entry on the condition that it has the revision of the node's own write. A write that is still in flight when the node leaves is removed when it succeeds. The lease, which no entry uses, is left to expire. Ruled out: revoking if the generation is still the same, because the store may be restored before the call arrives.

Why this works: only a process at the same address writes the key, so that an equal revision of a later generation would have to be its write.

Tests: NodeDirectory.keepsTheEntryOfAnotherNodeWhenItLeavesAfterARestoration failed before ("CHECK(third.knows("10.0.0.2:7380")) failed"). NodeDirectory.removesAnEntryThatIsWrittenWhileItLeaves passed before and guards the write in flight.

--- a/libs/directory/include/hornbeam/directory/nodedirectory.h
+++ b/libs/directory/include/hornbeam/directory/nodedirectory.h
@@ -60,7 +60,7 @@
     /** Reads the list at once, and not a stale one. Call it when the store has been restored from a copy. */
     void refresh();
 
-    /** Revokes the lease of this node's entry, which removes the entry, and stops all activity. */
+    /** Removes this node's entry, also one whose write is still in flight, and stops all activity. */
     void leave();
 
 private:
@@ -84,7 +84,7 @@
     Backoff m_readBackoff;
     const std::string m_key; ///< Key of this node's entry.
     LeaseId m_lease = 0;
-    bool m_registered = false; ///< The entry has been written, and the lease has not expired since.
+    std::int64_t m_entryRevision = 0; ///< Revision of the written entry; 0 until it is written.
     std::uint64_t m_registrations = 0; ///< Counts registrations; results for an earlier one are ignored.
     RegistrationReason m_reason = RegistrationReason::Start; ///< Of the current or last registration.
     bool m_reading = false;
--- a/libs/directory/src/nodedirectory.cpp
+++ b/libs/directory/src/nodedirectory.cpp
@@ -6,6 +6,22 @@
 
 namespace Hornbeam {
 
+namespace {
+
+/**
+ * Removes an entry unless it has been written again since. The lease is not revoked instead, because its id may belong
+ * to another node after a restoration of the store. If the call fails, the entry expires with its lease.
+ */
+void removeEntry(KeyValueStore &store, const std::string &key, std::int64_t revision)
+{
+    Transaction transaction;
+    transaction.compares.push_back({.key = key, .field = Compare::Field::ModRevision, .revision = revision});
+    transaction.success.push_back(Operation::remove(key));
+    store.commit(std::move(transaction), [](const Result<TransactionResult> & /*result*/) {});
+}
+
+} // namespace
+
 NodeDirectory::NodeDirectory(NodeDirectoryOptions options,
                              KeyValueStore &store,
                              TimerService &timers,
@@ -48,16 +64,15 @@
     m_registrationTimer.reset();
     m_readTimer.reset();
     *m_alive = false;
-    if (m_lease != 0) {
-        // Revoking the lease removes the entry. If the call fails, the lease expires after the time to live.
-        m_store.revokeLease(m_lease, [](const Result<bool> & /*revoked*/) {});
+    if (m_entryRevision != 0) {
+        removeEntry(m_store, m_key, m_entryRevision);
     }
 }
 
 void NodeDirectory::registerAgain(RegistrationReason reason)
 {
     ++m_registrations;
-    m_registered = false;
+    m_entryRevision = 0;
     m_reason = reason;
     m_registrationTimer.reset();
     grantLease();
@@ -82,20 +97,25 @@
 {
     Transaction transaction;
     transaction.success.push_back(Operation::put(m_key, m_options.address.toString(), m_lease));
-    m_store.commit(std::move(transaction), [this, alive = m_alive](const Result<TransactionResult> &result) {
-        if (!*alive) {
-            return;
-        }
-        // The outcome of a failed write may be unknown; writing the entry again is idempotent.
-        if (!result) {
-            retryRegistration();
-            return;
-        }
-        m_registered = true;
-        m_registrationBackoff.reset();
-        scheduleRenewal(m_options.renewPeriod);
-        m_registrationListener(m_reason);
-    });
+    const auto written =
+        [this, alive = m_alive, &store = m_store, key = m_key](const Result<TransactionResult> &result) {
+            if (!*alive) {
+                if (result) {
+                    removeEntry(store, key, result->revision);
+                }
+                return;
+            }
+            // The outcome of a failed write may be unknown; writing the entry again is idempotent.
+            if (!result) {
+                retryRegistration();
+                return;
+            }
+            m_entryRevision = result->revision;
+            m_registrationBackoff.reset();
+            scheduleRenewal(m_options.renewPeriod);
+            m_registrationListener(m_reason);
+        };
+    m_store.commit(std::move(transaction), written);
 }
 
 void NodeDirectory::renewLease()
@@ -132,7 +152,7 @@
     m_reading = true;
     const bool stale = !std::exchange(m_freshReadNeeded, false);
     // Only a read that is sent after the entry was written must have the entry.
-    const auto registration = m_registered ? std::optional(m_registrations) : std::nullopt;
+    const auto registration = m_entryRevision != 0 ? std::optional(m_registrations) : std::nullopt;
     const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = stale};
     m_store.range(request, [this, alive = m_alive, stale, registration](const Result<RangeResult> &result) {
         if (!*alive) {
--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -195,3 +195,32 @@
     run(30s);
     CHECK_EQUAL(1, first.registrations.size());
 }
+
+// Guards against a leaving node that revokes the lease of another node, which has its id since the store was restored.
+TEST(NodeDirectory, keepsTheEntryOfAnotherNodeWhenItLeavesAfterARestoration)
+{
+    const auto copy = shared.copy();
+    first.directory.start();
+    run(2s);
+    shared.restore(copy);
+    second.directory.start(); // Gets the lease id that the first node had.
+    run(1s);
+    first.directory.leave();
+    run(1s);
+    ListedNode third{timers, shared, "10.0.0.3:7380"};
+    third.directory.start();
+    third.executor.run();
+    CHECK(third.knows("10.0.0.2:7380"));
+}
+
+// Guards against an entry that stays listed because its write took effect after the node had left.
+TEST(NodeDirectory, removesAnEntryThatIsWrittenWhileItLeaves)
+{
+    first.store.setFaults({.applyDelay = 100ms, .answerDelay = 100ms});
+    first.directory.start();
+    second.directory.start();
+    run(250ms);
+    first.directory.leave();
+    run(6s);
+    CHECK_FALSE(second.knows("10.0.0.1:7380"));
+}
