Detect a restored etcd cluster by its cluster id

Cause: outside the platform, RepositorySource watches after the revision of the head that it has read, like DocumentSource. etcd holds back a watch of a revision that it has not reached, so that changes up to it are never reported after a restoration. Found by review; no test of the product's own store restores it.

Test: EtcdStore.endsAWatchWhenTheClusterWasRestored failed before ("CHECK(ErrorCode::Conflict == listener.end->code()) failed"). The 33 tests of storetests and the 48 of configtests pass.

--- a/daemons/hornbeamd/repositorysource.cpp
+++ b/daemons/hornbeamd/repositorysource.cpp
@@ -31,7 +31,7 @@
         readFailed();
         return;
     }
-    readSucceeded(0);
+    readSucceeded(head->generation);
     loadIfNewer(*head);
     watchFrom(ConfigRepository::watchPrefix(), head->modRevision + 1);
 }
--- a/libs/config/src/configrepository.cpp
+++ b/libs/config/src/configrepository.cpp
@@ -337,10 +337,16 @@
             return;
         }
         if (result->entries.empty()) {
-            callback(ConfigHead::none());
+            auto none = ConfigHead::none();
+            none.generation = result->generation;
+            callback(std::move(none));
             return;
         }
-        callback(ConfigHead::decode(result->entries.front().value, result->entries.front().modRevision));
+        auto head = ConfigHead::decode(result->entries.front().value, result->entries.front().modRevision);
+        if (head) {
+            head->generation = result->generation;
+        }
+        callback(std::move(head));
     });
 }
 
--- a/libs/store/src/etcdprotocol.cpp
+++ b/libs/store/src/etcdprotocol.cpp
@@ -143,6 +143,17 @@
     return integer(member(json, "header"), "revision");
 }
 
+/** The cluster id, which is a new one when a cluster is restored from a snapshot under another cluster token. */
+StoreGeneration headerGeneration(const Json &json)
+{
+    const auto &head = member(json, "header");
+    const auto it = head.find("cluster_id");
+    if (it == head.end()) {
+        return 0;
+    }
+    return it->is_string() ? std::stoull(it->get_ref<const std::string &>()) : it->get<StoreGeneration>();
+}
+
 Json toJson(const KeyValue &entry)
 {
     Json json = Json::object();
@@ -517,7 +528,9 @@
 Result<RangeResult> decodeRangeResult(std::string_view text)
 {
     return decode<RangeResult>(text, [](const Json &json) {
-        return RangeResult{.entries = readKeyValues(json, "kvs"), .revision = headerRevision(json)};
+        return RangeResult{.entries = readKeyValues(json, "kvs"),
+                           .revision = headerRevision(json),
+                           .generation = headerGeneration(json)};
     });
 }
 
@@ -547,6 +560,7 @@
         const auto &result = streamResult(json);
         WatchMessage message;
         message.revision = headerRevision(result);
+        message.generation = headerGeneration(result);
         message.created = boolean(result, "created");
         message.cancelled = boolean(result, "canceled");
         message.compactRevision = integer(result, "compact_revision");
--- a/libs/store/tests/etcdstoretest.cpp
+++ b/libs/store/tests/etcdstoretest.cpp
@@ -250,6 +250,25 @@
     CHECK_EQUAL(server.bytesReceived(), counter("hornbeam_store_bytes_sent_total"));
 }
 
+// Guards against changes that a watch misses because a cluster restored from a snapshot gives revisions out again.
+TEST(EtcdStore, endsAWatchWhenTheClusterWasRestored)
+{
+    const std::string event = R"({"result":{"header":{"cluster_id":"18446744073709551615","revision":"5"},"events":)"
+                              R"([{"kv":{"key":"L2E=","value":"MQ==","create_revision":"5","mod_revision":"5"}}]}})";
+    ScriptedServer server([&](const ScriptedRequest &request) {
+        if (request.path == EtcdProtocol::rangePath) {
+            return ScriptedReply{okResponse(R"({"header":{"cluster_id":"14841639068965178418","revision":"4"}})")};
+        }
+        return ScriptedReply{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(event + "\n")};
+    });
+    connect(server.endpoint());
+    const auto read = range();
+    const auto watch = store->watch({.prefix = "/", .startRevision = 5, .generation = read->generation}, listener);
+    runUntil([&] { return listener.end.has_value(); });
+    CHECK(ErrorCode::Conflict == listener.end->code());
+    CHECK(listener.changes.empty());
+}
+
 TEST(EtcdStore, refusesOptionsOutOfRange)
 {
     const Endpoint endpoint("127.0.0.1", 1);
