Test that a change reaches every node after the store was restored

Cause: no test with real processes restored the store. Change: the store stand-in can take a copy and be restored from it; its messages carry the generation as the cluster id. Test: Version.changeReachesEveryNodeAfterTheStoreWasRestored. It has not been shown to fail without a protection: the node that confirms a change also sends it to the others.

--- a/libs/store/include/hornbeam/store/inmemorystore.h
+++ b/libs/store/include/hornbeam/store/inmemorystore.h
@@ -79,6 +79,8 @@
     /** The revision of the last change. */
     std::int64_t revision() const;
 
+    StoreGeneration generation() const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/libs/store/src/etcdprotocol.cpp
+++ b/libs/store/src/etcdprotocol.cpp
@@ -131,10 +131,13 @@
     return key;
 }
 
-Json header(std::int64_t revision)
+Json header(std::int64_t revision, StoreGeneration generation = 0)
 {
     Json json = Json::object();
     setInteger(json, "revision", revision);
+    if (generation != 0) {
+        json["cluster_id"] = std::to_string(generation);
+    }
     return json;
 }
 
@@ -476,7 +479,7 @@
 
 std::string encodeRangeResult(const RangeResult &result)
 {
-    Json json = {{"header", header(result.revision)}};
+    Json json = {{"header", header(result.revision, result.generation)}};
     if (!result.entries.empty()) {
         json["kvs"] = toJson(result.entries);
         setInteger(json, "count", static_cast<std::int64_t>(result.entries.size()));
@@ -506,7 +509,7 @@
 
 std::string encodeWatchMessage(const WatchMessage &message)
 {
-    Json result = {{"header", header(message.revision)}};
+    Json result = {{"header", header(message.revision, message.generation)}};
     if (message.created) {
         result["created"] = true;
     }
--- a/libs/store/src/inmemorystore.cpp
+++ b/libs/store/src/inmemorystore.cpp
@@ -382,4 +382,9 @@
     return m_impl->m_state->model().revision();
 }
 
+StoreGeneration InMemoryStore::generation() const
+{
+    return m_impl->m_state->model().generation();
+}
+
 } // namespace Hornbeam
--- a/tests/integration/tests/versionintegrationtest.cpp
+++ b/tests/integration/tests/versionintegrationtest.cpp
@@ -193,3 +193,18 @@
     createVersion(0);
     checkServed(mesh->allNodes(), "a node did not serve the version within 3 s");
 }
+
+// Guards against a node that goes back to the version in the copy, or misses the next change, when the store has been
+// restored from a copy.
+TEST(Version, changeReachesEveryNodeAfterTheStoreWasRestored)
+{
+    CHECK(mesh->controlStore({{"copy", true}}));
+    createVersion(0);
+    createVersion(1);
+    checkServed(mesh->allNodes(), "a node did not serve the version within 3 s");
+    const VersionMonitor monitor(*mesh, 4, version);
+    CHECK(mesh->controlStore({{"restore", true}}));
+    createVersion(2);
+    checkServed(mesh->allNodes(), "a node did not serve the version within 3 s after the restoration");
+    CHECK_TEXT(!monitor.regressed(), std::to_string(monitor.regressedVersion()).c_str());
+}
--- a/tools/storestandin/src/storestandin.cpp
+++ b/tools/storestandin/src/storestandin.cpp
@@ -6,6 +6,7 @@
 #include <hornbeam/base/asioruntime.h>
 #include <hornbeam/store/etcdprotocol.h>
 #include <hornbeam/store/inmemorystore.h>
+#include <hornbeam/store/storemodel.h>
 
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
@@ -354,6 +355,7 @@
         WatchMessage created;
         created.created = true;
         created.revision = m_store.revision();
+        created.generation = m_store.generation();
         stream->send(created);
         stream->start(m_store.watch(*decoded, *stream));
         m_streams[id] = std::move(stream);
@@ -366,6 +368,7 @@
         }
         WatchMessage progress;
         progress.revision = m_store.revision();
+        progress.generation = m_store.generation();
         for (const auto &[id, stream] : m_streams) {
             stream->send(progress);
         }
@@ -398,6 +401,8 @@
      * lose_answers_prefix (string): the same for all writes of a key with this prefix; empty for none.
      * lose_requests (number N): the next N writes have no effect and no response.
      * stale_reads (number N): range calls return the state of N revisions ago.
+     * copy (bool): true takes a copy of the store, for restore.
+     * restore (bool): true restores the store from the copy.
      * refuse_above_rate (bool): calls above the rate limit receive 429 at once instead of being delayed.
      * writes_per_second, reads_per_second (number): the rate limits.
      */
@@ -408,6 +413,8 @@
         auto options = m_options;
         bool silent = m_silent;
         bool refuseAboveRate = m_refuseAboveRate;
+        bool copy = false;
+        bool restore = false;
         for (const auto &[name, value] : json.items()) {
             if (name == "down") {
                 faults.unavailable = value.get<bool>();
@@ -425,6 +432,10 @@
                 faults.loseRequests = value.get<std::uint32_t>();
             } else if (name == "stale_reads") {
                 faults.staleReads = value.get<std::uint32_t>();
+            } else if (name == "copy") {
+                copy = value.get<bool>();
+            } else if (name == "restore") {
+                restore = value.get<bool>();
             } else if (name == "refuse_above_rate") {
                 refuseAboveRate = value.get<bool>();
             } else if (name == "writes_per_second") {
@@ -439,6 +450,12 @@
         m_options = std::move(options);
         m_silent = silent;
         m_refuseAboveRate = refuseAboveRate;
+        if (copy) {
+            m_copy = m_store.copy();
+        }
+        if (restore) {
+            m_store.restore(m_copy);
+        }
     }
 
     /** Returns the counters. calls_per_second is the number of calls in the last second plus that of open watches. */
@@ -462,6 +479,7 @@
     AsioExecutor m_executor;
     AsioTimerService m_timers;
     InMemoryStore m_store;
+    StoreModel m_copy; ///< Initially the empty store.
     bool m_silent = false;
     bool m_refuseAboveRate = false;
     RateLimiter m_readLimiter;
