--- a/bench/baselinenode/baselinenode.cpp
+++ b/bench/baselinenode/baselinenode.cpp
@@ -94,6 +94,10 @@
 
     void storeReachable(bool) override {}
 
+    void storeRestored(StoreGeneration, StoreGeneration) override {}
+
+    void storeHistoryLost(const Error & /*error*/) override {}
+
     const BaselineNodeOptions m_options;
     AsioExecutor m_executor;
     AsioTimerService m_timers;
--- a/libs/config/include/hornbeam/config/configsource.h
+++ b/libs/config/include/hornbeam/config/configsource.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/config/snapshot.h>
+#include <hornbeam/store/storegeneration.h>
 
 #include <string>
 
@@ -24,6 +25,12 @@
     /** Called when the store becomes reachable or unreachable. */
     virtual void storeReachable(bool reachable) = 0;
 
+    /** The store was restored from an older copy between two reads that found these generations. */
+    virtual void storeRestored(StoreGeneration earlier, StoreGeneration current) = 0;
+
+    /** A watch ended because the store no longer has the changes to report; the store is read again. */
+    virtual void storeHistoryLost(const Error &error) = 0;
+
     /** The store has an invalid configuration; the current one stays in effect. */
     virtual void configurationRefused(const Error &error) = 0;
 };
--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -45,10 +45,14 @@
     /** Starts to read the newest version; each read must end with readSucceeded() or readFailed(). */
     virtual void readStore() = 0;
 
-    void readSucceeded();
+    /** @p generation is that of the store at the time of the read. */
+    void readSucceeded(StoreGeneration generation);
     void readFailed();
 
-    /** Starts a watch of the keys with @p prefix if setWatching() has enabled it. */
+    /**
+     * Starts a watch of the keys with @p prefix if setWatching() has enabled it. @p revision belongs to the generation
+     * of the last read.
+     */
     void watchFrom(const std::string &prefix, std::int64_t revision);
 
     /** Ends any running watch and reads the store after a delay. */
@@ -57,6 +61,12 @@
     /** Reads at once when the store no longer has the revisions that the watch needs, otherwise after a delay. */
     void ended(const Error &error) override;
 
+    /** Generation of the store at the last read; 0 while it is unknown. */
+    StoreGeneration generation() const
+    {
+        return m_generation;
+    }
+
     KeyValueStore &store() const
     {
         return m_store;
@@ -84,6 +94,7 @@
     TimerHandle m_retry;
     std::unique_ptr<Watch> m_watch;
     std::shared_ptr<bool> m_alive;
+    StoreGeneration m_generation = 0; ///< Of the last read whose generation is known.
     bool m_watching = false;
     bool m_reading = false;
     bool m_readingNeeded = true; ///< Whether to read the store even when not watching.
--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -2,6 +2,7 @@
 #include <hornbeam/config/documentsource.h>
 #include <hornbeam/store/inmemorystore.h>
 #include <hornbeam/store/manualexecutor.h>
+#include <hornbeam/store/storemodel.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,6 +48,13 @@
         reachable = isReachable;
     }
 
+    void storeRestored(StoreGeneration /*earlier*/, StoreGeneration /*current*/) override
+    {
+        ++restorations;
+    }
+
+    void storeHistoryLost(const Error & /*error*/) override {}
+
     void configurationRefused(const Error & /*error*/) override
     {
         ++refusals;
@@ -56,6 +64,7 @@
     ConfigVersion storeVersion = 0;
     bool reachable = false;
     int refusals = 0;
+    int restorations = 0;
 };
 
 } // namespace
@@ -145,3 +154,67 @@
     CHECK(listener.reachable);
     CHECK((listener.versions == std::vector<ConfigVersion>{4, 8}));
 }
+
+// Guards against a confirmed change that is skipped because the restored store gives it a lower revision.
+TEST(DocumentSource, receivesAChangeThatARestoredStoreGivesALowerRevision)
+{
+    const auto copy = operatorStore.copy();
+    write("x", "other");
+    write("4");
+    start();
+    operatorStore.restore(copy);
+    run(1s);
+    write("9");
+    run(100ms);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+    CHECK_EQUAL(1, listener.restorations);
+}
+
+// Guards against a confirmed change that is skipped because the restored store gives it the same revision.
+TEST(DocumentSource, receivesAChangeThatARestoredStoreGivesTheSameRevision)
+{
+    const auto copy = operatorStore.copy();
+    write("4");
+    start();
+    store.setFaults({.unavailable = true});
+    operatorStore.restore(copy);
+    write("9");
+    store.setFaults({});
+    run(2s);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+}
+
+// Guards against a change that is missed because a late response of the earlier generation determines the watch.
+TEST(DocumentSource, readsAgainWhenAResponseIsOlderThanTheRestoration)
+{
+    write("4");
+    const auto copy = operatorStore.copy();
+    write("x", "other");
+    write("x", "other");
+    store.setFaults({.answerDelay = 300ms});
+    source.start(0ms);
+    source.setWatching(true);
+    run(100ms);
+    operatorStore.restore(copy);
+    write("9");
+    write("x", "other");
+    write("x", "other");
+    run(1s);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+}
+
+// Guards against state of the first restoration that hides the second one.
+TEST(DocumentSource, receivesChangesAfterEachOfTwoRestorations)
+{
+    write("4");
+    start();
+    const auto copy = operatorStore.copy();
+    for (const std::string version : {"7", "9"}) {
+        operatorStore.restore(copy);
+        write("x", "other");
+        write(version);
+        run(1s);
+    }
+    CHECK_EQUAL(9, listener.versions.back());
+    CHECK_EQUAL(2, listener.restorations);
+}
--- a/libs/directory/src/nodedirectory.cpp
+++ b/libs/directory/src/nodedirectory.cpp
@@ -1,17 +1,40 @@
 #include <hornbeam/directory/nodedirectory.h>
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 namespace Hornbeam {
 
+namespace {
+
+/**
+ * Removes an entry unless it has been written again since. The lease is not revoked instead, because its id may belong
+ * to another node after a restoration of the store. If the call fails, the entry expires with its lease.
+ */
+void removeEntry(KeyValueStore &store, const std::string &key, std::int64_t revision)
+{
+    Transaction transaction;
+    transaction.compares.push_back({.key = key, .field = Compare::Field::ModRevision, .revision = revision});
+    transaction.success.push_back(Operation::remove(key));
+    store.commit(std::move(transaction), [](const Result<TransactionResult> & /*result*/) {});
+}
+
+} // namespace
+
 NodeDirectory::NodeDirectory(NodeDirectoryOptions options,
                              KeyValueStore &store,
                              TimerService &timers,
-                             Listener listener)
+                             Listener listener,
+                             RegistrationListener registered)
     : m_options(std::move(options))
     , m_store(store)
     , m_timers(timers)
     , m_listener(std::move(listener))
+    , m_registrationListener(std::move(registered))
     , m_registrationBackoff(m_options.retry)
     , m_readBackoff(m_options.retry)
+    , m_key(m_options.prefix + m_options.address.toString())
     , m_alive(std::make_shared<bool>(true))
 {
 }
@@ -27,17 +50,34 @@
     readList();
 }
 
+void NodeDirectory::refresh()
+{
+    m_freshReadNeeded = true;
+    if (*m_alive && !m_reading) {
+        m_readTimer.reset();
+        readList();
+    }
+}
+
 void NodeDirectory::leave()
 {
     m_registrationTimer.reset();
     m_readTimer.reset();
     *m_alive = false;
-    if (m_lease != 0) {
-        // Revoking the lease removes the entry. If the call fails, the lease expires after the time to live.
-        m_store.revokeLease(m_lease, [](const Result<bool> & /*revoked*/) {});
+    if (m_entryRevision != 0) {
+        removeEntry(m_store, m_key, m_entryRevision);
     }
 }
 
+void NodeDirectory::registerAgain(RegistrationReason reason)
+{
+    ++m_registrations;
+    m_entryRevision = 0;
+    m_reason = reason;
+    m_registrationTimer.reset();
+    grantLease();
+}
+
 void NodeDirectory::grantLease()
 {
     m_store.grantLease(m_options.timeToLive, [this, alive = m_alive](const Result<LeaseGrant> &grant) {
@@ -55,39 +95,46 @@
 
 void NodeDirectory::writeEntry()
 {
-    const auto address = m_options.address.toString();
     Transaction transaction;
-    transaction.success.push_back(Operation::put(m_options.prefix + address, address, m_lease));
-    m_store.commit(std::move(transaction), [this, alive = m_alive](const Result<TransactionResult> &result) {
-        if (!*alive) {
-            return;
-        }
-        // The outcome of a failed write may be unknown; writing the entry again is idempotent.
-        if (!result) {
-            retryRegistration();
-            return;
-        }
-        m_registrationBackoff.reset();
-        m_registrationTimer = m_timers.once(m_options.renewPeriod, [this] { renewLease(); });
-    });
+    transaction.success.push_back(Operation::put(m_key, m_options.address.toString(), m_lease));
+    const auto written =
+        [this, alive = m_alive, &store = m_store, key = m_key](const Result<TransactionResult> &result) {
+            if (!*alive) {
+                if (result) {
+                    removeEntry(store, key, result->revision);
+                }
+                return;
+            }
+            // The outcome of a failed write may be unknown; writing the entry again is idempotent.
+            if (!result) {
+                retryRegistration();
+                return;
+            }
+            m_entryRevision = result->revision;
+            m_registrationBackoff.reset();
+            scheduleRenewal(m_options.renewPeriod);
+            m_registrationListener(m_reason);
+        };
+    m_store.commit(std::move(transaction), written);
 }
 
 void NodeDirectory::renewLease()
 {
-    m_store.keepLeaseAlive(m_lease, [this, alive = m_alive](const Result<LeaseGrant> &grant) {
-        if (!*alive) {
+    const auto renewed = [this, alive = m_alive, registration = m_registrations](const Result<LeaseGrant> &grant) {
+        if (!*alive || registration != m_registrations) {
             return;
         }
         if (!grant && grant.error().code() == ErrorCode::NotFound) {
             // The lease has expired and the store has removed the entry with it, so the node registers again.
-            grantLease();
+            registerAgain(RegistrationReason::LeaseExpired);
         } else if (!grant) {
-            m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] { renewLease(); });
+            scheduleRenewal(m_registrationBackoff.next());
         } else {
             m_registrationBackoff.reset();
-            m_registrationTimer = m_timers.once(m_options.renewPeriod, [this] { renewLease(); });
+            scheduleRenewal(m_options.renewPeriod);
         }
-    });
+    };
+    m_store.keepLeaseAlive(m_lease, renewed);
 }
 
 void NodeDirectory::retryRegistration()
@@ -95,24 +142,53 @@
     m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] { grantLease(); });
 }
 
+void NodeDirectory::scheduleRenewal(Duration delay)
+{
+    m_registrationTimer = m_timers.once(delay, [this] { renewLease(); });
+}
+
 void NodeDirectory::readList()
 {
-    const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = !m_firstRead};
-    m_store.range(request, [this, alive = m_alive](const Result<RangeResult> &result) {
+    m_reading = true;
+    const bool stale = !std::exchange(m_freshReadNeeded, false);
+    // Only a read that is sent after the entry was written must have the entry.
+    const auto registration = m_entryRevision != 0 ? std::optional(m_registrations) : std::nullopt;
+    const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = stale};
+    m_store.range(request, [this, alive = m_alive, stale, registration](const Result<RangeResult> &result) {
         if (!*alive) {
             return;
         }
+        m_reading = false;
         if (!result) {
+            m_freshReadNeeded = m_freshReadNeeded || !stale;
             m_readTimer = m_timers.once(m_readBackoff.next(), [this] { readList(); });
             return;
         }
         m_readBackoff.reset();
-        m_firstRead = false;
-        m_readTimer = m_timers.once(m_options.refreshPeriod, [this] { readList(); });
+        if (registration == m_registrations && !hasOwnEntry(*result)) {
+            handleMissingEntry(stale);
+        }
+        m_readTimer = m_timers.once(m_freshReadNeeded ? Duration(0) : m_options.refreshPeriod, [this] { readList(); });
         reportOtherNodes(*result);
     });
 }
 
+bool NodeDirectory::hasOwnEntry(const RangeResult &list) const
+{
+    return std::any_of(list.entries.begin(), list.entries.end(), [this](const KeyValue &entry) {
+        return entry.key == m_key && entry.lease == m_lease;
+    });
+}
+
+void NodeDirectory::handleMissingEntry(bool stale)
+{
+    if (stale) {
+        m_freshReadNeeded = true; // The list may be older than the entry.
+    } else {
+        registerAgain(RegistrationReason::EntryLost);
+    }
+}
+
 void NodeDirectory::reportOtherNodes(const RangeResult &list)
 {
     std::vector<Endpoint> addresses;
--- a/libs/store/include/hornbeam/store/keyvaluestore.h
+++ b/libs/store/include/hornbeam/store/keyvaluestore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeam/base/error.h>
+#include <hornbeam/store/storegeneration.h>
 #include <hornbeam/store/transaction.h>
 
 #include <chrono>
@@ -26,8 +27,8 @@
 
     /**
      * Reports that the watch ended, for example because the store became unreachable. It does not resume by itself.
-     * Conflict means that the store no longer has the start revision: read the keys again, and start a new watch after
-     * the revision of that read.
+     * Conflict means that the store does not have the start revision, or that its generation has changed: read the keys
+     * again, and start a new watch after the revision of that read.
      */
     virtual void ended(const Error &error) = 0;
 };
@@ -55,6 +56,7 @@
     std::vector<KeyValue> entries;
     std::int64_t revision = 0; ///< Revision of the store at the time of the read.
     bool more = false; ///< More pages follow. Not set by KeyValueStore::range(), which reads all pages.
+    StoreGeneration generation = 0; ///< Generation of the store, to which the revisions belong.
 };
 
 struct LeaseGrant
@@ -67,6 +69,7 @@
 {
     std::string prefix;
     std::int64_t startRevision = 0; ///< First revision to report; 0 starts at the current one.
+    StoreGeneration generation = 0; ///< Generation of the start revision; the watch reports no other one.
 };
 
 /**
--- a/libs/store/include/hornbeam/store/storeprotocol.h
+++ b/libs/store/include/hornbeam/store/storeprotocol.h
@@ -22,6 +22,7 @@
 {
     int status = 0; ///< HTTP status.
     std::string_view body;
+    std::string_view generation{}; ///< Value of the header StoreProtocol::generationHeader(); empty without it.
 };
 
 /** One message of a watch. */
@@ -33,6 +34,7 @@
     std::int64_t compactRevision = 0; ///< Not 0 when the store no longer has the start revision.
     std::string cancelReason;
     std::vector<KeyValue> changes; ///< In the form described at WatchListener::changed().
+    StoreGeneration generation = 0; ///< Generation of the store when it sent the message.
 };
 
 /**
@@ -55,6 +57,9 @@
     /** How long the store holds back the response to a long poll while nothing changes; unused with Stream. */
     virtual std::chrono::milliseconds longPollWait() const = 0;
 
+    /** Name of the response header that carries the generation of the store; empty if there is none. */
+    virtual std::string generationHeader() const = 0;
+
     virtual StoreCall rangeCall(const RangeRequest &request) const = 0;
 
     /** InvalidArgument when the store does not support such a transaction. */
--- a/libs/store/src/etcdprotocol.cpp
+++ b/libs/store/src/etcdprotocol.cpp
@@ -131,10 +131,13 @@
     return key;
 }
 
-Json header(std::int64_t revision)
+Json header(std::int64_t revision, StoreGeneration generation = 0)
 {
     Json json = Json::object();
     setInteger(json, "revision", revision);
+    if (generation != 0) {
+        json["cluster_id"] = std::to_string(generation);
+    }
     return json;
 }
 
@@ -143,6 +146,17 @@
     return integer(member(json, "header"), "revision");
 }
 
+/** The cluster id, which is a new one when a cluster is restored from a snapshot under another cluster token. */
+StoreGeneration headerGeneration(const Json &json)
+{
+    const auto &head = member(json, "header");
+    const auto it = head.find("cluster_id");
+    if (it == head.end()) {
+        return 0;
+    }
+    return it->is_string() ? std::stoull(it->get_ref<const std::string &>()) : it->get<StoreGeneration>();
+}
+
 Json toJson(const KeyValue &entry)
 {
     Json json = Json::object();
@@ -465,7 +479,7 @@
 
 std::string encodeRangeResult(const RangeResult &result)
 {
-    Json json = {{"header", header(result.revision)}};
+    Json json = {{"header", header(result.revision, result.generation)}};
     if (!result.entries.empty()) {
         json["kvs"] = toJson(result.entries);
         setInteger(json, "count", static_cast<std::int64_t>(result.entries.size()));
@@ -495,7 +509,7 @@
 
 std::string encodeWatchMessage(const WatchMessage &message)
 {
-    Json result = {{"header", header(message.revision)}};
+    Json result = {{"header", header(message.revision, message.generation)}};
     if (message.created) {
         result["created"] = true;
     }
@@ -517,7 +531,9 @@
 Result<RangeResult> decodeRangeResult(std::string_view text)
 {
     return decode<RangeResult>(text, [](const Json &json) {
-        return RangeResult{.entries = readKeyValues(json, "kvs"), .revision = headerRevision(json)};
+        return RangeResult{.entries = readKeyValues(json, "kvs"),
+                           .revision = headerRevision(json),
+                           .generation = headerGeneration(json)};
     });
 }
 
@@ -547,6 +563,7 @@
         const auto &result = streamResult(json);
         WatchMessage message;
         message.revision = headerRevision(result);
+        message.generation = headerGeneration(result);
         message.created = boolean(result, "created");
         message.cancelled = boolean(result, "canceled");
         message.compactRevision = integer(result, "compact_revision");
--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -42,6 +42,7 @@
     WatchListener *listener = nullptr; ///< Executor's thread only; null once the watch has ended.
     std::uint64_t transferId = 0; ///< The running transfer of the watch.
     bool stopped = false; ///< I/O thread only. When set, no further poll is started.
+    StoreGeneration generation = 0; ///< I/O thread only. Of the watched revisions, as soon as it is known.
 };
 
 using WatchStatePtr = std::shared_ptr<WatchState>;
@@ -157,7 +158,7 @@
     : m_options(std::move(options))
     , m_protocol(std::move(protocol))
     , m_executor(executor)
-    , m_transfers(m_options, metrics)
+    , m_transfers(m_options, m_protocol->generationHeader(), metrics)
 {
     for (std::size_t i = 0; i < callKinds; ++i) {
         const std::vector<MetricLabel> labels = {{.name = "call", .value = callNames[i]}};
@@ -187,7 +188,7 @@
         metrics.latency->record(std::chrono::steady_clock::now() - started);
         Result<T> result = tl::make_unexpected(transferError(transfer, write));
         if (transfer.code == CURLE_OK) {
-            result = decode({.status = transfer.status, .body = transfer.body});
+            result = decode({.status = transfer.status, .body = transfer.body, .generation = transfer.generation});
             if (!result && transfer.status == 200 && result.error().code() == ErrorCode::InvalidArgument) {
                 const auto code = write ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
                 result = makeError(code, "malformed response from the store: " + result.error().message());
@@ -224,9 +225,15 @@
                 done(std::move(page));
                 return;
             }
+            // Pages of different generations could miss keys, and their revisions cannot be compared.
+            if (isRestoration(collected.generation, page->generation)) {
+                done(makeError(ErrorCode::Unavailable, "the store was restored between two pages"));
+                return;
+            }
             // The pages do not form a snapshot: to miss no change, a watch must start at the first page's revision.
             collected.revision =
                 collected.entries.empty() ? page->revision : std::min(collected.revision, page->revision);
+            collected.generation = page->generation;
             std::move(page->entries.begin(), page->entries.end(), std::back_inserter(collected.entries));
             if (!page->more || collected.entries.empty()) {
                 done(std::move(collected));
@@ -242,6 +249,7 @@
     const auto state = std::make_shared<WatchState>();
     state->listener = &listener;
     state->transferId = m_nextTransferId.fetch_add(1);
+    state->generation = request.generation;
     m_transfers.submit([this, state, request] { beginWatch(request, state); });
     return std::make_unique<WatchHandle>(weak_from_this(), state);
 }
@@ -316,7 +324,8 @@
         postWatchEnded(state, transferError(result, false));
         return;
     }
-    auto message = m_protocol->decodeWatch({.status = result.status, .body = result.body});
+    auto message =
+        m_protocol->decodeWatch({.status = result.status, .body = result.body, .generation = result.generation});
     const auto revision = message ? message->revision : 0;
     if (!handleWatchMessage(state, std::move(message))) {
         return;
@@ -359,6 +368,13 @@
         postWatchEnded(state, Error(code, "the store cancelled the watch: " + message->cancelReason));
         return false;
     }
+    if (isRestoration(state->generation, message->generation)) {
+        postWatchEnded(state, Error(ErrorCode::Conflict, "the store was restored from a copy"));
+        return false;
+    }
+    if (message->generation != 0) {
+        state->generation = message->generation;
+    }
     if (!message->changes.empty()) {
         post([state, changes = std::move(message->changes)] {
             if (state->listener != nullptr) {
--- a/libs/store/src/inmemorystore.cpp
+++ b/libs/store/src/inmemorystore.cpp
@@ -14,6 +14,7 @@
 {
     std::string prefix;
     std::int64_t nextRevision = 0;
+    StoreGeneration generation = 0;
     WatchListener *listener = nullptr; ///< Null once the watch has ended.
     Executor *executor = nullptr;
     const void *owner = nullptr; ///< The handle that started the watch.
@@ -121,6 +122,9 @@
     void publishTo(const WatchStatePtr &watch)
     {
         auto changes = m_model.changesSince(watch->prefix, watch->nextRevision);
+        if (isRestoration(watch->generation, m_model.generation())) {
+            changes = makeError(ErrorCode::Conflict, "the store was restored from a copy");
+        }
         if (!changes) {
             postEnded(watch, changes.error());
             std::erase(m_watches, watch);
@@ -253,6 +257,7 @@
     {
         const auto watch = std::make_shared<WatchState>();
         watch->nextRevision = request.startRevision > 0 ? request.startRevision : m_state->model().revision() + 1;
+        watch->generation = request.generation != 0 ? request.generation : m_state->model().generation();
         watch->prefix = std::move(request.prefix);
         watch->listener = &listener;
         watch->executor = &m_executor;
@@ -346,6 +351,17 @@
     return m_impl->watch(std::move(request), listener);
 }
 
+StoreModel InMemoryStore::copy() const
+{
+    return m_impl->m_state->model();
+}
+
+void InMemoryStore::restore(const StoreModel &copy)
+{
+    m_impl->m_state->model().restore(copy);
+    m_impl->m_state->publish();
+}
+
 void InMemoryStore::setFaults(InMemoryStoreFaults faults)
 {
     m_impl->setFaults(std::move(faults));
@@ -366,4 +382,9 @@
     return m_impl->m_state->model().revision();
 }
 
+StoreGeneration InMemoryStore::generation() const
+{
+    return m_impl->m_state->model().generation();
+}
+
 } // namespace Hornbeam
