Pause between reads when the store refuses each watch

Cause: a watch that ends because the store does not have its revision was followed by a read at once, and a successful read restored the shortest delay. If the store refused each watch that follows a read, for example one after revision 0 when its history is gone, every node would read and watch without a pause.

Change: a read always follows after a delay with full jitter, 100 ms at most after a watch that has worked for a second. The delay grows while watches end sooner. The jitter also spreads the reads of all nodes after a restoration.

Measured: DocumentSource.pausesBetweenReadsWhenTheStoreRefusesWatches fails before ("1001 < 20", reads in one second) and passes after; all 49 configtests and 6 hornbeamdtests pass.

--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -58,7 +58,7 @@
     /** Ends any running watch and reads the store after a delay. */
     void readAgain();
 
-    /** Reads at once when the store no longer has the revisions that the watch needs, otherwise after a delay. */
+    /** Reads again after a delay, which is short if the watch has worked. */
     void ended(const Error &error) override;
 
     /** Generation of the store at the last read; 0 while it is unknown. */
@@ -94,6 +94,7 @@
     TimerHandle m_retry;
     std::unique_ptr<Watch> m_watch;
     std::shared_ptr<bool> m_alive;
+    TimePoint m_watchStarted{};
     StoreGeneration m_generation = 0; ///< Of the last read whose generation is known.
     bool m_watching = false;
     bool m_reading = false;
--- a/libs/config/src/storeconfigsource.cpp
+++ b/libs/config/src/storeconfigsource.cpp
@@ -4,6 +4,13 @@
 
 namespace Hornbeam {
 
+namespace {
+
+/** A watch that lasts this long works; a store that ends each watch sooner is read less and less often. */
+constexpr std::chrono::seconds workingWatch{1};
+
+} // namespace
+
 StoreConfigSource::StoreConfigSource(KeyValueStore &store,
                                      TimerService &timers,
                                      ConfigSourceListener &listener,
@@ -56,7 +63,6 @@
         m_generation = generation;
     }
     setReachable(true);
-    m_backoff.reset();
 }
 
 void StoreConfigSource::readFailed()
@@ -69,6 +75,7 @@
 void StoreConfigSource::watchFrom(const std::string &prefix, std::int64_t revision)
 {
     if (m_watching) {
+        m_watchStarted = m_timers.now();
         m_watch = m_store.watch({.prefix = prefix, .startRevision = revision, .generation = m_generation}, *this);
     }
 }
@@ -83,11 +90,11 @@
 {
     if (error.code() == ErrorCode::Conflict) {
         m_listener.storeHistoryLost(error);
-        m_watch.reset();
-        read();
-    } else {
-        readAgain();
     }
+    if (m_timers.now() - m_watchStarted >= workingWatch) {
+        m_backoff.reset();
+    }
+    readAgain();
 }
 
 void StoreConfigSource::read()
--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -67,6 +67,24 @@
     int restorations = 0;
 };
 
+/** Ends its first watches at once, because it does not have their revisions. */
+class ForgetfulStore : public InMemoryStore
+{
+public:
+    using InMemoryStore::InMemoryStore;
+
+    std::unique_ptr<Watch> watch(WatchRequest request, WatchListener &listener) override
+    {
+        if (forgotten > 0) {
+            --forgotten;
+            request.startRevision = revision() + 2;
+        }
+        return InMemoryStore::watch(std::move(request), listener);
+    }
+
+    int forgotten = 0;
+};
+
 } // namespace
 
 TEST_GROUP(DocumentSource)
@@ -74,7 +92,7 @@
     FakeTimerService timers;
     ManualExecutor executor;
     InMemoryStore operatorStore{executor, timers};
-    InMemoryStore store{executor, operatorStore};
+    ForgetfulStore store{executor, operatorStore};
     NumberDecoder decoder;
     RecordingListener listener;
     DocumentSource source{"op/config", decoder, store, timers, listener};
@@ -218,3 +236,18 @@
     CHECK_EQUAL(9, listener.versions.back());
     CHECK_EQUAL(2, listener.restorations);
 }
+
+// Guards against reads without a pause while the store refuses each watch that follows them.
+TEST(DocumentSource, pausesBetweenReadsWhenTheStoreRefusesWatches)
+{
+    write("4");
+    store.forgotten = 1000;
+    start();
+    CHECK_COMPARE(store.calls().reads, <, 20);
+    CHECK_COMPARE(store.calls().reads, >, 1);
+    store.forgotten = 0;
+    run(2s);
+    write("9");
+    run(100ms);
+    CHECK((listener.versions == std::vector<ConfigVersion>{4, 9}));
+}
