Check the own entry with one read after a restoration

Cause: after a restoration of the store, each node read the whole list of nodes at once, and not a stale one. With 1,700 nodes, a list has four pages, so the reads of the fleet would be several times what the store allows in a second. The same happened whenever a stale list lacked the entry of the node itself.

Change: the node reads its own entry alone, after a random delay of up to half a second, and registers again if it is gone. The lists stay stale reads.

Measured: NodeDirectory.checksItsEntryWithOneReadAfterARandomDelay; it does not compile before, because the function is new. NodeDirectory.refreshRegistersALostEntryAtOnce is now registersALostEntryWithinASecondOfACheck, because the delay is wanted; the users allow two seconds.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -458,7 +458,7 @@
                    {"earlierGeneration", std::to_string(earlier)},
                    {"version", std::to_string(m_configuration.current()->version())}});
     if (m_directory) {
-        m_directory->refresh();
+        m_directory->checkEntry();
     }
 }
 
--- a/libs/directory/include/hornbeam/directory/nodedirectory.h
+++ b/libs/directory/include/hornbeam/directory/nodedirectory.h
@@ -29,13 +29,16 @@
     Duration renewPeriod = std::chrono::seconds(15); ///< Interval of lease renewals, at which a lost lease is replaced.
     Duration refreshPeriod = std::chrono::seconds(5); ///< Interval of reads of the list, which may be stale.
     BackoffOptions retry{.initial = std::chrono::milliseconds(200), .maximum = std::chrono::seconds(2)};
+    /** Delays before reads of the node's own entry, which spread the reads of all nodes after a restoration. */
+    BackoffOptions entryCheck{.initial = std::chrono::milliseconds(500), .maximum = std::chrono::seconds(2)};
 };
 
 /**
  * Registers this node in the store and lists the registered nodes, so that nodes find each other without configured
  * seeds. The list only says which addresses to contact; the membership protocol determines which nodes are alive.
  * A renewed lease does not prove that the node is listed: after a restoration of the store, the entry may be gone and
- * the lease id may belong to another node. Each read of the list therefore checks the entry. Control thread only.
+ * the lease id may belong to another node. Each read of the list therefore looks for the entry; as the list may be
+ * stale, the entry itself is read before the node registers again. Control thread only.
  */
 class NodeDirectory
 {
@@ -57,8 +60,8 @@
     /** Registers this node, and reads the list periodically. */
     void start();
 
-    /** Reads the list at once, and not a stale one. Call it when the store has been restored from a copy. */
-    void refresh();
+    /** Registers again if the store has lost the entry. Call it when the store has been restored from a copy. */
+    void checkEntry();
 
     /** Removes this node's entry, also one whose write is still in flight, and stops all activity. */
     void leave();
@@ -70,8 +73,8 @@
     void renewLease();
     void scheduleRenewal(Duration delay);
     void readList();
+    void readEntry();
     bool hasOwnEntry(const RangeResult &list) const;
-    void handleMissingEntry(bool stale);
     void reportOtherNodes(const RangeResult &list);
     void retryRegistration();
 
@@ -82,15 +85,17 @@
     RegistrationListener m_registrationListener;
     Backoff m_registrationBackoff;
     Backoff m_readBackoff;
+    Backoff m_entryBackoff;
     const std::string m_key; ///< Key of this node's entry.
     LeaseId m_lease = 0;
     std::int64_t m_entryRevision = 0; ///< Revision of the written entry; 0 until it is written.
     std::uint64_t m_registrations = 0; ///< Counts registrations; results for an earlier one are ignored.
     RegistrationReason m_reason = RegistrationReason::Start; ///< Of the current or last registration.
-    bool m_reading = false;
-    bool m_freshReadNeeded = true; ///< The next read must not be stale: a starting node needs the others immediately.
+    bool m_firstRead = true; ///< The first read must not be stale: a starting node needs the others immediately.
+    bool m_checkingEntry = false;
     TimerHandle m_registrationTimer;
     TimerHandle m_readTimer;
+    TimerHandle m_entryTimer;
     std::shared_ptr<bool> m_alive; ///< False after leave() or destruction; callbacks of the store then do nothing.
 };
 
--- a/libs/directory/src/nodedirectory.cpp
+++ b/libs/directory/src/nodedirectory.cpp
@@ -34,6 +34,7 @@
     , m_registrationListener(std::move(registered))
     , m_registrationBackoff(m_options.retry)
     , m_readBackoff(m_options.retry)
+    , m_entryBackoff(m_options.entryCheck)
     , m_key(m_options.prefix + m_options.address.toString())
     , m_alive(std::make_shared<bool>(true))
 {
@@ -50,19 +51,11 @@
     readList();
 }
 
-void NodeDirectory::refresh()
-{
-    m_freshReadNeeded = true;
-    if (*m_alive && !m_reading) {
-        m_readTimer.reset();
-        readList();
-    }
-}
-
 void NodeDirectory::leave()
 {
     m_registrationTimer.reset();
     m_readTimer.reset();
+    m_entryTimer.reset();
     *m_alive = false;
     if (m_entryRevision != 0) {
         removeEntry(m_store, m_key, m_entryRevision);
@@ -149,44 +142,65 @@
 
 void NodeDirectory::readList()
 {
-    m_reading = true;
-    const bool stale = !std::exchange(m_freshReadNeeded, false);
-    // Only a read that is sent after the entry was written must have the entry.
+    // Only a read that is sent after the entry was written can have the entry.
     const auto registration = m_entryRevision != 0 ? std::optional(m_registrations) : std::nullopt;
-    const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = stale};
-    m_store.range(request, [this, alive = m_alive, stale, registration](const Result<RangeResult> &result) {
+    const RangeRequest request{.key = m_options.prefix, .prefix = true, .mayBeStale = !m_firstRead};
+    m_store.range(request, [this, alive = m_alive, registration](const Result<RangeResult> &result) {
         if (!*alive) {
             return;
         }
-        m_reading = false;
         if (!result) {
-            m_freshReadNeeded = m_freshReadNeeded || !stale;
             m_readTimer = m_timers.once(m_readBackoff.next(), [this] { readList(); });
             return;
         }
         m_readBackoff.reset();
+        m_firstRead = false;
         if (registration == m_registrations && !hasOwnEntry(*result)) {
-            handleMissingEntry(stale);
+            checkEntry();
         }
-        m_readTimer = m_timers.once(m_freshReadNeeded ? Duration(0) : m_options.refreshPeriod, [this] { readList(); });
+        m_readTimer = m_timers.once(m_options.refreshPeriod, [this] { readList(); });
         reportOtherNodes(*result);
     });
 }
 
-bool NodeDirectory::hasOwnEntry(const RangeResult &list) const
+void NodeDirectory::checkEntry()
 {
-    return std::any_of(list.entries.begin(), list.entries.end(), [this](const KeyValue &entry) {
-        return entry.key == m_key && entry.lease == m_lease;
-    });
+    if (*m_alive && !std::exchange(m_checkingEntry, true)) {
+        m_entryTimer = m_timers.once(m_entryBackoff.next(), [this] { readEntry(); });
+    }
 }
 
-void NodeDirectory::handleMissingEntry(bool stale)
+void NodeDirectory::readEntry()
 {
-    if (stale) {
-        m_freshReadNeeded = true; // The list may be older than the entry.
-    } else {
-        registerAgain(RegistrationReason::EntryLost);
+    if (m_entryRevision == 0) {
+        m_checkingEntry = false; // A registration is in progress.
+        return;
     }
+    m_store.range({.key = m_key},
+                  [this, alive = m_alive, registration = m_registrations](const Result<RangeResult> &result) {
+                      if (!*alive) {
+                          return;
+                      }
+                      m_checkingEntry = false;
+                      if (registration != m_registrations) {
+                          return;
+                      }
+                      if (!result) {
+                          checkEntry();
+                          return;
+                      }
+                      m_entryBackoff.reset();
+                      if (!hasOwnEntry(*result)) {
+                          registerAgain(RegistrationReason::EntryLost);
+                      }
+                  });
+}
+
+bool NodeDirectory::hasOwnEntry(const RangeResult &list) const
+{
+    return std::any_of(list.entries.begin(), list.entries.end(), [this](const KeyValue &entry) {
+        return entry.key == m_key && entry.lease == m_lease;
+    });
 }
 
 void NodeDirectory::reportOtherNodes(const RangeResult &list)
