--- a/tests/support/include/hornbeam/testsupport/mesh.h
+++ b/tests/support/include/hornbeam/testsupport/mesh.h
@@ -28,6 +28,7 @@
     std::vector<std::string> targetArguments = {}; ///< Additional arguments of each target stand-in.
     std::vector<std::string> storeArguments = {}; ///< Additional arguments of the store stand-in.
     nlohmann::json settings = nlohmann::json::object(); ///< JSON merge patch for the settings of each node.
+    bool relay = false; ///< Whether nodes send requests to a target on another host through the node there.
     std::uint64_t seed = 1; ///< Seed of the fault proxy.
 };
 
@@ -61,6 +62,9 @@
     static std::string nodeName(int node);
     static std::string targetName(int target);
 
+    /** Replaces the JSON merge patch for the settings of nodes that start from now on. */
+    void setNodeSettings(nlohmann::json patch);
+
     Result<pid_t> startNode(int node);
     Result<pid_t> startTarget(int target);
 
--- a/tests/support/include/hornbeam/testsupport/processgroup.h
+++ b/tests/support/include/hornbeam/testsupport/processgroup.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <filesystem>
+#include <future>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,6 +47,9 @@
     /** Sends SIGTERM without waiting for the process to end. */
     void terminate(const std::string &name);
 
+    /** Sends SIGHUP. */
+    void reload(const std::string &name);
+
     /** Sends SIGSTOP and waits until the process has stopped. */
     void pause(const std::string &name);
 
@@ -55,6 +59,12 @@
     /** Returns the exit status, or 128 plus the number of the signal that ended it; empty when the timeout expires. */
     std::optional<int> waitForExit(const std::string &name, std::chrono::milliseconds timeout);
 
+    /**
+     * Returns the time at which the running process exits, as soon as it does. Until the time is available, no function
+     * may be called that collects the exit status, except for kill().
+     */
+    std::future<std::chrono::steady_clock::time_point> exitTime(const std::string &name) const;
+
     bool isRunning(const std::string &name);
 
     /** Process id; -1 when the process was not started or its exit status has been collected. */
--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint16_t trafficPort = 8080;
 constexpr std::uint16_t adminPort = 8081;
 constexpr std::uint16_t peerPort = 8082;
+constexpr std::uint16_t relayPort = 8083;
 constexpr std::uint16_t targetPort = 9000;
 constexpr std::uint16_t storePort = 2379;
 constexpr std::uint16_t faultControlPort = 7900;
@@ -116,6 +117,11 @@
     return "target-" + std::to_string(target);
 }
 
+void Mesh::setNodeSettings(Json patch)
+{
+    m_options.settings = std::move(patch);
+}
+
 Result<pid_t> Mesh::startNode(int node)
 {
     const auto path = m_processes->directory() / (nodeName(node) + ".json");
@@ -204,6 +210,9 @@
         {"store", {{"endpoints", {m_block->endpoint(toolSubnet, storeLinkOctet, storePort).toString()}}}},
         {"log", {{"level", "info"}}},
     };
+    if (m_options.relay) {
+        settings["traffic"]["relayListen"] = Endpoint(nodeAddress(node), relayPort).toString();
+    }
     settings.merge_patch(m_options.settings);
     return settings;
 }
--- a/tests/support/src/processgroup.cpp
+++ b/tests/support/src/processgroup.cpp
@@ -134,6 +134,11 @@
     signal(name, SIGTERM);
 }
 
+void ProcessGroup::reload(const std::string &name)
+{
+    signal(name, SIGHUP);
+}
+
 void ProcessGroup::pause(const std::string &name)
 {
     signal(name, SIGSTOP);
@@ -153,6 +158,15 @@
     return it == m_processes.end() ? std::nullopt : it->second.exitStatus;
 }
 
+std::future<std::chrono::steady_clock::time_point> ProcessGroup::exitTime(const std::string &name) const
+{
+    return std::async(std::launch::async, [id = static_cast<id_t>(pid(name))] {
+        siginfo_t info = {};
+        ::waitid(P_PID, id, &info, WEXITED | WNOWAIT);
+        return std::chrono::steady_clock::now();
+    });
+}
+
 bool ProcessGroup::isRunning(const std::string &name)
 {
     const auto it = m_processes.find(name);
