Soak planned restarts with open connections

During planned work only, a large response was cut off when the drain of a node reached its bound. The soak could not see this: it sent no large responses, opened a connection per call, stopped one node at a time and excused every request that overlapped a stop.

Callers in both modes keep their connections until a node ends them, or open one per request. In the new mode, they also request downloads that queue on slow links.

A download counts as late from 1 ms before its deadline, because a node rounds down the remaining time that it passes to the target's node.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 soak: build
 	./build/bin/faultsoak --seed "$$(date +%s)" --runs 10
+	./build/bin/faultsoak --seed "$$(date +%s)" --runs 10 --planned
 
 proto:
 	./tools/scripts/generate-proto
--- a/tests/soak/src/faultinjector.cpp
+++ b/tests/soak/src/faultinjector.cpp
@@ -1,8 +1,10 @@
 #include "faultinjector.h"
 
+#include "soaklog.h"
+
+#include <hornbeam/settings/settings.h>
+
 #include <algorithm>
-#include <csignal>
-#include <iostream>
 
 namespace Hornbeam {
 
@@ -18,6 +20,8 @@
 constexpr int shortestFaultMs = 300;
 constexpr int longestFaultMs = 7000;
 
+constexpr auto faultPause = 400ms;
+
 /** Longer than a node takes to drain after SIGTERM. */
 constexpr auto stopTimeout = 20s;
 
@@ -45,16 +49,11 @@
 
 } // namespace
 
-FaultInjector::FaultInjector(Mesh &mesh, std::uint64_t seed)
-    : m_mesh(mesh)
-    , m_random(seed)
-    , m_nodeFaultTransitions(std::make_unique<std::atomic<std::uint64_t>[]>(static_cast<std::size_t>(mesh.nodeCount())))
+std::chrono::milliseconds FaultInjector::step()
 {
-}
-
-std::uint64_t FaultInjector::nodeFaultTransitions(int node) const
-{
-    return m_nodeFaultTransitions[static_cast<std::size_t>(node)];
+    endExpired();
+    startFault();
+    return faultPause;
 }
 
 void FaultInjector::startFault()
@@ -94,12 +93,12 @@
             continue;
         }
         it->undo();
-        log("end the fault of " + it->subject);
+        logSoakEvent("end the fault of " + it->subject);
         it = m_faults.erase(it);
     }
 }
 
-void FaultInjector::endAll()
+void FaultInjector::finish()
 {
     for (auto &fault : m_faults) {
         fault.end = {};
@@ -112,38 +111,42 @@
 {
     auto &processes = m_mesh.processes();
     const auto name = Mesh::nodeName(node);
-    auto &transitions = m_nodeFaultTransitions[static_cast<std::size_t>(node)];
     const auto kind = randomBelow(4);
     if (kind == 0) {
-        log("reload " + name);
-        ::kill(processes.pid(name), SIGHUP);
+        logSoakEvent("reload " + name);
+        processes.reload(name);
         return [] {
         };
     }
-    ++transitions;
     if (kind == 1) {
-        log("pause " + name);
+        logSoakEvent("pause " + name);
+        m_disruptions.begin(node, DisruptionKind::Pause);
         processes.pause(name);
-        return [this, name, &transitions] {
+        return [this, node, name] {
             m_mesh.processes().resume(name);
-            ++transitions;
+            m_disruptions.end(node);
         };
     }
-    log(kind == 2 ? "kill " + name : "terminate " + name);
+    logSoakEvent(kind == 2 ? "kill " + name : "terminate " + name);
     if (kind == 2) {
+        m_disruptions.begin(node, DisruptionKind::Kill);
         processes.kill(name);
     } else {
+        m_disruptions.begin(node, DisruptionKind::Stop, TrafficSettings{}.stopNotice);
         processes.terminate(name);
     }
-    return [this, node, name, &transitions] {
-        if (!m_mesh.processes().waitForExit(name, stopTimeout)) {
-            m_errors.push_back(name + " did not exit");
+    return endNode(node);
+}
+
+std::function<void()> FaultInjector::endNode(int node)
+{
+    return [this, node] {
+        if (!m_mesh.processes().waitForExit(Mesh::nodeName(node), stopTimeout)) {
+            addError(Mesh::nodeName(node) + " did not exit");
             return;
         }
-        if (const auto started = m_mesh.startNode(node); !started) {
-            m_errors.push_back(name + " did not start: " + started.error().message());
-        }
-        ++transitions;
+        m_disruptions.exited(node, std::chrono::steady_clock::now());
+        restartNode(node);
     };
 }
 
@@ -152,18 +155,18 @@
     auto &processes = m_mesh.processes();
     const auto name = Mesh::targetName(target);
     if (randomBelow(2) == 0) {
-        log("pause " + name);
+        logSoakEvent("pause " + name);
         processes.pause(name);
         return [this, name] {
             m_mesh.processes().resume(name);
         };
     }
-    log("kill " + name);
+    logSoakEvent("kill " + name);
     m_killedTarget = true;
     processes.kill(name);
     return [this, target, name] {
         if (const auto started = m_mesh.startTarget(target); !started) {
-            m_errors.push_back(name + " did not start: " + started.error().message());
+            addError(name + " did not start: " + started.error().message());
         }
     };
 }
@@ -172,17 +175,17 @@
 {
     const auto kind = randomBelow(4);
     if (kind == 0) {
-        log("pause the store");
+        logSoakEvent("pause the store");
         m_mesh.processes().pause("store");
         return [this] {
             m_mesh.processes().resume("store");
         };
     }
     if (kind == 1) {
-        log("drop responses of the store");
+        logSoakEvent("drop responses of the store");
         return addRule({{"kind", "dropResponse"}, {"links", {"store"}}, {"count", 10}, {"afterDrop", "silence"}});
     }
-    log(kind == 2 ? "make the store unavailable" : "slow down the store");
+    logSoakEvent(kind == 2 ? "make the store unavailable" : "slow down the store");
     m_mesh.controlStore(kind == 2 ? Json{{"down", true}} : Json{{"latency_ms", 600}, {"answer_delay_ms", 600}});
     return [this] {
         m_mesh.controlStore({{"down", false}, {"latency_ms", 0}, {"answer_delay_ms", 0}});
@@ -204,7 +207,8 @@
         links.push_back("store");
     }
     const std::string kind = randomBelow(2) == 0 ? "blackHole" : "cut";
-    log(kind + (outward ? " from zone " : " to zone ") + zone + (links.back() == "store" ? ", and to the store" : ""));
+    logSoakEvent(kind + (outward ? " from zone " : " to zone ") + zone
+                 + (links.back() == "store" ? ", and to the store" : ""));
     return addRule({{"kind", kind}, {"sources", sources}, {"links", links}});
 }
 
@@ -212,14 +216,14 @@
 {
     const auto kind = randomBelow(3);
     if (kind == 0) {
-        log("stall all connections");
+        logSoakEvent("stall all connections");
         return addRule({{"kind", "silent"}});
     }
     if (kind == 1) {
-        log("delay all links");
+        logSoakEvent("delay all links");
         return addRule({{"kind", "delay"}, {"delayMs", 20}, {"jitterMs", 80}});
     }
-    log("drop datagrams at random");
+    logSoakEvent("drop datagrams at random");
     return addRule({{"kind", "loss"}, {"probability", 0.3}});
 }
 
@@ -228,22 +232,11 @@
     const auto id = "soak-" + std::to_string(++m_rules);
     rule["id"] = id;
     if (!m_mesh.addRule(rule)) {
-        m_errors.push_back("the fault proxy rejected a rule: " + rule.dump());
+        addError("the fault proxy rejected a rule: " + rule.dump());
     }
     return [this, id] {
         m_mesh.controlFaults({{"remove", {id}}});
     };
 }
 
-int FaultInjector::randomBelow(int n)
-{
-    return static_cast<int>(m_random() % static_cast<std::uint64_t>(n));
-}
-
-void FaultInjector::log(const std::string &text) const
-{
-    const auto elapsed = std::chrono::steady_clock::now() - m_start;
-    std::cout << std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count() << " ms: " << text << std::endl;
-}
-
 } // namespace Hornbeam
--- a/tests/soak/src/faultsoak.cpp
+++ b/tests/soak/src/faultsoak.cpp
@@ -1,7 +1,13 @@
 #include "faultsoak.h"
 
+#include "faultinjector.h"
+#include "plannedwork.h"
+
 #include <hornbeam/testsupport/waiting.h>
 
+#include <algorithm>
+#include <random>
+
 namespace Hornbeam {
 
 namespace {
@@ -11,39 +17,55 @@
 constexpr const char *service = "vuorolista";
 constexpr const char *readPath = "/rota";
 
-/** Every node must serve a confirmed change within this time once the faults have ended. */
+/** Every node must serve a confirmed change within this time once the disruptions have ended. */
 constexpr std::chrono::milliseconds convergenceBound = 3s;
 
 /** Timeout for the start and the recovery of processes, which have no specified bound. */
 constexpr std::chrono::milliseconds recoveryTimeout = 15s;
 
-/** Longer than the nodes' request timeout, so that only a request without any response reaches it. */
-constexpr std::chrono::milliseconds callTimeout = 30s;
-
-constexpr auto readPause = 10ms;
-constexpr auto bookingPause = 40ms;
-constexpr auto changePause = 700ms;
-constexpr auto faultPause = 400ms;
+constexpr std::chrono::milliseconds readPause = 10ms;
+constexpr std::chrono::milliseconds bookingPause = 40ms;
+constexpr std::chrono::milliseconds downloadPause = 100ms;
+constexpr std::chrono::milliseconds changePause = 700ms;
 
 /** Every n-th booking is sent a second time through another node. */
 constexpr int bookingsPerRepeat = 3;
 
-// Every request is unique, because nodes quarantine a request that several targets were executing when they crashed.
-HttpRequest makeBooking(const std::string &key)
+/** During planned work, changes are confirmed in series without a pause. */
+constexpr int changesPerSeries = 4;
+
+/** At each node of a mesh of the usual size; together they exceed the link's capacity. */
+constexpr int downloadCallers = 3;
+
+/** The fault proxy's listeners for all nodes are in one subnet of 254 addresses. */
+constexpr int maxNodesPerZone = 80;
+
+/** In a mesh with twice as many nodes or more, callers send fewer requests to each node. */
+constexpr int usualNodes = 12;
+
+// From responses that take a fraction of a second on the link to some that take longer than a drain.
+constexpr int minDownloadBytes = 200'000;
+constexpr int maxDownloadBytes = 3'000'000;
+constexpr int minDownloadDeadlineMs = 1500;
+constexpr int maxDownloadDeadlineMs = 15000;
+
+std::unique_ptr<Disruptor> makeDisruptor(const FaultSoakOptions &options, Mesh &mesh, NodeDisruptions &disruptions)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.url = "/bookings/" + key;
-    request.headers = {"Idempotency-Key: " + key};
-    request.body = "one slot";
-    return request;
+    if (options.mode == SoakMode::PlannedWork) {
+        return std::make_unique<PlannedWork>(mesh, disruptions, options.seed);
+    }
+    return std::make_unique<FaultInjector>(mesh, disruptions, options.seed);
 }
 
-HttpRequest makeRead(const std::string &name)
+/** The download route; each @p revision is a change of it that does not affect requests. */
+nlohmann::json exportsIntent(int revision)
 {
-    HttpRequest request;
-    request.url = std::string(readPath) + "/" + name;
-    return request;
+    const nlohmann::json route = {{"name", "exports"},
+                                  {"pathPrefix", "/exports"},
+                                  {"service", service},
+                                  {"bulk", true},
+                                  {"timeoutMs", 20000 + revision}};
+    return {{"operations", nlohmann::json::array({{{"op", "setRoute"}, {"route", route}}})}};
 }
 
 } // namespace
@@ -51,15 +73,25 @@
 FaultSoak::FaultSoak(FaultSoakOptions options, std::unique_ptr<Mesh> mesh)
     : m_options(options)
     , m_mesh(std::move(mesh))
-    , m_faults(*m_mesh, options.seed)
+    , m_disruptions(m_mesh->nodeCount())
+    , m_disruptor(makeDisruptor(options, *m_mesh, m_disruptions))
 {
 }
 
 Result<std::unique_ptr<FaultSoak>> FaultSoak::make(FaultSoakOptions options)
 {
+    if (options.nodesPerZone < 1 || options.nodesPerZone > maxNodesPerZone) {
+        return makeError(ErrorCode::InvalidArgument,
+                         "the number of nodes per zone must be 1 to " + std::to_string(maxNodesPerZone));
+    }
     MeshOptions meshOptions{.zones = {"tampere", "turku", "helsinki"}, .nodesPerZone = options.nodesPerZone};
     meshOptions.service = service;
     meshOptions.seed = options.seed;
+    if (options.mode == SoakMode::PlannedWork) {
+        meshOptions.settings = PlannedWork::initialSettings();
+        meshOptions.relay = options.seed % 2 == 1;
+        meshOptions.targetsThroughProxy = false;
+    }
     auto mesh = Mesh::make(std::move(meshOptions));
     if (!mesh) {
         return tl::unexpected(mesh.error());
@@ -79,113 +111,130 @@
 
 std::vector<std::string> FaultSoak::run()
 {
-    injectFaults();
-    m_faults.endAll();
-    for (const auto &error : m_faults.errors()) {
+    runDisruptions();
+    for (const auto &error : m_disruptor->errors()) {
         m_checker.addViolation(error);
     }
     checkRecovery();
-    m_checker.checkBookings(*m_mesh, m_mesh->nodeCount(), !m_faults.hasKilledTarget());
+    m_checker.checkExecutions(*m_mesh, m_mesh->nodeCount(), !m_disruptor->hasKilledTarget());
     return m_checker.violations();
 }
 
 bool FaultSoak::prepare()
 {
     const auto nodes = m_mesh->allNodes();
-    return waitUntil(recoveryTimeout,
-                     [&] {
-                         const auto applied = m_mesh->apply(0, basicIntent(service));
-                         m_checker.recordConfirmed(applied.value_or(0));
-                         return applied.has_value();
-                     })
+    const auto apply = [&](const nlohmann::json &intent) {
+        return waitUntil(recoveryTimeout, [&] {
+            const auto applied = m_mesh->apply(0, intent);
+            m_checker.recordConfirmed(applied.value_or(0));
+            return applied.has_value();
+        });
+    };
+    return apply(basicIntent(service)) && apply(exportsIntent(0))
         && m_mesh->waitForVersion(m_checker.confirmedVersion(), nodes, recoveryTimeout, readPath);
 }
 
-void FaultSoak::injectFaults()
+void FaultSoak::runDisruptions()
 {
     std::vector<std::jthread> threads;
+    const bool isLarge = m_mesh->nodeCount() >= 2 * usualNodes;
     for (const int node : m_mesh->allNodes()) {
-        threads.emplace_back([this, node] { sendReads(node); });
+        threads.emplace_back([this, node] { sendReads(node, true); });
+        threads.emplace_back([this, node] { sendReads(node, false); });
         threads.emplace_back([this, node] { sendBookings(node); });
+        const int downloads = m_options.mode == SoakMode::PlannedWork ? (isLarge ? 1 : downloadCallers) : 0;
+        for (int i = 0; i < downloads; ++i) {
+            threads.emplace_back([this, node, i] { sendDownloads(node, i); });
+        }
     }
     threads.emplace_back([this] { changeConfiguration(); });
     const Stopwatch watch;
     while (watch.elapsed() < m_options.duration) {
-        m_faults.startFault();
-        std::this_thread::sleep_for(faultPause);
-        m_faults.endExpired();
+        std::this_thread::sleep_for(m_disruptor->step());
     }
+    m_disruptor->finish();
     m_stopped = true;
 }
 
-void FaultSoak::sendReads(int node)
+void FaultSoak::sendReads(int node, bool keepConnection)
 {
-    for (int i = 0; !m_stopped; ++i) {
-        const auto request = makeRead(std::to_string(node) + "-" + std::to_string(i));
-        m_checker.recordRead(node, callNode(node, request));
-        std::this_thread::sleep_for(readPause);
+    const auto name = "read-" + std::to_string(node) + (keepConnection ? "-kept" : "-new");
+    SoakCaller caller(
+        {.name = name, .node = node, .keepsConnection = keepConnection}, *m_mesh, m_disruptions, m_checker);
+    while (!m_stopped) {
+        caller.read();
+        pause(readPause);
     }
 }
 
 void FaultSoak::sendBookings(int node)
 {
+    const int other = (node + 1) % m_mesh->nodeCount();
+    const auto name = "book-" + std::to_string(node);
+    SoakCaller caller({.name = name, .node = node}, *m_mesh, m_disruptions, m_checker);
+    SoakCaller repeater({.name = name + "-repeat", .node = other}, *m_mesh, m_disruptions, m_checker);
     for (int i = 0; !m_stopped; ++i) {
         const auto key = "soak-" + std::to_string(node) + "-" + std::to_string(i);
-        const auto request = makeBooking(key);
-        m_checker.recordBooking(key, callNode(node, request));
-        if (i % bookingsPerRepeat == 0) {
-            m_checker.recordBooking(key, callNode((node + 1) % m_mesh->nodeCount(), request));
+        const bool repeats = i % bookingsPerRepeat == 0;
+        caller.book(key, !repeats);
+        if (repeats) {
+            repeater.book(key, false);
         }
-        std::this_thread::sleep_for(bookingPause);
+        pause(bookingPause);
     }
 }
 
-void FaultSoak::changeConfiguration()
+void FaultSoak::sendDownloads(int node, int caller)
 {
-    for (int i = 0; !m_stopped; ++i) {
-        const auto applied =
-            m_mesh->apply(i % m_mesh->nodeCount(), routeIntent(service, "soak-" + std::to_string(++m_changes)));
-        m_checker.recordConfirmed(applied.value_or(0));
-        std::this_thread::sleep_for(changePause);
+    const auto name = "download-" + std::to_string(node) + "-" + std::to_string(caller);
+    std::seed_seq seed{m_options.seed, std::uint64_t(node), std::uint64_t(caller)};
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<std::size_t> bytes(minDownloadBytes, maxDownloadBytes);
+    std::uniform_int_distribution<int> deadline(minDownloadDeadlineMs, maxDownloadDeadlineMs);
+    SoakCaller client({.name = name, .node = node, .keepsConnection = caller > 0}, *m_mesh, m_disruptions, m_checker);
+    while (!m_stopped) {
+        const auto n = bytes(random);
+        client.download(n, std::chrono::milliseconds(deadline(random)));
+        pause(downloadPause);
     }
 }
 
-Result<HttpResponse> FaultSoak::callNode(int node, const HttpRequest &request)
+void FaultSoak::changeConfiguration()
 {
-    auto timed = request;
-    timed.timeout = callTimeout;
-    const auto before = m_faults.nodeFaultTransitions(node);
-    auto response = m_mesh->call(node, timed);
-    const bool undisturbed = before % 2 == 0 && before == m_faults.nodeFaultTransitions(node);
-    if (!response && undisturbed) {
-        m_checker.addViolation("node " + std::to_string(node) + " did not respond to " + request.method + " "
-                               + request.url + ": " + response.error().message());
+    const int series = m_options.mode == SoakMode::PlannedWork ? changesPerSeries : 1;
+    for (int i = 0; !m_stopped; ++i) {
+        ++m_changes;
+        const auto applied = m_mesh->apply(
+            i % m_mesh->nodeCount(),
+            m_changes % 2 == 0 ? exportsIntent(m_changes) : routeIntent(service, "soak-" + std::to_string(m_changes)));
+        m_checker.recordConfirmed(applied.value_or(0));
+        if (i % series == 0) {
+            std::this_thread::sleep_for(changePause);
+        }
     }
-    return response;
 }
 
 void FaultSoak::checkRecovery()
 {
     const auto nodes = m_mesh->allNodes();
     if (!m_mesh->waitForVersion(m_checker.confirmedVersion(), nodes, recoveryTimeout, readPath)) {
-        m_checker.addViolation("a node did not serve the newest confirmed version after the faults had ended");
+        m_checker.addViolation("a node did not serve the newest confirmed version after the disruptions had ended");
         return;
     }
     if (!applyChangeWithin(recoveryTimeout)) {
-        m_checker.addViolation("no change could be confirmed after the faults had ended");
+        m_checker.addViolation("no change could be confirmed after the disruptions had ended");
     } else if (!m_mesh->waitForVersion(m_checker.confirmedVersion(), nodes, convergenceBound, readPath)) {
-        m_checker.addViolation("a change after the faults was not served by every node within 3 s");
+        m_checker.addViolation("a change after the disruptions was not served by every node within 3 s");
     }
     for (const int node : nodes) {
+        const auto name = "recovered-" + std::to_string(node);
+        SoakCaller caller({.name = name, .node = node}, *m_mesh, m_disruptions, m_checker);
         int attempt = 0;
-        const bool served = waitUntil(recoveryTimeout, [&] {
-            const auto key = "recovered-" + std::to_string(node) + "-" + std::to_string(++attempt);
-            const auto response = m_mesh->call(node, makeBooking(key));
-            m_checker.recordBooking(key, response);
-            return response && response->status == 200;
-        });
+        const bool served =
+            waitUntil(recoveryTimeout, [&] { return caller.book(name + '-' + std::to_string(++attempt), true); });
         if (!served) {
-            m_checker.addViolation("node " + std::to_string(node) + " served no booking after the faults had ended");
+            m_checker.addViolation("node " + std::to_string(node)
+                                   + " served no booking after the disruptions had ended");
         }
     }
 }
@@ -199,4 +248,9 @@
     });
 }
 
+void FaultSoak::pause(std::chrono::milliseconds duration) const
+{
+    std::this_thread::sleep_for(duration * std::max(1, m_mesh->nodeCount() / usualNodes));
+}
+
 } // namespace Hornbeam
--- a/tests/soak/src/faultsoak.h
+++ b/tests/soak/src/faultsoak.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include "faultinjector.h"
+#include "disruptor.h"
+#include "soakcaller.h"
 #include "soakchecker.h"
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -11,25 +13,38 @@
 
 namespace Hornbeam {
 
+enum class SoakMode {
+    Faults, ///< Random faults, see FaultInjector.
+    PlannedWork, ///< Planned stops and restarts without faults, see PlannedWork.
+};
+
 struct FaultSoakOptions
 {
-    std::uint64_t seed = 1; ///< Seed of the random faults.
-    std::chrono::seconds duration{15}; ///< Time during which faults are started.
-    int nodesPerZone = 2; ///< Nodes in each of the three zones.
+    std::uint64_t seed = 1; ///< Seed of the disruptions and of the sizes of the downloads.
+    std::chrono::seconds duration{15}; ///< Time during which disruptions are started.
+    int nodesPerZone = 2; ///< Nodes in each of the three zones, each with a target. 1..80.
+    SoakMode mode = SoakMode::Faults;
 };
 
 /**
- * Runs a mesh of real processes under overlapping random faults, while callers send requests through each node and an
- * operator changes the configuration. Reads are idempotent GET requests; bookings are non-idempotent POST requests with
- * an Idempotency-Key, some of which are sent again through another node. Checks these guarantees from the responses and
- * the targets' execution counts:
- * - The version in a node's responses to reads never decreases; responses with status 5xx are ignored.
+ * Runs a mesh of real processes under overlapping random disruptions, while callers send requests to each node and an
+ * operator changes the configuration. Some callers use a connection until the node ends it, others open one for each
+ * request. Reads are idempotent GET requests; bookings are non-idempotent POST requests with an Idempotency-Key, some
+ * of which are sent again through another node. During planned work, callers also request downloads with deadlines; the
+ * nodes have slow links, on which downloads queue. With an odd seed, nodes then send requests to the targets of other
+ * hosts through the nodes there.
+ *
+ * Checks these guarantees from what the callers receive and from the targets' execution counts:
+ * - The version in the responses to a caller's reads never decreases; responses with status 5xx are ignored.
  * - A booking is executed at most once.
- * - A booking is not executed if every response to it has the outcome "not-run".
- * - A booking with a response of status 200 was executed; checked only if no target was killed, which loses its counts.
- * - A node responds to each request during which its process has no fault.
- * - After the faults, every node serves the newest confirmed version and bookings again, and a new change is confirmed
- *   and served by every node, each within a time limit.
+ * - A request is not executed if every response to it has the outcome "not-run".
+ * - A request with a response of status 200 was executed; checked only if no target was killed, which loses its counts.
+ * - A response of status 200 is the whole response to its request.
+ * - A node responds completely to each request that it accepts, see NodeDisruptions::excuse(). A download may be
+ *   truncated after its deadline. A request that a stopping node has not read is not executed.
+ * - A node exits within its drain bound during planned work, see PlannedWork.
+ * - After the disruptions, every node serves the newest confirmed version and bookings again, and a new change is
+ *   confirmed and served by every node, each within a time limit.
  */
 class FaultSoak
 {
@@ -37,10 +52,10 @@
     /** Starts the processes and applies a first configuration. */
     static Result<std::unique_ptr<FaultSoak>> make(FaultSoakOptions options);
 
-    /** Runs the soak and returns descriptions of the violated guarantees. */
+    /** Runs the soak; prints and returns descriptions of the violated guarantees. */
     std::vector<std::string> run();
 
-    /** One line with the numbers of reads and bookings, and the newest confirmed version. */
+    /** One line with the numbers of requests and the newest confirmed version. */
     std::string summary() const
     {
         return m_checker.summary();
@@ -53,17 +68,20 @@
     FaultSoak(FaultSoakOptions options, std::unique_ptr<Mesh> mesh);
 
     bool prepare();
-    void injectFaults();
-    void sendReads(int node);
+    void runDisruptions();
+    void sendReads(int node, bool keepConnection);
     void sendBookings(int node);
+    void sendDownloads(int node, int caller);
     void changeConfiguration();
-    Result<HttpResponse> callNode(int node, const HttpRequest &request);
     void checkRecovery();
     bool applyChangeWithin(std::chrono::milliseconds timeout);
+    /** A pause of a caller, longer in a large mesh, so that the load of the machine stays the same. */
+    void pause(std::chrono::milliseconds duration) const;
 
     FaultSoakOptions m_options;
     std::unique_ptr<Mesh> m_mesh;
-    FaultInjector m_faults;
+    NodeDisruptions m_disruptions;
+    std::unique_ptr<Disruptor> m_disruptor;
     SoakChecker m_checker;
     std::atomic<bool> m_stopped = false;
     int m_changes = 0;
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -17,9 +17,6 @@
         return false;
     }
     const auto violations = (*soak)->run();
-    for (const auto &violation : violations) {
-        std::cout << "violation: " << violation << '\n';
-    }
     std::cout << "seed " << options.seed << (violations.empty() ? ": passed; " : ": failed; ") << (*soak)->summary();
     if (!violations.empty()) {
         std::cout << "; logs in " << (*soak)->keepLogs();
@@ -40,6 +37,7 @@
     add("runs", "Number of runs; each run uses the next seed", cxxopts::value<int>()->default_value("1"));
     add("seconds", "Seconds during which each run starts faults", cxxopts::value<int>()->default_value("15"));
     add("nodes-per-zone", "Nodes in each of the three zones", cxxopts::value<int>()->default_value("2"));
+    add("planned", "Run planned stops and restarts without faults");
     add("help", "Print this text");
     try {
         const auto parsed = options.parse(argc, argv);
@@ -49,7 +47,8 @@
         }
         FaultSoakOptions run{.seed = parsed["seed"].as<std::uint64_t>(),
                              .duration = std::chrono::seconds(parsed["seconds"].as<int>()),
-                             .nodesPerZone = parsed["nodes-per-zone"].as<int>()};
+                             .nodesPerZone = parsed["nodes-per-zone"].as<int>(),
+                             .mode = parsed.count("planned") > 0 ? SoakMode::PlannedWork : SoakMode::Faults};
         int failures = 0;
         for (int i = 0; i < parsed["runs"].as<int>(); ++i) {
             failures += runSeed(run) ? 0 : 1;
--- a/tests/soak/src/soakchecker.cpp
+++ b/tests/soak/src/soakchecker.cpp
@@ -1,5 +1,7 @@
 #include "soakchecker.h"
 
+#include "soaklog.h"
+
 #include <algorithm>
 
 namespace Hornbeam {
@@ -13,18 +15,17 @@
 
 } // namespace
 
-void SoakChecker::recordRead(int node, const Result<HttpResponse> &response)
+void SoakChecker::recordRead(const std::string &caller, const std::string &id, const Result<HttpResponse> &response)
 {
     const std::lock_guard lock(m_mutex);
-    ++m_reads;
+    recordLocked("reads", id, response);
     if (!response || response->status >= firstServerErrorStatus) {
         return;
     }
-    m_servedReads += response->status == 200 ? 1 : 0;
     const auto version = versionOf(*response);
-    auto &highest = m_versions[node];
+    auto &highest = m_versions[caller];
     if (version < highest) {
-        addViolationLocked("node " + std::to_string(node) + " served version " + std::to_string(version) + " after "
+        addViolationLocked(caller + " received version " + std::to_string(version) + " after "
                            + std::to_string(highest));
     }
     highest = std::max(highest, version);
@@ -33,10 +34,21 @@
 void SoakChecker::recordBooking(const std::string &key, const Result<HttpResponse> &response)
 {
     const std::lock_guard lock(m_mutex);
-    auto &booking = m_bookings[key];
-    const bool refused = response && response->header("x-hornbeam-outcome") == "not-run";
-    booking.onlyRefused = booking.onlyRefused && refused;
-    booking.served = booking.served || (response && response->status == 200);
+    if (auto *request = recordLocked("bookings", key, response)) {
+        request->mayRepeat = false;
+    }
+}
+
+void SoakChecker::recordDownload(const std::string &id, const Result<HttpResponse> &response)
+{
+    const std::lock_guard lock(m_mutex);
+    recordLocked("downloads", id, response);
+}
+
+void SoakChecker::recordUnread(const std::string &id, const std::string &text)
+{
+    const std::lock_guard lock(m_mutex);
+    m_requests[id].unread = text;
 }
 
 void SoakChecker::recordConfirmed(std::uint64_t version)
@@ -57,7 +69,7 @@
     addViolationLocked(text);
 }
 
-void SoakChecker::checkBookings(const Mesh &mesh, int targets, bool complete)
+void SoakChecker::checkExecutions(const Mesh &mesh, int targets, bool complete)
 {
     std::map<std::string, std::uint64_t> executions;
     for (int target = 0; target < targets; ++target) {
@@ -71,18 +83,9 @@
         }
     }
     const std::lock_guard lock(m_mutex);
-    for (const auto &[key, booking] : m_bookings) {
-        const auto it = executions.find(key);
-        const auto n = it == executions.end() ? 0 : it->second;
-        if (n > 1) {
-            addViolationLocked("booking " + key + " was executed " + std::to_string(n) + " times");
-        }
-        if (booking.onlyRefused && n > 0) {
-            addViolationLocked("booking " + key + " was executed, but every response to it said not-run");
-        }
-        if (booking.served && n == 0 && complete) {
-            addViolationLocked("booking " + key + " was answered with status 200, but no target executed it");
-        }
+    for (const auto &[id, request] : m_requests) {
+        const auto it = executions.find(id);
+        checkLocked(id, request, it == executions.end() ? 0 : it->second, complete);
     }
 }
 
@@ -95,15 +98,55 @@
 std::string SoakChecker::summary() const
 {
     const std::lock_guard lock(m_mutex);
-    const auto served =
-        std::count_if(m_bookings.begin(), m_bookings.end(), [](const auto &it) { return it.second.served; });
-    return std::to_string(m_reads) + " reads, " + std::to_string(m_servedReads) + " served; "
-        + std::to_string(m_bookings.size()) + " bookings, " + std::to_string(served) + " served; version "
-        + std::to_string(m_confirmedVersion);
+    std::string text;
+    for (const auto &[kind, count] : m_counts) {
+        text += std::to_string(count.sent) + ' ' + kind + ", " + std::to_string(count.answered) + " answered, "
+            + std::to_string(count.served) + " served, " + std::to_string(count.unreachable) + " not connected; ";
+    }
+    const auto unread =
+        std::count_if(m_requests.begin(), m_requests.end(), [](const auto &it) { return !it.second.unread.empty(); });
+    return text + std::to_string(unread) + " not read before a stop; version " + std::to_string(m_confirmedVersion);
+}
+
+SoakChecker::Request *SoakChecker::recordLocked(const std::string &kind,
+                                                const std::string &id,
+                                                const Result<HttpResponse> &response)
+{
+    const bool served = response && response->status == 200;
+    const bool refused = response && response->header("x-hornbeam-outcome") == "not-run";
+    auto &count = m_counts[kind];
+    if (!response && response.error().code() == ErrorCode::Unavailable) {
+        ++count.unreachable;
+        return nullptr;
+    }
+    ++count.sent;
+    count.answered += response ? 1 : 0;
+    count.served += served ? 1 : 0;
+    auto &request = m_requests[id];
+    request.onlyRefused = request.onlyRefused && refused;
+    request.served = request.served || served;
+    return &request;
+}
+
+void SoakChecker::checkLocked(const std::string &id, const Request &request, std::uint64_t executions, bool complete)
+{
+    if (executions > 1 && !request.mayRepeat) {
+        addViolationLocked("booking " + id + " was executed " + std::to_string(executions) + " times");
+    }
+    if (executions > 0 && request.onlyRefused) {
+        addViolationLocked("request " + id + " was executed, but every response to it said not-run");
+    }
+    if (executions > 0 && !request.unread.empty()) {
+        addViolationLocked("request " + id + " was executed, but has no response: " + request.unread);
+    }
+    if (executions == 0 && request.served && complete) {
+        addViolationLocked("request " + id + " was answered with status 200, but no target executed it");
+    }
 }
 
 void SoakChecker::addViolationLocked(const std::string &text)
 {
+    logSoakEvent("violation: " + text);
     if (m_violations.size() < maxViolations) {
         m_violations.push_back(text);
     }
