Ask all nodes at the same time in Mesh::waitForVersion

All 60 nodes had applied it 100 ms after the end of the last fault. The nodes' logs show 44 probes that were given up after 500 ms each, one after the other, at nodes whose pooled connections to targets had become silent. The 15 s ended after less than two rounds.

Each node is now asked by its own thread, so the bound applies to each node and the time for slow responses no longer adds up. The bounds stay the same.

--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <future>
 
 namespace Hornbeam {
 
@@ -291,11 +292,14 @@
                           std::chrono::milliseconds timeout,
                           const std::string &path) const
 {
-    auto waiting = nodes;
-    return waitUntil(timeout, [&] {
-        std::erase_if(waiting, [&](int node) { return versionIfSuccessful(node, path) >= version; });
-        return waiting.empty();
-    });
+    // The nodes are asked at the same time, so that a slow response of one does not use up the time of the others.
+    std::vector<std::future<bool>> served;
+    for (const int node : nodes) {
+        served.push_back(std::async(std::launch::async, [&, node] {
+            return waitUntil(timeout, [&] { return versionIfSuccessful(node, path) >= version; });
+        }));
+    }
+    return std::count_if(served.begin(), served.end(), [](auto &it) { return !it.get(); }) == 0;
 }
 
 bool Mesh::controlFaults(const Json &request) const
