--- a/tests/support/src/mesh.cpp
+++ b/tests/support/src/mesh.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <future>
 
 namespace Hornbeam {
 
@@ -14,6 +15,7 @@
 constexpr std::uint16_t trafficPort = 8080;
 constexpr std::uint16_t adminPort = 8081;
 constexpr std::uint16_t peerPort = 8082;
+constexpr std::uint16_t relayPort = 8083;
 constexpr std::uint16_t targetPort = 9000;
 constexpr std::uint16_t storePort = 2379;
 constexpr std::uint16_t faultControlPort = 7900;
@@ -116,6 +118,11 @@
     return "target-" + std::to_string(target);
 }
 
+void Mesh::setNodeSettings(Json patch)
+{
+    m_options.settings = std::move(patch);
+}
+
 Result<pid_t> Mesh::startNode(int node)
 {
     const auto path = m_processes->directory() / (nodeName(node) + ".json");
@@ -204,6 +211,9 @@
         {"store", {{"endpoints", {m_block->endpoint(toolSubnet, storeLinkOctet, storePort).toString()}}}},
         {"log", {{"level", "info"}}},
     };
+    if (m_options.relay) {
+        settings["traffic"]["relayListen"] = Endpoint(nodeAddress(node), relayPort).toString();
+    }
     settings.merge_patch(m_options.settings);
     return settings;
 }
@@ -282,11 +292,14 @@
                           std::chrono::milliseconds timeout,
                           const std::string &path) const
 {
-    auto waiting = nodes;
-    return waitUntil(timeout, [&] {
-        std::erase_if(waiting, [&](int node) { return versionIfSuccessful(node, path) >= version; });
-        return waiting.empty();
-    });
+    // The nodes are asked at the same time, so that a slow response of one does not use up the time of the others.
+    std::vector<std::future<bool>> served;
+    for (const int node : nodes) {
+        served.push_back(std::async(std::launch::async, [&, node] {
+            return waitUntil(timeout, [&] { return versionIfSuccessful(node, path) >= version; });
+        }));
+    }
+    return std::count_if(served.begin(), served.end(), [](auto &it) { return !it.get(); }) == 0;
 }
 
 bool Mesh::controlFaults(const Json &request) const
