Accept connections until the stop notice has passed

Cause: a node without a relay listener checked 10 ms after SIGTERM whether it had connections, and ended if it had none. Callers did not know of the stop yet. With several traffic threads, the first one could also end the process before another one had accepted the connections in its backlog.

Change: a shutdown is not complete before all traffic threads have accepted their pending connections and stopped listening, which they do when the notice has passed.

Measured: ProxyServer.acceptsConnectionsDuringTheStopNotice fails before ("CHECK(!drained) failed") and passes after.

--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -91,9 +91,9 @@
      * Starts a graceful shutdown: sends "Connection: close" with responses, accepts no new connections after
      * ProxyOptions::stopNotice and lets running requests finish. The deadline of a request that arrives from now on is
      * at most the end of ProxyOptions::drainBound; one that is not expected to end by then is refused as not run. Calls
-     * @p drained once from a traffic thread when no request and no connection is left or ProxyOptions::drainBound has
-     * passed; with a relay listener, not before ProxyOptions::stopNotice has passed. The requests that are then still
-     * in progress are logged and counted as interrupted. The callback must not destroy the server.
+     * @p drained once from a traffic thread when ProxyOptions::stopNotice has passed and no request and no connection
+     * is left, or when ProxyOptions::drainBound has passed. The requests that are then still in progress are logged and
+     * counted as interrupted. The callback must not destroy the server.
      */
     virtual void drain(std::function<void()> drained) = 0;
 
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -137,21 +137,20 @@
     for (const auto &thread : m_threads) {
         thread->drain();
     }
-    const auto first = m_core.options.relayListen ? m_core.options.stopNotice : drainCheckPeriod;
-    m_threads.front()->runAfter(first, [this, bound, drained = std::move(drained)] { checkDrained(bound, drained); });
+    checkDrained(bound, drained);
 }
 
 void ProxyServerImpl::checkDrained(TimePoint bound, const std::function<void()> &drained)
 {
-    if (m_core.requestsInFlight == 0 && m_core.connections == 0) {
-        drained();
-        return;
-    }
-    if (std::chrono::steady_clock::now() >= bound) {
-        interrupt(drained);
-        return;
-    }
-    m_threads.front()->runAfter(drainCheckPeriod, [this, bound, drained] { checkDrained(bound, drained); });
+    m_threads.front()->runAfter(drainCheckPeriod, [this, bound, drained] {
+        if (m_core.listeningThreads == 0 && m_core.requestsInFlight == 0 && m_core.connections == 0) {
+            drained();
+        } else if (std::chrono::steady_clock::now() >= bound) {
+            interrupt(drained);
+        } else {
+            checkDrained(bound, drained);
+        }
+    });
 }
 
 void ProxyServerImpl::interrupt(const std::function<void()> &drained)
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -40,6 +40,7 @@
     RouteTimes routeTimes;
     std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> listeningThreads = 0; ///< Traffic threads that still accept connections.
     std::atomic<bool> draining = false;
     std::atomic<TimePoint> stopEnd = TimePoint::max(); ///< When a graceful shutdown interrupts the remaining requests.
 
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -80,6 +80,7 @@
 
 void TrafficThread::start()
 {
+    ++m_core.listeningThreads;
     for (const auto &listener : m_listeners) {
         asio::co_spawn(*m_context, accept(*listener), asio::detached);
     }
@@ -160,6 +161,7 @@
     for (const auto &listener : m_listeners) {
         acceptPending(*listener);
     }
+    --m_core.listeningThreads;
 }
 
 void TrafficThread::acceptPending(Listener &listener)
--- a/libs/proxy/tests/proxyservertest.cpp
+++ b/libs/proxy/tests/proxyservertest.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Hornbeam;
@@ -360,6 +362,21 @@
     CHECK(ProxyFixture::waitUntil([&] { return drained.load() == 1; }));
 }
 
+// Guards against a node that ends before the callers know of its shutdown because it has no connection at that moment.
+TEST(ProxyServer, acceptsConnectionsDuringTheStopNotice)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.options.stopNotice = 300ms;
+    proxy.start();
+    std::atomic<bool> drained = false;
+    proxy.server->drain([&] { drained = true; });
+    std::this_thread::sleep_for(100ms);
+    CHECK(!drained);
+    CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/")).value().status());
+    CHECK(ProxyFixture::waitUntil([&] { return drained.load(); }));
+}
+
 TEST(ProxyServer, dumpsItsState)
 {
     TestTarget target(TestTarget::answer("ok"));
