Wait for the target to count the request in ClaimedCall.neverSendsTwice

Cause: the test failed once beside load ("expected <1> but was <0>", 1 of 6 runs at a load average of 20): the attempt times out after 100 ms, and the thread of the target had not read the request by then. Change: the test waits until a request has been counted and then expects exactly one, as before.

--- a/libs/proxy/tests/claimedcalltest.cpp
+++ b/libs/proxy/tests/claimedcalltest.cpp
@@ -143,6 +143,8 @@
     const auto response = book().value();
     CHECK_EQUAL(504, response.status());
     STRCMP_EQUAL("unknown", response.header("x-hornbeam-outcome").c_str());
+    // The thread of the target may read the request only after the attempt has timed out.
+    CHECK(ProxyFixture::waitUntil([&] { return first.requests() + second.requests() > 0; }));
     CHECK_EQUAL(1, first.requests() + second.requests());
     CHECK_EQUAL(1, proxy.claims.unknown());
     CHECK_EQUAL(0, proxy.claims.released());
