Hand over the responses in progress before a stop ends

Cause: large responses are paced to the rate of the host's link until the process ends. The rest of a response that is still waiting for its turn is lost with the process, although the kernel could send it afterwards.

Change: during the last second of a shutdown, responses are not paced. Their rest is passed to the sockets, and the kernel sends it also after the process has ended.

Ruled out: the limited deadline does not help here; the requests had arrived before SIGTERM.

Measured: StoppingNode.handsOverTheResponsesInProgressBeforeItEnds fails without the change ("CHECK(it->complete) failed") and passes with it, three of three runs.

--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -178,7 +178,8 @@
 
 bool ResponseForwarder::isPaced() const
 {
-    return m_call.core.linkPacer.isPacing() && m_call.route.bulk;
+    return m_call.core.linkPacer.isPacing() && m_call.route.bulk
+        && std::chrono::steady_clock::now() < m_call.core.pacedUntil();
 }
 
 asio::awaitable<void> ResponseForwarder::waitForLink(std::size_t bytes)
@@ -193,7 +194,7 @@
     LinkTurn turn(m_call.core.linkQueue, m_call.context, m_call.deadline);
     co_await turn.wait();
     const auto granted = std::chrono::steady_clock::now();
-    if (granted >= m_call.deadline) {
+    if (granted >= m_call.deadline || !isPaced()) {
         co_return;
     }
     const auto wait = link.reserve(bytes, granted);
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -4,6 +4,16 @@
 
 namespace Hornbeam {
 
+namespace {
+
+/**
+ * Before the end of a shutdown, the rest of each response is passed to its socket: the kernel sends what it has
+ * buffered also after the process has ended.
+ */
+constexpr std::chrono::seconds unpacedTime{1};
+
+} // namespace
+
 ServerCore::ServerCore(ProxyOptions serverOptions, ProxyDependencies serverDependencies)
     : options(std::move(serverOptions))
     , dependencies(serverDependencies)
@@ -17,6 +27,12 @@
     m_state = std::move(initial);
 }
 
+TimePoint ServerCore::pacedUntil() const
+{
+    const auto end = stopEnd.load(std::memory_order_relaxed);
+    return end == TimePoint::max() ? end : end - unpacedTime;
+}
+
 RoutingStatePtr ServerCore::state() const
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -44,6 +44,9 @@
     std::atomic<bool> draining = false;
     std::atomic<TimePoint> stopEnd = TimePoint::max(); ///< When a graceful shutdown interrupts the remaining requests.
 
+    /** When large responses are no longer paced, because the process is about to end. */
+    TimePoint pacedUntil() const;
+
     RoutingStatePtr state() const;
     void publish(RoutingStatePtr state);
 
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -32,6 +32,12 @@
     {
         auto socket = TestSocket::connectTo(front->server->localEndpoint());
         socket.send(request);
+        return readUntilStopped(socket);
+    }
+
+    /** Reads a response, and ends the process of the front node when the stop ends. */
+    std::optional<TestMessage> readUntilStopped(TestSocket &socket)
+    {
         std::optional<TestMessage> response;
         std::jthread caller([&] {
             response = socket.read();
@@ -79,6 +85,34 @@
     CHECK_EQUAL(bytes, response->body.size());
 }
 
+// Guards against a response in progress that a stop cuts off because its host's link would need longer than the stop.
+TEST(StoppingNode, handsOverTheResponsesInProgressBeforeItEnds)
+{
+    // At 5 Mbit/s, the two responses take 3.6 s.
+    constexpr std::size_t bytes = 1000000;
+    const TestTarget target(answerSigned(std::string(bytes, 'x')));
+    timeout = 4000ms;
+    frontOptions.linkMegabits = 5;
+    frontOptions.drainBound = 1500ms;
+    addTarget(target, "first");
+    start();
+    auto other = TestSocket::connectTo(front->server->localEndpoint());
+    other.send(getRequest("/export", "o"));
+    auto socket = TestSocket::connectTo(front->server->localEndpoint());
+    socket.send(getRequest("/export", "c"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 2; }));
+    std::optional<TestMessage> otherResponse;
+    std::jthread caller([&] { otherResponse = other.read(); });
+    beginStop();
+    const auto response = readUntilStopped(socket);
+    caller.join();
+    for (const auto &it : {response, otherResponse}) {
+        CHECK(it.has_value());
+        CHECK(it->complete);
+        CHECK_EQUAL(bytes, it->body.size());
+    }
+}
+
 // Guards against targets that keep working on a request after the node that must deliver the response has stopped.
 TEST(StoppingNode, limitsTheDeadlineOfARequestToTheEndOfTheStop)
 {
