Keep the signal handlers until the process has ended

Cause: a node that had drained removed its signal handlers before its process ended.

Change: the process ends without removing the handlers.

--- a/daemons/hornbeamd/daemon.cpp
+++ b/daemons/hornbeamd/daemon.cpp
@@ -9,6 +9,7 @@
 #include <asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace Hornbeam {
@@ -55,7 +56,9 @@
     control.run();
     node->reset();
     log.info("node stopped");
-    return 0;
+    Logger::shutDown();
+    // Returning would remove the signal handlers before the process ends, and a late signal would change its status.
+    std::quick_exit(EXIT_SUCCESS);
 }
 
 } // namespace Hornbeam
