Let an operation that has succeeded pass its deadline

What callers saw: after a pause of the proxy's thread, a connection without an answer to a request that the caller had sent in time. Either the request reached an idle connection shortly before its idle timeout, or it followed a response that was delivered completely and did not announce the end of the connection.

Cause: if a thread is delayed, a completed read or write and the timer of its deadline can be in the queue together. When the timer ran first, it marked the operation as expired, so TimedSocket reported a timeout although the bytes had arrived or had been written. The connection then dropped the request, or counted the response as undelivered and closed. The timer is first for a write that starts after its timer became due, and for a read on a socket on which an earlier wait for a disconnect is still pending. The cancellation also stopped the other operation of the socket.

Change: the timer's handler queues the end of the operation behind what has already completed, and does nothing if the operation has ended by then. An operation without a result is cancelled as before.

--- a/libs/proxy/src/timedsocket.cpp
+++ b/libs/proxy/src/timedsocket.cpp
@@ -1,5 +1,6 @@
 #include "timedsocket.h"
 
+#include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
@@ -80,6 +81,18 @@
             arm(state);
             return;
         }
+        // An operation that has succeeded may be behind this handler in the queue; it is not late.
+        asio::post(m_socket.get_executor(), [this, state, generation = m_generation] {
+            const auto alive = state.lock();
+            // A later deadline would have armed the timer again.
+            if (alive && m_generation == generation && m_deadline != TimePoint::max()) {
+                expire();
+            }
+        });
+    }
+
+    void expire()
+    {
         m_expired = true;
         std::error_code ignored;
         m_socket.cancel(ignored);
--- a/libs/proxy/src/timedsocket.h
+++ b/libs/proxy/src/timedsocket.h
@@ -15,9 +15,9 @@
 namespace Hornbeam {
 
 /**
- * A TCP socket whose operations fail with std::errc::timed_out at a deadline. One read and one write may be pending at
- * the same time, besides watchDisconnect(); if one of them times out, the other fails with operation_aborted. Use it
- * only on the thread that runs its executor.
+ * A TCP socket whose operations fail with std::errc::timed_out at a deadline, unless they have succeeded when a delayed
+ * thread notices it. One read and one write may be pending at the same time, besides watchDisconnect(); if one of them
+ * times out, the other fails with operation_aborted. Use it only on the thread that runs its executor.
  */
 class TimedSocket
 {
