Deliver a response that arrived before a delayed deadline

What callers saw: 504 "no response before the deadline" for a request whose target had answered in time, after a pause of the proxy's thread during which more than about a hundred connections became readable.

Cause: the system reports at most 128 events at a time. After a pause, the timer of the deadline can be among the first of them and the response behind them, so the wait ended with a timeout while the response was in the socket.

Change: after a timeout, HttpStream reads once without waiting. The bytes count only if they complete the head or the message, so that a peer which sends without end does not extend its deadline.

Evidence: DelayedThread.deliversAResponseThatArrivedInTimeBehindManyEvents delays the traffic thread, makes 200 connections readable and lets the target answer before the deadline.

--- a/libs/proxy/src/httpstream.cpp
+++ b/libs/proxy/src/httpstream.cpp
@@ -80,9 +80,12 @@
     if (!waitFirst) {
         ec = m_socket.readNow(asio::buffer(receiveBuffer()), n);
     }
-    while (ec == asio::error::would_block) {
+    bool late = false;
+    while (ec == asio::error::would_block && !late) {
         ec = co_await m_socket.waitReadable(deadline);
-        if (!ec) {
+        // A delayed thread can notice the deadline before bytes that arrived in time.
+        late = ec == std::errc::timed_out;
+        if (!ec || late) {
             ec = m_socket.readNow(asio::buffer(receiveBuffer()), n);
         }
     }
@@ -90,10 +93,12 @@
         co_return ReadResult::Ok;
     }
     if (ec) {
-        co_return toReadResult(ec);
+        co_return late ? ReadResult::TimedOut : toReadResult(ec);
     }
+    const auto before = m_reader.state();
     parse({receiveBuffer().data(), n});
-    co_return parseResult();
+    // Only bytes that complete a head or a message count, so that a peer cannot extend the deadline.
+    co_return late &&m_reader.state() == before ? ReadResult::TimedOut : parseResult();
 }
 
 bool HttpStream::parseUnparsed()
--- a/libs/proxy/src/httpstream.h
+++ b/libs/proxy/src/httpstream.h
@@ -13,7 +13,7 @@
     Ok,
     Closed, ///< The peer closed the connection.
     Reset, ///< The peer reset the connection, for example by closing it with unread data.
-    TimedOut,
+    TimedOut, ///< Nothing that completes the head or the message had arrived when the deadline was noticed.
     Cancelled,
     Malformed,
     HeadTooLarge,
--- a/libs/proxy/tests/delayedthreadtest.cpp
+++ b/libs/proxy/tests/delayedthreadtest.cpp
@@ -137,6 +137,49 @@
     CHECK_EQUAL(200, second);
 }
 
+// Guards against a deadline that is noticed before a response that arrived in time, because many events are pending.
+TEST(DelayedThread, deliversAResponseThatArrivedInTimeBehindManyEvents)
+{
+    constexpr int callers = 200;
+    constexpr auto firstTimer = 300ms;
+    std::atomic<bool> finish = false;
+    std::atomic<bool> finished = false;
+    const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        ProxyFixture::waitUntil([&] { return finish.load(); });
+        const bool silent = request.startLine.find("/silent") != std::string::npos;
+        const bool sent = !silent && connection.send(TestTarget::response("200 OK", "fine"));
+        finished = finished || sent;
+        return sent;
+    });
+    start(target);
+    const std::string refused = "X-Hornbeam-Deadline-Ms: 0\r\n";
+    std::vector<TestSocket> crowd;
+    for (int i = 0; i < callers; ++i) {
+        crowd.push_back(proxy.connect());
+        crowd.back().send(ProxyFixture::get("/", refused));
+        const auto status = statusOf(crowd.back());
+        CHECK_EQUAL(503, status);
+    }
+    auto caller = proxy.connect();
+    auto early = proxy.connect();
+    const auto sent = std::chrono::steady_clock::now();
+    caller.send(ProxyFixture::get("/"));
+    early.send(ProxyFixture::get("/silent", "X-Hornbeam-Deadline-Ms: " + std::to_string(firstTimer.count()) + "\r\n"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 2; }));
+    block();
+    // The system reports events in the order in which they occur, and not more than 128 at a time.
+    std::this_thread::sleep_until(sent + firstTimer + 100ms);
+    for (auto &other : crowd) {
+        other.send(ProxyFixture::get("/", refused));
+    }
+    finish = true;
+    CHECK(ProxyFixture::waitUntil([&] { return finished.load(); }));
+    std::this_thread::sleep_until(sent + timeout + 100ms);
+    log.release();
+    const auto status = statusOf(caller);
+    CHECK_EQUAL(200, status);
+}
+
 // Guards against a caller without a response if the target answers at the deadline.
 TEST(DelayedThread, answersEveryRequestIfTheTargetAnswersAtTheDeadline)
 {
