Name a condition in HttpStream

Cause: the formatter took a logical and for a reference declarator, so the line read as a type. Change: the condition has a name. Measured: 174 of 174 proxytests pass.

--- a/libs/proxy/src/httpstream.cpp
+++ b/libs/proxy/src/httpstream.cpp
@@ -98,7 +98,8 @@
     const auto before = m_reader.state();
     parse({receiveBuffer().data(), n});
     // Only bytes that complete a head or a message count, so that a peer cannot extend the deadline.
-    co_return late &&m_reader.state() == before ? ReadResult::TimedOut : parseResult();
+    const bool unchanged = m_reader.state() == before;
+    co_return (late && unchanged) ? ReadResult::TimedOut : parseResult();
 }
 
 bool HttpStream::parseUnparsed()
