Send responses with the same deadline one after the other

Cause: pieces with the same deadline were sent in the order in which they had entered the queue, so the responses with this deadline shared the link evenly. During a stop all responses to new requests have the same deadline, its end. Found in the review of the fix: three exports of 400 KB at a stopping node with a link of 5 Mbit/s were all cut off at 323 to 339 KB, although two of them fit.

Change: the place in the queue is that of the response, not of the piece.

--- a/libs/proxy/src/linkqueue.cpp
+++ b/libs/proxy/src/linkqueue.cpp
@@ -4,16 +4,20 @@
 
 namespace Hornbeam {
 
-LinkQueue::Ticket LinkQueue::enter(TimePoint deadline, std::function<void()> granted)
+std::uint64_t LinkQueue::nextResponse()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_nextResponse++;
+}
+
+void LinkQueue::enter(const Ticket &ticket, std::function<void()> granted)
 {
     const std::lock_guard lock(m_mutex);
-    const Ticket ticket{.deadline = deadline, .number = m_nextNumber++};
     if (m_granted) {
         m_waiting.emplace(ticket, std::move(granted));
     } else {
         m_granted = ticket;
     }
-    return ticket;
 }
 
 bool LinkQueue::isGranted(const Ticket &ticket) const
--- a/libs/proxy/src/linkqueue.h
+++ b/libs/proxy/src/linkqueue.h
@@ -14,26 +14,30 @@
 /**
  * Decides which of several large responses sends its next piece over the host's link: the one with the earliest
  * deadline. If responses shared the link evenly, all of them would end late, and one whose caller's node is about to
- * stop would wait for others that have more time. Answers a load of more large responses than the link transfers at
- * once; how many are admitted is decided elsewhere. Thread-safe.
+ * stop would wait for others that have more time. While a response writes a piece, the second one has the link, so that
+ * a caller that reads slowly does not hold it. It is designed for more large responses than the link can transfer at
+ * the same time; how many are admitted is decided elsewhere. Thread-safe.
  */
 class LinkQueue
 {
 public:
-    /** Identifies a piece. Pieces with the same deadline are sent in the order of their numbers. */
+    /** The next piece of a response. Responses with the same deadline are sent in the order of their numbers. */
     struct Ticket
     {
         TimePoint deadline;
-        std::uint64_t number = 0;
+        std::uint64_t response = 0; ///< Number of the response.
 
         friend auto operator<=>(const Ticket &, const Ticket &) = default;
     };
 
+    /** Returns the number of a new response. */
+    std::uint64_t nextResponse();
+
     /**
-     * Adds a piece. @p granted is called once when the link is granted to it, on the thread that calls leave(), unless
-     * isGranted() is true at once. Must not block.
+     * Adds the next piece of a response that has none in the queue. @p granted is called once when the link is granted
+     * to it, on the thread that calls leave(), unless isGranted() is true at once. Must not block.
      */
-    Ticket enter(TimePoint deadline, std::function<void()> granted);
+    void enter(const Ticket &ticket, std::function<void()> granted);
 
     bool isGranted(const Ticket &ticket) const;
 
@@ -44,7 +48,7 @@
     mutable std::mutex m_mutex;
     std::map<Ticket, std::function<void()>> m_waiting;
     std::optional<Ticket> m_granted;
-    std::uint64_t m_nextNumber = 0;
+    std::uint64_t m_nextResponse = 0;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/linkturn.cpp
+++ b/libs/proxy/src/linkturn.cpp
@@ -6,15 +6,16 @@
 
 namespace Hornbeam {
 
-LinkTurn::LinkTurn(LinkQueue &queue, const std::shared_ptr<asio::io_context> &context, TimePoint deadline)
+LinkTurn::LinkTurn(LinkQueue &queue, const LinkQueue::Ticket &ticket, const std::shared_ptr<asio::io_context> &context)
     : m_queue(queue)
-    , m_timer(std::make_shared<asio::steady_timer>(*context, deadline))
-    , m_ticket(queue.enter(deadline, [timer = m_timer, weak = std::weak_ptr(context)] {
+    , m_timer(std::make_shared<asio::steady_timer>(*context, ticket.deadline))
+    , m_ticket(ticket)
+{
+    queue.enter(ticket, [timer = m_timer, weak = std::weak_ptr(context)] {
         if (const auto running = weak.lock()) {
             asio::post(*running, [timer] { timer->cancel(); });
         }
-    }))
-{
+    });
 }
 
 LinkTurn::~LinkTurn()
--- a/libs/proxy/src/linkturn.h
+++ b/libs/proxy/src/linkturn.h
@@ -15,7 +15,7 @@
 {
 public:
     /** Enters the queue. @p context: the io_context of the thread that waits. */
-    LinkTurn(LinkQueue &queue, const std::shared_ptr<asio::io_context> &context, TimePoint deadline);
+    LinkTurn(LinkQueue &queue, const LinkQueue::Ticket &ticket, const std::shared_ptr<asio::io_context> &context);
     LinkTurn(const LinkTurn &) = delete;
     LinkTurn &operator=(const LinkTurn &) = delete;
     ~LinkTurn();
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -47,6 +47,7 @@
 ResponseForwarder::ResponseForwarder(CallContext &call, UpstreamExchange &exchange)
     : m_call(call)
     , m_exchange(exchange)
+    , m_responseNumber(call.core.linkQueue.nextResponse())
 {
 }
 
@@ -191,8 +192,9 @@
         co_return;
     }
     m_call.stages.enter(CallStage::Link, now);
-    LinkTurn turn(m_call.core.linkQueue, m_call.context, m_call.deadline);
-    co_await turn.wait();
+    LinkTurn linkTurn(
+        m_call.core.linkQueue, {.deadline = m_call.deadline, .response = m_responseNumber}, m_call.context);
+    co_await linkTurn.wait();
     const auto granted = std::chrono::steady_clock::now();
     if (granted >= m_call.deadline || !isPaced()) {
         co_return;
--- a/libs/proxy/src/responseforwarder.h
+++ b/libs/proxy/src/responseforwarder.h
@@ -61,6 +61,7 @@
 
     CallContext &m_call;
     UpstreamExchange &m_exchange;
+    const std::uint64_t m_responseNumber; ///< In the queue for the host's link.
     std::optional<RecordedResponse> m_record;
     std::size_t m_bodyBytes = 0;
     bool m_keepAlive = false;
