Count the link's queue when a stopping node admits a large response

Cause: a stopping node refused a request for a large response only if the typical time and one transfer did not fit into the stop; what its link had still to send did not count.

Measured: StoppingNode.refusesRelayedRequestsForLargeResponsesThatItCannotSend fails without the change (all four are admitted) and passes with it; StoppingNode.completesTheLargeResponsesThatFitIntoTheStop passes with and without it.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -159,8 +159,10 @@
     if (!m_limitedByStop) {
         return false;
     }
-    const auto transfer = route.bulk ? core.linkPacer.largeResponseTime() : Duration::zero();
-    return std::chrono::steady_clock::now() + typicalTime() + transfer > deadline;
+    const auto &link = core.linkPacer;
+    const auto now = std::chrono::steady_clock::now();
+    const auto transfer = route.bulk ? link.largeResponseWait(deadline) + link.largeResponseTime() : Duration::zero();
+    return now + typicalTime() + transfer > deadline;
 }
 
 Duration CallContext::typicalTime() const
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -43,7 +43,7 @@
 void RelayFixture::addTarget(const TestTarget &target, const std::string &name, std::uint32_t slots)
 {
     nodes.push_back(std::make_unique<RelayNode>());
-    nodes.back()->start({.hostService = "rota", .linkMegabits = linkMegabits});
+    nodes.back()->start(targetOptions);
     Target it;
     it.address = target.address();
     it.service = "rota";
--- a/libs/proxy/tests/relayfixture.h
+++ b/libs/proxy/tests/relayfixture.h
@@ -46,7 +46,7 @@
     std::vector<Target> targets;
     RelayNodeOptions frontOptions{.hostService = "desk"};
     std::chrono::milliseconds timeout{3000};
-    double linkMegabits = 0; ///< Link capacity of the nodes that are added from now on.
+    RelayNodeOptions targetOptions{.hostService = "rota"}; ///< Of the nodes that are added from now on.
     int nextId = 0; ///< Request ids of call() are "c1", "c2" and so on.
 
     /** Adds a target that only its own node can reach. */
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -30,7 +30,7 @@
         const bool isExport = request.startLine.find("/export") != std::string::npos;
         return connection.send(signedResponse(request, isExport ? std::string(1000000, 'x') : "ok"));
     });
-    linkMegabits = 5;
+    targetOptions.linkMegabits = 5;
     addTarget(target, "first", 1);
     start();
     std::atomic<bool> received = false;
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -1,6 +1,8 @@
 #include "relayfixture.h"
 
+#include <algorithm>
 #include <thread>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -64,7 +66,7 @@
         const bool other = request.header("call-id").front() == 'o';
         return connection.send(signedResponse(request, std::string(other ? otherBytes : bytes, 'x')));
     });
-    linkMegabits = 5;
+    targetOptions.linkMegabits = 5;
     timeout = 4000ms;
     frontOptions.stopNotice = 1000ms;
     frontOptions.drainBound = 1500ms;
@@ -154,3 +156,70 @@
     CHECK(!response->header("retry-after").empty());
     CHECK_EQUAL(3, target.requests());
 }
+
+// Guards against responses that the node of the target admits during its stop although its link cannot send them by
+// then.
+TEST(StoppingNode, refusesRelayedRequestsForLargeResponsesThatItCannotSend)
+{
+    // At 5 Mbit/s, two of the four responses fit into the stop.
+    constexpr int callers = 4;
+    const TestTarget target(answerSigned(std::string(400000, 'x')));
+    targetOptions = {.hostService = "rota", .linkMegabits = 5, .stopNotice = 1000ms, .drainBound = 1900ms};
+    timeout = 4000ms;
+    addTarget(target, "first");
+    start();
+    CHECK_EQUAL(200, call("GET", "/export").status()); // The node learns the size.
+    nodes[0]->server->drain([this] { drained = true; });
+    std::vector<std::optional<TestMessage>> responses(callers);
+    {
+        std::vector<std::jthread> threads;
+        for (auto &response : responses) {
+            threads.emplace_back([&, id = "c" + std::to_string(threads.size())] {
+                auto socket = TestSocket::connectTo(front->server->localEndpoint());
+                socket.send(getRequest("/export", id));
+                response = socket.read();
+            });
+            std::this_thread::sleep_for(30ms);
+        }
+        CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
+        nodes[0]->server.reset();
+    }
+    int served = 0;
+    for (const auto &response : responses) {
+        CHECK(response.has_value());
+        CHECK(response->complete);
+        CHECK(response->status() == 200 || response->header("x-hornbeam-outcome") == "not-run");
+        served += response->status() == 200 ? 1 : 0;
+    }
+    CHECK_COMPARE(served, >=, 1);
+    CHECK_COMPARE(served, <, callers);
+}
+
+// The same at the node of the callers, whose own link is slow.
+TEST(StoppingNode, completesTheLargeResponsesThatFitIntoTheStop)
+{
+    constexpr int callers = 3;
+    const TestTarget target(answerSigned(std::string(400000, 'x')));
+    timeout = 4000ms;
+    frontOptions.linkMegabits = 5;
+    frontOptions.stopNotice = 1000ms;
+    frontOptions.drainBound = 1900ms;
+    addTarget(target, "first");
+    start();
+    beginStop();
+    std::vector<std::optional<TestMessage>> responses(callers);
+    std::vector<std::jthread> threads;
+    for (auto &response : responses) {
+        threads.emplace_back([&, id = "c" + std::to_string(threads.size())] {
+            auto socket = TestSocket::connectTo(front->server->localEndpoint());
+            socket.send(getRequest("/export", id));
+            response = socket.read();
+        });
+    }
+    CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
+    front->server.reset();
+    threads.clear();
+    const auto complete = std::count_if(
+        responses.begin(), responses.end(), [](const auto &it) { return it && it->complete && it->status() == 200; });
+    CHECK_COMPARE(complete, >=, 2);
+}
