Leave a request that a stopping node refuses to another target

Cause: a request that the node of a target refuses without having offered it to the target may be sent there again, because its queue changes quickly. A node that refuses because it stops reports free slots, so it was chosen again each time.

Change: a target whose node closes the connection with its refusal, as a stopping node does, is not tried again.

--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -181,7 +181,7 @@
         return;
     }
     const bool arrived = status == AttemptStatus::Response && exchange.reachedTarget();
-    if (status != AttemptStatus::Response || arrived || m_call.offeredFullWait) {
+    if (status != AttemptStatus::Response || arrived || m_call.offeredFullWait || exchange.peerCloses()) {
         m_excluded.push_back(exchange.lease().address());
     }
 }
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -223,3 +223,35 @@
         responses.begin(), responses.end(), [](const auto &it) { return it && it->complete && it->status() == 200; });
     CHECK_COMPARE(complete, >=, 2);
 }
+
+// Guards against a request that is sent again and again to a node that refuses it because it stops.
+TEST(StoppingNode, leavesTheRequestsThatItRefusesToAnotherTarget)
+{
+    const TestTarget::Handler slow = [](const TestMessage &request, TestSocket &connection) {
+        std::this_thread::sleep_for(300ms);
+        return connection.send(signedResponse(request, "ok"));
+    };
+    const TestTarget stopping(slow);
+    const TestTarget other(slow);
+    targetOptions.stopNotice = 250ms;
+    targetOptions.drainBound = 250ms;
+    addTarget(stopping, "first");
+    targetOptions = {.hostService = "rota"};
+    addTarget(other, "second", 2);
+    start();
+    for (int i = 0; i < 6; ++i) {
+        CHECK_EQUAL(200, call("GET", "/").status());
+    }
+    // Two requests occupy the second target, so the first one seems to be the better choice.
+    std::vector<TestSocket> busy;
+    const auto before = other.requests();
+    for (int i = 0; other.requests() < before + 2 && i < 20; ++i) {
+        busy.push_back(TestSocket::connectTo(front->server->localEndpoint()));
+        busy.back().send(getRequest("/", "b" + std::to_string(i)));
+        std::this_thread::sleep_for(5ms);
+    }
+    nodes[0]->server->drain([this] { drained = true; });
+    const auto response = call("GET", "/");
+    CHECK_EQUAL(200, response.status());
+    CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
+}
