Do not admit a large response that would cut off another

Cause: the link is granted by deadline, and a request was admitted by the bytes that precede its own. Nobody looked at the responses that it would delay.

Change: the node of the target also refuses a request for a large response if one in progress would then miss a deadline that it meets now.

Measured: LinkPacer.detectsThatAResponseWouldCutOffAnother; the function is new. LinkPacer.limitsTheAnnouncedSize passed without the limit, because the size overflowed; with 1 GiB it fails without ("CHECK(pacer.largeResponseWait() < 20s) failed") and passes with it.

--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -117,6 +117,23 @@
     return timeOf(remainingBytes(deadline));
 }
 
+bool LinkPacer::wouldCutOff(TimePoint deadline, TimePoint now) const
+{
+    if (!isPacing()) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto added = timeOf(m_largeBytes);
+    return std::any_of(m_large.begin(), m_large.end(), [&](const auto &it) {
+        const auto &entry = it.second;
+        if (entry.deadline <= deadline || entry.deadline == TimePoint::max()) {
+            return false;
+        }
+        const auto end = now + timeOf(remainingBytes(entry.deadline));
+        return end <= entry.deadline && end + added > entry.deadline;
+    });
+}
+
 bool LinkPacer::canBufferLargeResponse() const
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -56,6 +56,12 @@
      */
     Duration largeResponseWait(TimePoint deadline = TimePoint::max()) const;
 
+    /**
+     * Whether another large response with @p deadline would delay one in progress beyond its own, later deadline. One
+     * that will miss its deadline anyway does not count.
+     */
+    bool wouldCutOff(TimePoint deadline, TimePoint now) const;
+
     /** Whether memory allows to buffer another large response; callers that read slowly can keep many of them alive. */
     bool canBufferLargeResponse() const;
 
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -178,7 +178,8 @@
 {
     // This also applies to callers on this host: their large responses share the link with those to other nodes.
     const auto linkWait = linkWaitAfter(load->serviceTime, m_link.largeResponseWait(request->deadline()));
-    if (request->m_options.bulk && linkWait > Duration::zero() && now + linkWait > request->latestStart()) {
+    const bool tooLate = linkWait > Duration::zero() && now + linkWait > request->latestStart();
+    if (request->m_options.bulk && (tooLate || m_link.wouldCutOff(request->deadline(), now))) {
         request->m_expectedWait = linkWait;
         return applyDecision(AdmissionController::Decision::TooLate, *request);
     }
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -77,6 +77,21 @@
     CHECK(pacer.largeResponseWait() > 190ms && pacer.largeResponseWait() < 210ms);
 }
 
+// Guards against a response that is cut off because more urgent ones were admitted after it.
+TEST(LinkPacer, detectsThatAResponseWouldCutOffAnother)
+{
+    for (int i = 0; i < 50; ++i) {
+        pacer.largeResponseEnded(90000, pacer.largeResponseStarted(now));
+    }
+    const LargeResponse first(pacer, now + 250ms);
+    CHECK(!pacer.wouldCutOff(now + 200ms, now));
+    const LargeResponse second(pacer, now + 200ms);
+    CHECK(pacer.wouldCutOff(now + 200ms, now));
+    CHECK(!pacer.wouldCutOff(now + 300ms, now));
+    const LargeResponse third(pacer, now + 200ms);
+    CHECK(!pacer.wouldCutOff(now + 200ms, now)); // The first one misses its deadline in any case.
+}
+
 // Guards against admitting large responses by an assumed or mean size although their targets have announced the size.
 TEST(LinkPacer, countsTheAnnouncedSizeOfALargeResponse)
 {
@@ -96,7 +111,7 @@
 TEST(LinkPacer, limitsTheAnnouncedSize)
 {
     LargeResponse response(pacer, now);
-    response.announced(std::size_t{1} << 60);
+    response.announced(std::size_t{1} << 30);
     CHECK(pacer.largeResponseWait() < 20s);
 }
 
