Make up for sending time that a delayed process has lost

Cause: the link was reserved for one piece at a time, from the present time on. Whenever the host gave the processor to others, the link idled, although pieces were waiting.

Change: a piece that was waiting may be reserved up to 100 ms in the past, so that the link makes up for the delay.

Measured: LinkPacer.makesUpForTheDelaysOfTheProcess; the parameter is new. Its effect on a busy host has not been measured again.

--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -18,6 +18,12 @@
 /** Queueing delay that is allowed at the link, so that it does not idle between two pieces. */
 constexpr std::chrono::milliseconds allowedQueueDelay{10};
 
+/**
+ * Lost sending time that is made up for at most. A host may give a process the processor for only a part of each tenth
+ * of a second.
+ */
+constexpr std::chrono::milliseconds maxCatchUp{100};
+
 /** Assumed size of a large response until the size of the first one is known. */
 constexpr double initialLargeBytes = 64.0 * 1024;
 
@@ -43,13 +49,13 @@
 {
 }
 
-Duration LinkPacer::reserve(std::size_t bytes, TimePoint now)
+Duration LinkPacer::reserve(std::size_t bytes, TimePoint now, bool backlogged)
 {
     if (!isPacing()) {
         return Duration::zero();
     }
     const std::lock_guard lock(m_mutex);
-    const auto start = std::max(now, m_freeAt);
+    const auto start = std::max(backlogged ? now - maxCatchUp : now, m_freeAt);
     m_freeAt = start + timeOf(static_cast<double>(bytes));
     return std::max<Duration>(start - now - allowedQueueDelay, Duration::zero());
 }
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -33,8 +33,11 @@
         return m_bytesPerSecond > 0;
     }
 
-    /** Reserves the link for a piece of a large response; returns the time to wait before sending it. */
-    Duration reserve(std::size_t bytes, TimePoint now);
+    /**
+     * Reserves the link for a piece of a large response; returns the time to wait before sending it. @p backlogged: the
+     * piece was waiting, so that the link has been idle only because the process was delayed.
+     */
+    Duration reserve(std::size_t bytes, TimePoint now, bool backlogged = false);
 
     /** Accounts for bytes that are sent without pacing. */
     void addUnpaced(std::size_t bytes, TimePoint now);
--- a/libs/proxy/src/linkturn.cpp
+++ b/libs/proxy/src/linkturn.cpp
@@ -25,7 +25,8 @@
 
 asio::awaitable<void> LinkTurn::wait()
 {
-    if (!m_queue.isGranted(m_ticket)) {
+    m_hasWaited = !m_queue.isGranted(m_ticket);
+    if (m_hasWaited) {
         std::error_code ignored;
         co_await m_timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/libs/proxy/src/linkturn.h
+++ b/libs/proxy/src/linkturn.h
@@ -23,10 +23,17 @@
     /** Waits until the link is granted or the deadline has passed. */
     asio::awaitable<void> wait();
 
+    /** Whether the link was not granted at once. */
+    bool hasWaited() const
+    {
+        return m_hasWaited;
+    }
+
 private:
     LinkQueue &m_queue;
     const std::shared_ptr<asio::steady_timer> m_timer;
     const LinkQueue::Ticket m_ticket;
+    bool m_hasWaited = false;
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -199,7 +199,8 @@
     if (granted >= m_call.deadline || !isPaced()) {
         co_return;
     }
-    const auto wait = link.reserve(bytes, granted);
+    const bool backlogged = linkTurn.hasWaited() || m_call.sentBytes > 0;
+    const auto wait = link.reserve(bytes, granted, backlogged);
     if (m_call.large) {
         m_call.large->sent(bytes);
     }
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -23,6 +23,22 @@
     CHECK(pacer.reserve(9000, now) == 0ms);
 }
 
+// Guards against a link that idles whenever a busy host delays the process.
+TEST(LinkPacer, makesUpForTheDelaysOfTheProcess)
+{
+    pacer.reserve(9000, now);
+    now += 60ms;
+    // Each piece takes 10 ms, so five make up for the delay; two more may be sent ahead.
+    for (int i = 0; i < 7; ++i) {
+        CHECK(pacer.reserve(9000, now, true) == 0ms);
+    }
+    CHECK(pacer.reserve(9000, now, true) > 0ms);
+    now += 10s;
+    pacer.reserve(9000, now); // The link was idle without need for it, so there is nothing to make up for.
+    CHECK(pacer.reserve(90000, now, true) == 0ms);
+    CHECK(pacer.reserve(9000, now, true) > 95ms);
+}
+
 // Guards against an overloaded link because small responses are not accounted for.
 TEST(LinkPacer, accountsForUnpacedBytes)
 {
