Refuse an unfinished request as not run when the stop ends

Cause: the deadline that ends with the stop also limits the time for the body of a request.

Change: the request is refused as not run, with 503 and Retry-After.

Measured: StoppingNode.refusesAnUnfinishedRequestAsNotRun fails without the change ("expected <503> but was <400>") and passes with it.

--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -106,6 +106,12 @@
     /** Whether this node probably stops before the response is complete, so that the request should not be started. */
     bool outlastsStop() const;
 
+    /** Whether the deadline has passed because this node stops, not because the caller's time is over. */
+    bool isEndedByStop(TimePoint now) const
+    {
+        return m_limitedByStop && now >= deadline;
+    }
+
     /** Computes the end of the wait for a slot from the latency objective and the typical service time. */
     void updateLatestStart();
 
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -3,6 +3,7 @@
 #include "attemptreport.h"
 #include "claimedcall.h"
 #include "retryablecall.h"
+#include "slotwait.h"
 
 #include <asio/co_spawn.hpp>
 
@@ -381,6 +382,11 @@
         co_await call.refuse({.status = 413, .reason = "request body too large"});
         co_return false;
     }
+    if (result != RequestBody::Result::Ok && call.isEndedByStop(std::chrono::steady_clock::now())) {
+        // The body may still be on its way, so the request is not malformed.
+        co_await call.refuse(stoppingRefusal(call));
+        co_return false;
+    }
     if (result != RequestBody::Result::Ok) {
         co_await call.refuse({.status = 400, .reason = "incomplete request body"});
         co_return false;
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -255,3 +255,20 @@
     CHECK_EQUAL(200, response.status());
     CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
 }
+
+// Guards against a caller that gives up after a 400, because its body was still on its way when the stop ended.
+TEST(StoppingNode, refusesAnUnfinishedRequestAsNotRun)
+{
+    const TestTarget target(answerSigned("ok"));
+    frontOptions.stopNotice = 300ms;
+    frontOptions.drainBound = 700ms;
+    addTarget(target, "first");
+    start();
+    beginStop();
+    const auto response =
+        callUntilStopped("GET / HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c\r\nContent-Length: 2\r\n\r\nh");
+    CHECK(response.has_value());
+    CHECK_EQUAL(503, response->status());
+    STRCMP_EQUAL("not-run", response->header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(0, target.requests());
+}
