Learn no size of large responses from HEAD

Cause: the head of a response to HEAD announces a size of which no byte follows; the pacer accounted for it and took it into the mean size (review of the fix).

Change: such a response announces nothing. A second test guards that the announced size is used at all, which no test did.

Measured: Relay.learnsNoSizeFromHead fails without the change ("expected <200> but was <503>"), and Relay.refusesALargeResponseBehindLargerOnes fails if announced sizes are not used ("expected <503> but was <200>").

--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -106,7 +106,7 @@
 void RetryableCall::announceSize(UpstreamExchange &exchange)
 {
     const auto &head = exchange.stream().reader().head();
-    if (head.status < 300 && head.contentLength) {
+    if (head.status < 300 && head.contentLength && m_call.head().method != "HEAD") {
         m_call.large->announced(*head.contentLength);
     }
 }
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -46,6 +46,51 @@
     CHECK_EQUAL(1000000, size);
 }
 
+// Guards against admitting large responses by a mean size while larger ones, whose size is known, occupy the link.
+TEST(Relay, refusesALargeResponseBehindLargerOnes)
+{
+    // At 5 Mbit/s, the first two take 2.1 s.
+    const TestTarget target(answerSigned(std::string(600000, 'x')));
+    targetOptions.linkMegabits = 5;
+    addTarget(target, "first");
+    start();
+    const auto send = [this](const std::string &id, const std::string &method, const std::string &left) {
+        auto socket = TestSocket::connectTo(front->server->localEndpoint());
+        socket.send(method + " /export HTTP/1.1\r\nHost: rota.example\r\nCall-Id: " + id + "\r\nLeft-Ms: " + left
+                    + "\r\n\r\n");
+        return socket;
+    };
+    auto first = send("a", "GET", "1400");
+    auto second = send("b", "GET", "1400");
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 2; }));
+    CHECK(!first.staysOpenAndIdle(200)); // The node has the head of the response.
+    auto refused = send("c", "GET", "1500");
+    const auto response = refused.read();
+    CHECK(response.has_value());
+    CHECK_EQUAL(503, response->status());
+    CHECK_EQUAL(2, target.requests());
+}
+
+// Guards against learning the size of large responses from responses to HEAD, of which no body follows.
+TEST(Relay, learnsNoSizeFromHead)
+{
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        const bool isHead = request.startLine.rfind("HEAD", 0) == 0;
+        return connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(isHead ? "9000000" : "2")
+                               + "\r\nSigned-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n\r\n"
+                               + (isHead ? "" : "ok"));
+    });
+    targetOptions.linkMegabits = 5;
+    addTarget(target, "first");
+    start();
+    auto socket = TestSocket::connectTo(front->server->localEndpoint());
+    socket.send("HEAD /export HTTP/1.1\r\nHost: rota.example\r\nCall-Id: h\r\n\r\n");
+    const auto head = socket.read(false);
+    CHECK_EQUAL(200, head.value().status());
+    const auto response = call("GET", "/export", "Left-Ms: 1000\r\n");
+    CHECK_EQUAL(200, response.status());
+}
+
 // Guards against headers for the target that are lost on the way or forged by the caller.
 TEST(Relay, relaysARequestToATargetOnAnotherHost)
 {
