Share the function that wakes a waiting request

Cause: the wait for a slot and the wait for the link contained the same function for ending a wait from another thread. Change: makeTimerWake().

--- a/libs/proxy/src/linkturn.cpp
+++ b/libs/proxy/src/linkturn.cpp
@@ -1,6 +1,7 @@
 #include "linkturn.h"
 
-#include <asio/post.hpp>
+#include "timerwake.h"
+
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
@@ -11,11 +12,7 @@
     , m_timer(std::make_shared<asio::steady_timer>(*context, ticket.deadline))
     , m_ticket(ticket)
 {
-    queue.enter(ticket, [timer = m_timer, weak = std::weak_ptr(context)] {
-        if (const auto running = weak.lock()) {
-            asio::post(*running, [timer] { timer->cancel(); });
-        }
-    });
+    queue.enter(ticket, makeTimerWake(context, m_timer));
 }
 
 LinkTurn::~LinkTurn()
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -1,6 +1,7 @@
 #include "slotwait.h"
 
-#include <asio/post.hpp>
+#include "timerwake.h"
+
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -70,11 +71,7 @@
         call.updateLatestStart();
     }
     const auto timer = std::make_shared<asio::steady_timer>(*call.context, std::min(call.deadline, call.latestStart));
-    const auto request = makeRequest(call, std::move(excluded), [timer, context = std::weak_ptr(call.context)] {
-        if (const auto running = context.lock()) {
-            asio::post(*running, [timer] { timer->cancel(); });
-        }
-    });
+    const auto request = makeRequest(call, std::move(excluded), makeTimerWake(call.context, timer));
     const QueueGuard guard(call.core.balancer, request);
     const auto started = std::chrono::steady_clock::now();
     if (call.core.balancer.acquire(request, started)) {
