Watch with the generation of the read before it

Cause: a read whose response has no generation was followed by a watch with the generation of an earlier read.

Change: StoreConfigSource keeps the generation of the last read, unknown if its response had none, for the watch and for the comparison of documents. The last known one is kept apart, to notice a restoration.

--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -45,7 +45,7 @@
     /** Starts to read the newest version; each read must end with readSucceeded() or readFailed(). */
     virtual void readStore() = 0;
 
-    /** @p generation is that of the store at the time of the read. */
+    /** @p generation is that of the store at the time of the read; 0 if the response did not have it. */
     void readSucceeded(StoreGeneration generation);
     void readFailed();
 
@@ -61,10 +61,10 @@
     /** Reads again after a delay, which is short if the watch has worked. */
     void ended(const Error &error) override;
 
-    /** Generation of the store at the last read; 0 while it is unknown. */
+    /** Generation of the store at the last read; 0 if its response did not have it. */
     StoreGeneration generation() const
     {
-        return m_generation;
+        return m_readGeneration;
     }
 
     KeyValueStore &store() const
@@ -95,7 +95,8 @@
     std::unique_ptr<Watch> m_watch;
     std::shared_ptr<bool> m_alive;
     TimePoint m_watchStarted{};
-    StoreGeneration m_generation = 0; ///< Of the last read whose generation is known.
+    StoreGeneration m_readGeneration = 0; ///< Of the last read.
+    StoreGeneration m_knownGeneration = 0; ///< Of the last read whose generation is known.
     bool m_watching = false;
     bool m_reading = false;
     bool m_readingNeeded = true; ///< Whether to read the store even when not watching.
--- a/libs/config/src/storeconfigsource.cpp
+++ b/libs/config/src/storeconfigsource.cpp
@@ -56,12 +56,13 @@
 void StoreConfigSource::readSucceeded(StoreGeneration generation)
 {
     m_reading = false;
-    if (isRestoration(m_generation, generation)) {
-        m_listener.storeRestored(m_generation, generation);
+    if (isRestoration(m_knownGeneration, generation)) {
+        m_listener.storeRestored(m_knownGeneration, generation);
     }
     if (generation != 0) {
-        m_generation = generation;
+        m_knownGeneration = generation;
     }
+    m_readGeneration = generation;
     setReachable(true);
 }
 
@@ -76,7 +77,7 @@
 {
     if (m_watching) {
         m_watchStarted = m_timers.now();
-        m_watch = m_store.watch({.prefix = prefix, .startRevision = revision, .generation = m_generation}, *this);
+        m_watch = m_store.watch({.prefix = prefix, .startRevision = revision, .generation = m_readGeneration}, *this);
     }
 }
 
