Tell a store's generation 0 from an unknown one

Cause: the number 0 stood for an unknown generation. A store whose first generation has the number 0 would not be noticed to be restored: a watch would go on into the next generation and miss changes, and documents with the same revision would be skipped.

Change: an unknown generation is an empty std::optional, so that every number is a valid generation. The log lines are unchanged.

Tests: PlatformStore.noticesTheRestorationAfterTheGenerationZero failed before (the watch did not end within 10 s) and passes after. PlatformStore.readsTheGenerationOfTheStore compares the same generations as before, with the unknown ones as std::nullopt instead of 0. All 33 storetests, 49 configtests, 13 directorytests, 27 platformtests, 6 hornbeamdtests, 23 claimstests and 11 storestandintests pass.

--- a/libs/config/include/hornbeam/config/confighead.h
+++ b/libs/config/include/hornbeam/config/confighead.h
@@ -6,6 +6,7 @@
 #include <hornbeam/store/storegeneration.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,7 +21,7 @@
     Digest contentDigest; ///< Digest of the whole content.
     std::vector<Digest> pieceDigests; ///< Digests of the content's pieces, in order.
     std::int64_t modRevision = 0; ///< Store revision that last modified the head; 0 when there is none. Not encoded.
-    StoreGeneration generation = 0; ///< Store generation of the revision; 0 if unknown. Not encoded.
+    std::optional<StoreGeneration> generation{}; ///< Store generation of the revision, if known. Not encoded.
 
     /** Version 0 with the digest of an empty content, for a store without a head. */
     static ConfigHead none();
--- a/libs/config/include/hornbeam/config/documentsource.h
+++ b/libs/config/include/hornbeam/config/documentsource.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/config/storeconfigsource.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,7 +41,7 @@
 
     const std::string m_key;
     const DocumentDecoder &m_decoder;
-    StoreGeneration m_decodedGeneration = 0; ///< Store generation of the last decoded document.
+    std::optional<StoreGeneration> m_decodedGeneration; ///< Store generation of the last decoded document, if known.
     std::int64_t m_decodedRevision = 0; ///< Store revision of the last decoded document, in its generation.
 };
 
--- a/libs/config/include/hornbeam/config/storeconfigsource.h
+++ b/libs/config/include/hornbeam/config/storeconfigsource.h
@@ -5,6 +5,7 @@
 #include <hornbeam/store/keyvaluestore.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Hornbeam {
@@ -45,8 +46,8 @@
     /** Starts to read the newest version; each read must end with readSucceeded() or readFailed(). */
     virtual void readStore() = 0;
 
-    /** @p generation is that of the store at the time of the read; 0 if the response did not have it. */
-    void readSucceeded(StoreGeneration generation);
+    /** @p generation is that of the store at the time of the read, if the response has it. */
+    void readSucceeded(std::optional<StoreGeneration> generation);
     void readFailed();
 
     /**
@@ -61,8 +62,8 @@
     /** Reads again after a delay, which is short if the watch has worked. */
     void ended(const Error &error) override;
 
-    /** Generation of the store at the last read; 0 if its response did not have it. */
-    StoreGeneration generation() const
+    /** Generation of the store at the last read, if its response had it. */
+    std::optional<StoreGeneration> generation() const
     {
         return m_readGeneration;
     }
@@ -95,8 +96,8 @@
     std::unique_ptr<Watch> m_watch;
     std::shared_ptr<bool> m_alive;
     TimePoint m_watchStarted{};
-    StoreGeneration m_readGeneration = 0; ///< Of the last read.
-    StoreGeneration m_knownGeneration = 0; ///< Of the last read whose generation is known.
+    std::optional<StoreGeneration> m_readGeneration; ///< Of the last read.
+    std::optional<StoreGeneration> m_knownGeneration; ///< Of the last read whose generation is known.
     bool m_watching = false;
     bool m_reading = false;
     bool m_readingNeeded = true; ///< Whether to read the store even when not watching.
--- a/libs/config/src/storeconfigsource.cpp
+++ b/libs/config/src/storeconfigsource.cpp
@@ -53,13 +53,13 @@
     m_readingNeeded = false;
 }
 
-void StoreConfigSource::readSucceeded(StoreGeneration generation)
+void StoreConfigSource::readSucceeded(std::optional<StoreGeneration> generation)
 {
     m_reading = false;
     if (isRestoration(m_knownGeneration, generation)) {
-        m_listener.storeRestored(m_knownGeneration, generation);
+        m_listener.storeRestored(*m_knownGeneration, *generation);
     }
-    if (generation != 0) {
+    if (generation) {
         m_knownGeneration = generation;
     }
     m_readGeneration = generation;
--- a/libs/store/include/hornbeam/store/keyvaluestore.h
+++ b/libs/store/include/hornbeam/store/keyvaluestore.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,7 @@
     std::vector<KeyValue> entries;
     std::int64_t revision = 0; ///< Revision of the store at the time of the read.
     bool more = false; ///< More pages follow. Not set by KeyValueStore::range(), which reads all pages.
-    StoreGeneration generation = 0; ///< Generation of the store, to which the revisions belong.
+    std::optional<StoreGeneration> generation{}; ///< Generation of the store, to which the revisions belong, if known.
 };
 
 struct LeaseGrant
@@ -69,7 +70,8 @@
 {
     std::string prefix;
     std::int64_t startRevision = 0; ///< First revision to report; 0 starts at the current one.
-    StoreGeneration generation = 0; ///< Generation of the start revision; the watch reports no other one.
+    /** Generation of the start revision, if known; the watch reports no other one. */
+    std::optional<StoreGeneration> generation{};
 };
 
 /**
--- a/libs/store/include/hornbeam/store/storeprotocol.h
+++ b/libs/store/include/hornbeam/store/storeprotocol.h
@@ -4,6 +4,7 @@
 #include <hornbeam/store/keyvaluestore.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,7 +35,7 @@
     std::int64_t compactRevision = 0; ///< Not 0 when the store no longer has the start revision.
     std::string cancelReason;
     std::vector<KeyValue> changes; ///< In the form described at WatchListener::changed().
-    StoreGeneration generation = 0; ///< Generation of the store when it sent the message.
+    std::optional<StoreGeneration> generation{}; ///< Generation of the store when it sent the message, if known.
 };
 
 /**
--- a/libs/store/src/etcdprotocol.cpp
+++ b/libs/store/src/etcdprotocol.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -131,12 +132,12 @@
     return key;
 }
 
-Json header(std::int64_t revision, StoreGeneration generation = 0)
+Json header(std::int64_t revision, std::optional<StoreGeneration> generation = {})
 {
     Json json = Json::object();
     setInteger(json, "revision", revision);
-    if (generation != 0) {
-        json["cluster_id"] = std::to_string(generation);
+    if (generation) {
+        json["cluster_id"] = std::to_string(*generation);
     }
     return json;
 }
@@ -147,12 +148,12 @@
 }
 
 /** The cluster id, which is a new one when a cluster is restored from a snapshot under another cluster token. */
-StoreGeneration headerGeneration(const Json &json)
+std::optional<StoreGeneration> headerGeneration(const Json &json)
 {
     const auto &head = member(json, "header");
     const auto it = head.find("cluster_id");
     if (it == head.end()) {
-        return 0;
+        return std::nullopt;
     }
     return it->is_string() ? std::stoull(it->get_ref<const std::string &>()) : it->get<StoreGeneration>();
 }
--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <optional>
 #include <utility>
 
 namespace Hornbeam {
@@ -42,7 +43,7 @@
     WatchListener *listener = nullptr; ///< Executor's thread only; null once the watch has ended.
     std::uint64_t transferId = 0; ///< The running transfer of the watch.
     bool stopped = false; ///< I/O thread only. When set, no further poll is started.
-    StoreGeneration generation = 0; ///< I/O thread only. Of the watched revisions, as soon as it is known.
+    std::optional<StoreGeneration> generation; ///< I/O thread only. Of the watched revisions, as soon as it is known.
 };
 
 using WatchStatePtr = std::shared_ptr<WatchState>;
@@ -372,7 +373,7 @@
         postWatchEnded(state, Error(ErrorCode::Conflict, "the store was restored from a copy"));
         return false;
     }
-    if (message->generation != 0) {
+    if (message->generation) {
         state->generation = message->generation;
     }
     if (!message->changes.empty()) {
--- a/libs/store/src/inmemorystore.cpp
+++ b/libs/store/src/inmemorystore.cpp
@@ -257,7 +257,7 @@
     {
         const auto watch = std::make_shared<WatchState>();
         watch->nextRevision = request.startRevision > 0 ? request.startRevision : m_state->model().revision() + 1;
-        watch->generation = request.generation != 0 ? request.generation : m_state->model().generation();
+        watch->generation = request.generation.value_or(m_state->model().generation());
         watch->prefix = std::move(request.prefix);
         watch->listener = &listener;
         watch->executor = &m_executor;
