Keep the lease when a write of the node's entry fails

Cause: NodeDirectory repeated a failed write of its entry by taking a new lease, so that each repetition was two writes, of which the store allows few, and left a lease behind. After a restoration of the store many nodes register at the same time, and refused writes increased their number.

Change: the entry is written again with the same lease. A new lease is taken only if the store says that the lease does not exist, after the same delays as before.

Tests: NodeDirectory.keepsItsLeaseWhenTheStoreRefusesItsEntry failed before (5 leases for 4 refused writes, now 1), and NodeDirectory.takesANewLeaseWhenItsLeaseExpiredBeforeItsEntryIsWritten (121 leases in 61 s, now 2).

--- a/libs/directory/include/hornbeam/directory/nodedirectory.h
+++ b/libs/directory/include/hornbeam/directory/nodedirectory.h
@@ -87,7 +87,7 @@
     Backoff m_readBackoff;
     Backoff m_entryBackoff;
     const std::string m_key; ///< Key of this node's entry.
-    LeaseId m_lease = 0;
+    LeaseId m_lease = 0; ///< 0 while a lease is to be granted.
     std::int64_t m_entryRevision = 0; ///< Revision of the written entry; 0 until it is written.
     std::uint64_t m_registrations = 0; ///< Counts registrations; results for an earlier one are ignored.
     RegistrationReason m_reason = RegistrationReason::Start; ///< Of the current or last registration.
--- a/libs/directory/src/nodedirectory.cpp
+++ b/libs/directory/src/nodedirectory.cpp
@@ -68,6 +68,7 @@
     m_entryRevision = 0;
     m_reason = reason;
     m_registrationTimer.reset();
+    m_lease = 0;
     grantLease();
 }
 
@@ -100,6 +101,9 @@
             }
             // The outcome of a failed write may be unknown; writing the entry again is idempotent.
             if (!result) {
+                if (result.error().code() == ErrorCode::NotFound) {
+                    m_lease = 0;
+                }
                 retryRegistration();
                 return;
             }
@@ -132,7 +136,13 @@
 
 void NodeDirectory::retryRegistration()
 {
-    m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] { grantLease(); });
+    m_registrationTimer = m_timers.once(m_registrationBackoff.next(), [this] {
+        if (m_lease == 0) {
+            grantLease();
+        } else {
+            writeEntry();
+        }
+    });
 }
 
 void NodeDirectory::scheduleRenewal(Duration delay)
--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -13,11 +13,15 @@
 
 namespace {
 
-/** Returns the state of @c staleness revisions ago to the reads that permit it. */
-class StaleListStore : public InMemoryStore
+/** Returns an earlier state to the reads that permit it, refuses transactions and counts granted leases. */
+class NodeStore : public InMemoryStore
 {
 public:
-    using InMemoryStore::InMemoryStore;
+    NodeStore(Executor &executor, const InMemoryStore &shared)
+        : InMemoryStore(executor, shared)
+        , m_executor(executor)
+    {
+    }
 
     void range(RangeRequest request, Callback<RangeResult> callback) override
     {
@@ -27,7 +31,30 @@
         InMemoryStore::range(std::move(request), std::move(callback));
     }
 
-    std::int64_t staleness = 0;
+    void commit(Transaction transaction, Callback<TransactionResult> callback) override
+    {
+        if (refusals > 0) {
+            --refusals;
+            m_executor.post([callback = std::move(callback)] {
+                callback(makeError(ErrorCode::Overloaded, "the rate limit rejected the call"));
+            });
+            return;
+        }
+        InMemoryStore::commit(std::move(transaction), std::move(callback));
+    }
+
+    void grantLease(std::chrono::seconds timeToLive, Callback<LeaseGrant> callback) override
+    {
+        ++grants;
+        InMemoryStore::grantLease(timeToLive, std::move(callback));
+    }
+
+    std::int64_t staleness = 0; ///< In revisions.
+    int refusals = 0; ///< This many transactions are refused.
+    int grants = 0;
+
+private:
+    Executor &m_executor;
 };
 
 /** A node with its own executor and its own handle to the shared store. */
@@ -50,7 +77,7 @@
     }
 
     ManualExecutor executor;
-    StaleListStore store;
+    NodeStore store;
     std::vector<Endpoint> known;
     std::vector<RegistrationReason> registrations;
     NodeDirectory directory;
@@ -240,3 +267,25 @@
     run(6s);
     CHECK_FALSE(second.knows("10.0.0.1:7380"));
 }
+
+// Guards against a lease for each repetition of a write that the store refuses.
+TEST(NodeDirectory, keepsItsLeaseWhenTheStoreRefusesItsEntry)
+{
+    first.store.refusals = 4;
+    first.directory.start();
+    run(20s);
+    CHECK_EQUAL(1, first.registrations.size());
+    CHECK_EQUAL(1, first.store.grants);
+}
+
+// Guards against a node that is never listed because its lease expired before its entry could be written.
+TEST(NodeDirectory, takesANewLeaseWhenItsLeaseExpiredBeforeItsEntryIsWritten)
+{
+    first.store.refusals = 1000;
+    first.directory.start();
+    run(61s);
+    first.store.refusals = 0;
+    run(5s);
+    CHECK_EQUAL(1, first.registrations.size());
+    CHECK_EQUAL(2, first.store.grants);
+}
