--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -173,6 +173,24 @@
     CHECK((listener.versions == std::vector<ConfigVersion>{4, 8}));
 }
 
+// Guards against decoding and logging a document again each time the store is read.
+TEST(DocumentSource, decodesADocumentOnceWhenItIsReadAgain)
+{
+    write("4");
+    start();
+    write("broken");
+    run(100ms);
+    const auto reads = store.calls().reads;
+    store.setFaults({.unavailable = true});
+    run(1s);
+    store.setFaults({});
+    run(2s);
+    CHECK(listener.reachable);
+    CHECK_COMPARE(store.calls().reads, >, reads);
+    CHECK_EQUAL(1, listener.refusals);
+    CHECK(listener.versions == std::vector<ConfigVersion>{4});
+}
+
 // Guards against a confirmed change that is skipped because the restored store gives it a lower revision.
 TEST(DocumentSource, receivesAChangeThatARestoredStoreGivesALowerRevision)
 {
--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/** Returns an earlier state to the reads that permit it, refuses transactions and counts granted leases. */
+/** Returns an earlier state to the reads that permit it, delays responses, refuses transactions and counts calls. */
 class NodeStore : public InMemoryStore
 {
 public:
@@ -25,10 +25,24 @@
 
     void range(RangeRequest request, Callback<RangeResult> callback) override
     {
-        auto current = faults();
+        const auto saved = faults();
+        auto current = saved;
         current.staleReads = request.mayBeStale ? staleness : 0;
+        current.answerDelay += request.prefix ? Duration(0) : entryReadDelay;
         setFaults(current);
         InMemoryStore::range(std::move(request), std::move(callback));
+        setFaults(saved);
+    }
+
+    void keepLeaseAlive(LeaseId lease, Callback<LeaseGrant> callback) override
+    {
+        ++renewals;
+        const auto saved = faults();
+        auto current = saved;
+        current.answerDelay += renewalDelay;
+        setFaults(current);
+        InMemoryStore::keepLeaseAlive(lease, std::move(callback));
+        setFaults(saved);
     }
 
     void commit(Transaction transaction, Callback<TransactionResult> callback) override
@@ -50,8 +64,11 @@
     }
 
     std::int64_t staleness = 0; ///< In revisions.
+    Duration entryReadDelay{0}; ///< Delay of the response to a read of one entry.
+    Duration renewalDelay{0}; ///< Delay of the response to a renewal.
     int refusals = 0; ///< This many transactions are refused.
     int grants = 0;
+    int renewals = 0;
 
 private:
     Executor &m_executor;
@@ -63,7 +80,9 @@
     ListedNode(TimerService &timers, const InMemoryStore &shared, const std::string &address)
         : store(executor, shared)
         , directory(
-              {.address = *Endpoint::parse(address), .retry = {.initial = 100ms, .maximum = 1s, .seed = 3}},
+              {.address = *Endpoint::parse(address),
+               .retry = {.initial = 100ms, .maximum = 1s, .seed = 3},
+               .entryCheck = {.initial = 500ms, .maximum = 2s, .seed = 3}},
               store,
               timers,
               [this](const std::vector<Endpoint> &nodes) { known = nodes; },
@@ -102,6 +121,13 @@
             second.executor.run();
         }
     }
+
+    /** Ends the lease that the first node was granted first, and removes its entry with it. */
+    void endFirstLease()
+    {
+        shared.revokeLease(1, [](const Result<bool> &revoked) { CHECK(revoked.has_value()); });
+        executor.run();
+    }
 };
 
 TEST(NodeDirectory, listsOtherNodes)
@@ -289,3 +315,54 @@
     CHECK_EQUAL(1, first.registrations.size());
     CHECK_EQUAL(2, first.store.grants);
 }
+
+// Guards against a lost entry that an earlier state of the store still has.
+TEST(NodeDirectory, registersAgainWhenOnlyAStaleReadHasItsEntry)
+{
+    first.directory.start();
+    run(2s);
+    endFirstLease();
+    first.store.staleness = 1;
+    first.directory.checkEntry();
+    run(1s);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::EntryLost}));
+}
+
+// Guards against a leaving process that removes the entry that its successor has written under the same address.
+TEST(NodeDirectory, keepsTheEntryOfItsSuccessorWhenItLeaves)
+{
+    first.directory.start();
+    second.directory.start();
+    run(6s);
+    ListedNode successor{timers, shared, "10.0.0.1:7380"};
+    successor.directory.start();
+    successor.executor.run();
+    CHECK_EQUAL(1, successor.registrations.size());
+    first.directory.leave();
+    run(6s);
+    CHECK(second.knows("10.0.0.1:7380"));
+}
+
+// Guards against a registration for the late refusal to renew a lease that has been replaced meanwhile.
+TEST(NodeDirectory, ignoresTheRenewalOfAnEarlierLease)
+{
+    first.directory.start();
+    run(14900ms);
+    endFirstLease();
+    first.store.renewalDelay = 1900ms;
+    run(3s);
+    CHECK_EQUAL(1, first.store.renewals);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::EntryLost}));
+}
+
+// Guards against a registration for the late response to a read that was sent before the entry was written again.
+TEST(NodeDirectory, ignoresAReadOfAnEarlierEntry)
+{
+    first.directory.start();
+    run(14400ms);
+    endFirstLease();
+    first.store.entryReadDelay = 1900ms;
+    first.directory.checkEntry();
+    run(3s);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::LeaseExpired}));
+}
