--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -5,6 +5,7 @@
 #include <hornbeam/store/storemodel.h>
 
 #include <algorithm>
+#include <optional>
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,21 +14,65 @@
 
 namespace {
 
-/** Returns the state of @c staleness revisions ago to the reads that permit it. */
-class StaleListStore : public InMemoryStore
+/** Returns an earlier state to the reads that permit it, delays responses, refuses transactions and counts calls. */
+class NodeStore : public InMemoryStore
 {
 public:
-    using InMemoryStore::InMemoryStore;
+    NodeStore(Executor &executor, const InMemoryStore &shared)
+        : InMemoryStore(executor, shared)
+        , m_executor(executor)
+    {
+    }
 
     void range(RangeRequest request, Callback<RangeResult> callback) override
     {
-        auto current = faults();
+        const auto saved = faults();
+        auto current = saved;
         current.staleReads = request.mayBeStale ? staleness : 0;
+        current.answerDelay += request.prefix ? Duration(0) : entryReadDelay;
         setFaults(current);
         InMemoryStore::range(std::move(request), std::move(callback));
+        setFaults(saved);
+    }
+
+    void keepLeaseAlive(LeaseId lease, Callback<LeaseGrant> callback) override
+    {
+        ++renewals;
+        const auto saved = faults();
+        auto current = saved;
+        current.answerDelay += renewalDelay;
+        setFaults(current);
+        InMemoryStore::keepLeaseAlive(lease, std::move(callback));
+        setFaults(saved);
+    }
+
+    void commit(Transaction transaction, Callback<TransactionResult> callback) override
+    {
+        if (refusals > 0) {
+            --refusals;
+            m_executor.post([callback = std::move(callback)] {
+                callback(makeError(ErrorCode::Overloaded, "the rate limit rejected the call"));
+            });
+            return;
+        }
+        InMemoryStore::commit(std::move(transaction), std::move(callback));
     }
 
-    std::int64_t staleness = 0;
+    void grantLease(std::chrono::seconds timeToLive, Callback<LeaseGrant> callback) override
+    {
+        ++grants;
+        InMemoryStore::grantLease(timeToLive, std::move(callback));
+    }
+
+    std::int64_t staleness = 0; ///< In revisions.
+    Duration entryReadDelay{0}; ///< Delay of the response to a read of one entry.
+    Duration renewalDelay{0}; ///< Delay of the response to a renewal.
+    int refusals = 0; ///< This many transactions are refused.
+    int grants = 0;
+    int renewals = 0;
+
+private:
+    Executor &m_executor;
 };
 
 /** A node with its own executor and its own handle to the shared store. */
@@ -36,7 +81,9 @@
     ListedNode(TimerService &timers, const InMemoryStore &shared, const std::string &address)
         : store(executor, shared)
         , directory(
-              {.address = *Endpoint::parse(address), .retry = {.initial = 100ms, .maximum = 1s, .seed = 3}},
+              {.address = *Endpoint::parse(address),
+               .retry = {.initial = 100ms, .maximum = 1s, .seed = 3},
+               .entryCheck = {.initial = 500ms, .maximum = 2s, .seed = 3}},
               store,
               timers,
               [this](const std::vector<Endpoint> &nodes) { known = nodes; },
@@ -50,7 +97,7 @@
     }
 
     ManualExecutor executor;
-    StaleListStore store;
+    NodeStore store;
     std::vector<Endpoint> known;
     std::vector<RegistrationReason> registrations;
     NodeDirectory directory;
@@ -75,6 +122,13 @@
             second.executor.run();
         }
     }
+
+    /** Ends the lease that the first node was granted first, and removes its entry with it. */
+    void endFirstLease()
+    {
+        shared.revokeLease(1, [](const Result<bool> &revoked) { CHECK(revoked.has_value()); });
+        executor.run();
+    }
 };
 
 TEST(NodeDirectory, listsOtherNodes)
@@ -240,3 +294,114 @@
     run(6s);
     CHECK_FALSE(second.knows("10.0.0.1:7380"));
 }
+
+// Guards against a lease for each repetition of a write that the store refuses.
+TEST(NodeDirectory, keepsItsLeaseWhenTheStoreRefusesItsEntry)
+{
+    first.store.refusals = 4;
+    first.directory.start();
+    run(20s);
+    CHECK_EQUAL(1, first.registrations.size());
+    CHECK_EQUAL(1, first.store.grants);
+}
+
+// Guards against a node that is never listed because its lease expired before its entry could be written.
+TEST(NodeDirectory, takesANewLeaseWhenItsLeaseExpiredBeforeItsEntryIsWritten)
+{
+    first.store.refusals = 1000;
+    first.directory.start();
+    run(61s);
+    first.store.refusals = 0;
+    run(5s);
+    CHECK_EQUAL(1, first.registrations.size());
+    CHECK_EQUAL(2, first.store.grants);
+}
+
+// Guards against a lost entry that an earlier state of the store still has.
+TEST(NodeDirectory, registersAgainWhenOnlyAStaleReadHasItsEntry)
+{
+    first.directory.start();
+    run(2s);
+    endFirstLease();
+    first.store.staleness = 1;
+    first.directory.checkEntry();
+    run(1s);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::EntryLost}));
+}
+
+// Guards against a leaving process that removes the entry that its successor has written under the same address.
+TEST(NodeDirectory, keepsTheEntryOfItsSuccessorWhenItLeaves)
+{
+    first.directory.start();
+    second.directory.start();
+    run(6s);
+    ListedNode successor{timers, shared, "10.0.0.1:7380"};
+    successor.directory.start();
+    successor.executor.run();
+    CHECK_EQUAL(1, successor.registrations.size());
+    first.directory.leave();
+    run(6s);
+    CHECK(second.knows("10.0.0.1:7380"));
+}
+
+// Guards against a registration for the late refusal to renew a lease that has been replaced meanwhile.
+TEST(NodeDirectory, ignoresTheRenewalOfAnEarlierLease)
+{
+    first.directory.start();
+    run(14900ms);
+    endFirstLease();
+    first.store.renewalDelay = 1900ms;
+    run(3s);
+    CHECK_EQUAL(1, first.store.renewals);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::EntryLost}));
+}
+
+// Guards against a registration for the late response to a read that was sent before the entry was written again.
+TEST(NodeDirectory, ignoresAReadOfAnEarlierEntry)
+{
+    first.directory.start();
+    run(14400ms);
+    endFirstLease();
+    first.store.entryReadDelay = 1900ms;
+    first.directory.checkEntry();
+    run(3s);
+    CHECK((first.registrations == std::vector{RegistrationReason::Start, RegistrationReason::LeaseExpired}));
+}
+
+// Guards against a killed node that stays listed because another node renews the lease that both were granted.
+TEST(NodeDirectory, forgetsAKilledNodeWhoseLeaseWasGivenOutAgainBeforeItsWrite)
+{
+    const auto copy = shared.copy();
+    first.store.setFaults({.applyDelay = 100ms});
+    first.directory.start();
+    run(100ms);
+    shared.restore(copy);
+    second.directory.start(); // Gets the lease id that the first node was granted.
+    run(10s);
+    CHECK(second.knows("10.0.0.1:7380"));
+    CHECK_EQUAL(1, first.registrations.size());
+    first.store.setFaults({.unavailable = true}); // The node neither renews nor reads.
+    run(180s);
+    CHECK_FALSE(second.knows("10.0.0.1:7380"));
+}
+
+// Guards against an entry that stays listed because its node leaves while it replaces a lease of another node.
+TEST(NodeDirectory, removesAnEntryWithTheLeaseOfAnotherNodeWhenItLeaves)
+{
+    const auto copy = shared.copy();
+    first.store.setFaults({.applyDelay = 100ms});
+    first.directory.start();
+    run(100ms);
+    shared.restore(copy);
+    second.directory.start(); // Gets the lease id that the first node was granted.
+    run(100ms);
+    first.store.setFaults({});
+    std::optional<LeaseId> lease;
+    shared.range({.key = "hornbeamring/nodes/10.0.0.1:7380"},
+                 [&](const Result<RangeResult> &read) { lease = read->entries.at(0).lease; });
+    executor.run();
+    CHECK(lease == 1);
+    first.directory.leave();
+    run(90s);
+    CHECK_FALSE(second.knows("10.0.0.1:7380"));
+}
--- a/libs/store/src/etcdprotocol.cpp
+++ b/libs/store/src/etcdprotocol.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -131,12 +132,12 @@
     return key;
 }
 
-Json header(std::int64_t revision, StoreGeneration generation = 0)
+Json header(std::int64_t revision, std::optional<StoreGeneration> generation = {})
 {
     Json json = Json::object();
     setInteger(json, "revision", revision);
-    if (generation != 0) {
-        json["cluster_id"] = std::to_string(generation);
+    if (generation) {
+        json["cluster_id"] = std::to_string(*generation);
     }
     return json;
 }
@@ -147,12 +148,12 @@
 }
 
 /** The cluster id, which is a new one when a cluster is restored from a snapshot under another cluster token. */
-StoreGeneration headerGeneration(const Json &json)
+std::optional<StoreGeneration> headerGeneration(const Json &json)
 {
     const auto &head = member(json, "header");
     const auto it = head.find("cluster_id");
     if (it == head.end()) {
-        return 0;
+        return std::nullopt;
     }
     return it->is_string() ? std::stoull(it->get_ref<const std::string &>()) : it->get<StoreGeneration>();
 }
@@ -328,7 +329,7 @@
 
 Json toJson(const Transaction &transaction, const TransactionResult &result)
 {
-    Json json = {{"header", header(result.revision)}};
+    Json json = {{"header", header(result.revision, result.generation)}};
     if (result.succeeded) {
         json["succeeded"] = true;
     }
@@ -358,7 +359,10 @@
 
 TransactionResult readTransactionResult(const Json &json)
 {
-    TransactionResult result{.succeeded = boolean(json, "succeeded"), .revision = headerRevision(json), .results = {}};
+    TransactionResult result{.succeeded = boolean(json, "succeeded"),
+                             .revision = headerRevision(json),
+                             .results = {},
+                             .generation = headerGeneration(json)};
     for (const auto &it : list(json, "responses")) {
         result.results.push_back(readOperationResult(it));
     }
@@ -367,7 +371,7 @@
 
 Json leaseGrantJson(const LeaseGrant &grant, std::int64_t revision)
 {
-    Json json = {{"header", header(revision)}};
+    Json json = {{"header", header(revision, grant.generation)}};
     setInteger(json, "ID", grant.id);
     setInteger(json, "TTL", grant.timeToLive.count());
     return json;
@@ -375,7 +379,9 @@
 
 LeaseGrant readLeaseGrant(const Json &json)
 {
-    return {.id = integer(json, "ID"), .timeToLive = std::chrono::seconds(integer(json, "TTL"))};
+    return {.id = integer(json, "ID"),
+            .timeToLive = std::chrono::seconds(integer(json, "TTL")),
+            .generation = headerGeneration(json)};
 }
 
 /** Returns the message inside a stream's envelope, which has "error" instead of "result" when the stream failed. */
