Show that a planned stop cuts off downloads that wait for the target's link

The node of the target doesn't learn of the stop and sends other responses first; the stopping node ends 5.5 s after SIGTERM without an answer, 4 s before the deadlines (LOST).

--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -280,6 +280,7 @@
         self.waiting = 0
         self.crashes_on = None
         self.on_run = None
+        self.padding = 0
         self._slot = asyncio.Semaphore(slots)
         self._beats = None
         self._restart = None
@@ -365,7 +366,9 @@
                 await self.on_run(self, run)
             else:
                 await asyncio.sleep(self.work_s)
-            body = f"{self.service} {self.id} {target} {rid}\n".encode()
+            run["ended"] = self.record.now()
+            self.record.add("run ended", request=rid, instance=self.id)
+            body = f"{self.service} {self.id} {target} {rid}\n".encode() + b"." * self.padding
             return response(200, body, {**echo, "Response-Signature": f"sig.{self.id}.{rid}"}, "OK")
         finally:
             self.running = max(self.running - 1, 0)
@@ -478,15 +481,15 @@
         self.machines = [Machine(self, i, zone, service) for i, (zone, service) in enumerate(layout)]
         self.instances = {}
         self.zones = {zone: "fi-south" for zone, _ in layout}
-        self.version = 0
-        self.requests = 0
+        self.link_mbps = 1000.0
 
     def settings_fields(self, machine):
         return {
             "nodeId": machine.name, "role": "node", "machineClass": "sidecar", "serves": ["sidecar"],
             "ip": machine.ip, "zone": machine.zone, "region": "fi-south", "countsAsLoss": False, "bootstrap": True,
             "dataDir": None, "upstream": f"{machine.ip}:{INSTANCE}", "service": machine.service,
-            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": self.link_mbps,
+                       "diskMb": 0},
             "listen": {"inbound": f"{machine.ip}:{INBOUND}", "outbound": f"{machine.ip}:{OUTBOUND}",
                        "readiness": f"{machine.ip}:{READINESS}", "admin": f"{machine.ip}:{ADMIN}"},
             "internalPorts": [PEER, METRICS], "seeds": [], "zones": self.zones,
@@ -515,7 +518,6 @@
     async def request(self, machine, method, path, deadline_ms=1500, body=b"", host="rota.example", timeout=None,
                       rid=None, leave_after=None):
         """A client on the machine sends one request on a new connection. Returns its status, or a text."""
-        self.requests += 1
         rid = rid or f"{random.getrandbits(64):016x}"
         head = (f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {rid}\r\nDeadline-Ms: {deadline_ms}\r\n")
         if body or method == "POST":
