--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,8 @@
 
 async def case(mesh):
     record = mesh.record
-    mesh.confirm(configuration(1, ["valvonta", "vuorolista"], [route("export", "/export/", "valvonta")]))
+    mesh.confirm(configuration(1, ["valvonta", "vuorolista"], [
+        route("export", "/export/", "valvonta"), route("rota", "/rota/", "vuorolista")]))
     await mesh.start()
     await asyncio.sleep(4)
     instances = list(mesh.instances.values())
@@ -30,10 +31,10 @@
 
     async def client(machine):
         while record.now() < until:
-            others.append(await mesh.request(machine, "GET", f"/export/{random.getrandbits(40):010x}"))
-            await asyncio.sleep(0.02)
+            others.append(await mesh.request(machine, "GET", f"/rota/{random.getrandbits(40):010x}"))
+            await asyncio.sleep(random.uniform(0.2, 0.4))
 
-    clients = [asyncio.create_task(client(machine)) for machine in mesh.machines for _ in range(4)]
+    clients = [asyncio.create_task(client(machine)) for machine in mesh.machines]
     while record.now() < until:
         await mesh.request(mesh.machines[0], "GET", POISON if with_trouble() else "/export/may")
         await asyncio.sleep(SENT_AGAIN_S)
@@ -43,15 +44,15 @@
                   key=lambda run: run["at"])
     failed = sum(1 for it in others if it["status"] != 200)
     record.add("runs of the request that crashes", count=len(runs), other_requests=len(others), failed=failed)
-    print(f"the request crashed {len(runs)} instances; {failed} of {len(others)} other requests failed")
+    print(f"the request crashed {len(runs)} instances; {failed} of {len(others)} requests to the other service failed")
     if len(runs) < 3:
         return []
     counted_from = runs[2]["at"] + BOUNDS["contactMs"] / 1000
     late = [run for run in runs if run["at"] > counted_from]
     if len(late) <= RETRIES:
         return []
-    return [f"request {run['request']} reached {run['instance']} {run['at'] - runs[2]['at']:.1f} s after the third crash"
-            for run in late]
+    return [f"request {run['request']} reached {run['instance']} "
+            f"{run['at'] - runs[2]['at']:.1f} s after the third crash" for run in late]
 
 
 main(case, LAYOUT, HERE)
