--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
