Keep acknowledged departures of targets in the store

Callers saw: after a planned restart of a node, requests from all hosts reached a target whose withdrawal the node had acknowledged 7 s before, because a heartbeat from before the withdrawal arrived late.

Cause: the tombstones of TargetRegistry existed only in the memory of the process that acknowledged. The same cause lets a draining target serve again: the order of its heartbeats was known to one process only.

Change: a departure (name, run, last outdated sequence number) is written to the store before it is acknowledged, one key a host with a lease of ten minutes, and a new process reads the key before it lists targets. The write covers withdrawals, the first draining heartbeat of a run, and replaced runs. The node writes the key again after a restoration of the store.

Cost: four calls to the store for a target that drains and withdraws, one read for a node that starts.

--- a/daemons/hornbeamd/adminfacade.cpp
+++ b/daemons/hornbeamd/adminfacade.cpp
@@ -6,6 +6,7 @@
 #include <hornbeam/base/metrics.h>
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/config/configsource.h>
+#include <hornbeam/directory/departurelog.h>
 #include <hornbeam/dissemination/disseminator.h>
 #include <hornbeam/membership/membershiptable.h>
 #include <hornbeam/membership/targetregistry.h>
@@ -139,6 +140,15 @@
     return m_dependencies.targets.withdraw(name, lastInstance);
 }
 
+void AdminFacade::whenDeparturesRecorded(std::function<void()> recorded)
+{
+    if (m_dependencies.departures != nullptr) {
+        m_dependencies.departures->whenRecorded(std::move(recorded));
+    } else {
+        recorded();
+    }
+}
+
 std::vector<Target> AdminFacade::knownTargets() const
 {
     std::vector<Target> targets;
--- a/daemons/hornbeamd/adminfacade.h
+++ b/daemons/hornbeamd/adminfacade.h
@@ -10,6 +10,7 @@
 
 class ConfigSource;
 class CrashQuarantine;
+class DepartureLog;
 class Disseminator;
 class MembershipTable;
 class MetricsRegistry;
@@ -30,6 +31,7 @@
     SnapshotHolder &configuration;
     MembershipTable &members;
     TargetRegistry &targets;
+    DepartureLog *departures; ///< Null if departures are not kept in the store.
     Disseminator &disseminator;
     ConfigSource &configSource;
     CrashQuarantine &quarantine;
@@ -57,6 +59,7 @@
     Result<Target> announce(const Announcement &announcement) override;
     Result<Target> withdraw(const Endpoint &address) override;
     Result<Target> withdraw(const std::string &name, std::uint64_t lastInstance) override;
+    void whenDeparturesRecorded(std::function<void()> recorded) override;
     std::vector<Target> knownTargets() const override;
 
     std::string renderMetrics() const override;
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -15,6 +15,7 @@
 #include <hornbeam/base/randomid.h>
 #include <hornbeam/claims/storeclaimcoordinator.h>
 #include <hornbeam/config/documentsource.h>
+#include <hornbeam/directory/departurelog.h>
 #include <hornbeam/directory/nodedirectory.h>
 #include <hornbeam/dissemination/disseminator.h>
 #include <hornbeam/membership/failuredetector.h>
@@ -49,6 +50,10 @@
 // within this time, it continues with the store alone.
 constexpr auto joinTimeout = 1s;
 
+// Until the node has read which targets of its host have left, it lists none. If the store does not answer within this
+// time, serving the targets that announce themselves is more important.
+constexpr auto departuresTimeout = 1s;
+
 // Upper bound of the random delay before the join, so that nodes that start at the same time do not contact the seeds
 // all at once.
 constexpr auto joinJitter = 100ms;
@@ -119,7 +124,7 @@
 
 /**
  * Owns the components in dependency order: each refers only to members declared before it, except that
- * m_crashReportForwarder also refers to m_targets.
+ * m_departures and m_crashReportForwarder also refer to m_targets.
  */
 class Node::Impl : private ConfigSourceListener
 {
@@ -162,6 +167,7 @@
     void startStoreAccess();
     bool isOnPlatform() const;
     void registeredInDirectory(RegistrationReason reason);
+    void departuresRead(const std::vector<Departure> &departures);
     void targetsChanged(std::vector<Target> targets);
     void versionApplied(const SnapshotPtr &snapshot);
     void memberChanged(const MemberPtr &before, const MemberPtr &after);
@@ -191,6 +197,7 @@
     std::unique_ptr<ConfigSource> m_configSource;
     std::unique_ptr<WatcherCandidacy> m_candidacy; ///< Null when all nodes watch the store.
     std::unique_ptr<NodeDirectory> m_directory; ///< Null outside the platform, where the settings list the seeds.
+    std::unique_ptr<DepartureLog> m_departures; ///< Null outside the platform, whose targets do not number their runs.
     std::unique_ptr<CrashReportForwarder> m_crashReportForwarder;
     std::unique_ptr<StoreClaimCoordinator> m_claims;
     std::unique_ptr<ProxyServer> m_proxy;
@@ -200,6 +207,7 @@
     std::unique_ptr<AdminServer> m_adminServer;
     std::vector<std::unique_ptr<AdminServer>> m_extraAdminServers; ///< Same API at the health and metrics addresses.
     TimerHandle m_joinTimer;
+    TimerHandle m_departuresTimer;
     bool m_storeAccessStarted = false;
 };
 
@@ -277,6 +285,12 @@
             m_timers,
             [this](const std::vector<Endpoint> &nodes) { m_detector->setSeeds(nodes); },
             [this](RegistrationReason reason) { registeredInDirectory(reason); });
+        m_departures = std::make_unique<DepartureLog>(
+            DepartureLogOptions{.address = m_settings.peer.advertise},
+            *m_store,
+            m_timers,
+            [this] { return m_targets.departures(); },
+            [this](const std::vector<Departure> &departures) { departuresRead(departures); });
         return true;
     }
     m_configSource = std::make_unique<RepositorySource>(*m_store, m_timers, listener);
@@ -329,6 +343,7 @@
                                                                           .configuration = m_configuration,
                                                                           .members = m_members,
                                                                           .targets = m_targets,
+                                                                          .departures = m_departures.get(),
                                                                           .disseminator = *m_disseminator,
                                                                           .configSource = *m_configSource,
                                                                           .quarantine = m_quarantine,
@@ -387,6 +402,12 @@
     if (m_directory) {
         m_directory->start();
     }
+    if (m_departures) {
+        m_targets.hideTargets();
+        m_targets.subscribeDepartures([this] { m_departures->write(); });
+        m_departuresTimer = m_timers.once(departuresTimeout, [this] { m_targets.restore({}); });
+        m_departures->start();
+    }
 }
 
 void Node::Impl::startStoreAccess()
@@ -460,6 +481,9 @@
     if (m_directory) {
         m_directory->checkEntry();
     }
+    if (m_departures && !m_targets.departures().empty()) {
+        m_departures->write();
+    }
 }
 
 void Node::Impl::storeHistoryLost(const Error &error)
@@ -493,6 +517,13 @@
     m_log.info("registered in the directory", {{"reason", name}});
 }
 
+void Node::Impl::departuresRead(const std::vector<Departure> &departures)
+{
+    m_departuresTimer.reset();
+    m_log.info("departures of targets read from the store", {{"count", std::to_string(departures.size())}});
+    m_targets.restore(departures);
+}
+
 void Node::Impl::targetsChanged(std::vector<Target> targets)
 {
     m_log.info("targets on this host changed", {{"count", std::to_string(targets.size())}});
--- a/libs/admin/include/hornbeam/admin/adminextension.h
+++ b/libs/admin/include/hornbeam/admin/adminextension.h
@@ -2,8 +2,6 @@
 
 #include <hornbeam/admin/adminrequest.h>
 
-#include <optional>
-
 namespace Hornbeam {
 
 /**
@@ -15,8 +13,11 @@
 public:
     virtual ~AdminExtension() = default;
 
-    /** Returns the response to a request for a resource of the extension, std::nullopt for any other request. */
-    virtual std::optional<AdminResponse> handle(const AdminRequest &request) = 0;
+    /**
+     * Handles a request for a resource of the extension and calls @p respond once, now or later. Returns false, and
+     * does not call it, for any other request.
+     */
+    virtual bool handle(const AdminRequest &request, const AdminResponder &respond) = 0;
 };
 
 } // namespace Hornbeam
--- a/libs/admin/src/adminrouter.cpp
+++ b/libs/admin/src/adminrouter.cpp
@@ -145,9 +145,10 @@
 void AdminRouter::handle(const AdminRequest &request, AdminResponder respond)
 {
     const auto &path = request.path;
-    if (auto response = extensionResponse(request)) {
-        respond(*std::move(response));
-    } else if (request.body.size() > m_maxBodyBytes) {
+    if (m_dependencies.extension != nullptr && m_dependencies.extension->handle(request, respond)) {
+        return;
+    }
+    if (request.body.size() > m_maxBodyBytes) {
         const auto message = "the body is larger than " + std::to_string(m_maxBodyBytes) + " bytes";
         respond(jsonResponse(errorJson("too-large", message), ContentTooLarge));
     } else if (path == "/v1/plans") {
@@ -176,11 +177,6 @@
     }
 }
 
-std::optional<AdminResponse> AdminRouter::extensionResponse(const AdminRequest &request)
-{
-    return m_dependencies.extension != nullptr ? m_dependencies.extension->handle(request) : std::nullopt;
-}
-
 void AdminRouter::createPlan(const AdminRequest &request, AdminResponder respond)
 {
     if (request.method != "POST") {
--- a/libs/admin/src/adminrouter.h
+++ b/libs/admin/src/adminrouter.h
@@ -3,7 +3,6 @@
 #include <hornbeam/admin/adminrequest.h>
 #include <hornbeam/admin/adminserver.h>
 
-#include <optional>
 #include <string>
 
 namespace Hornbeam {
@@ -18,7 +17,6 @@
 
 private:
     void handlePlans(const AdminRequest &request, const std::string &subpath, AdminResponder respond);
-    std::optional<AdminResponse> extensionResponse(const AdminRequest &request);
     void createPlan(const AdminRequest &request, AdminResponder respond);
     void confirmPlan(const std::string &id, AdminResponder respond);
     AdminResponse handleTargets(const AdminRequest &request, const std::string &subpath);
--- a/libs/admin/tests/adminservertest.cpp
+++ b/libs/admin/tests/adminservertest.cpp
@@ -91,6 +91,11 @@
         return makeError(ErrorCode::NotFound, "no target " + name);
     }
 
+    void whenDeparturesRecorded(std::function<void()> recorded) override
+    {
+        recorded();
+    }
+
     std::vector<Target> knownTargets() const override
     {
         return {target};
--- a/libs/membership/include/hornbeam/membership/targetregistry.h
+++ b/libs/membership/include/hornbeam/membership/targetregistry.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/base/error.h>
 #include <hornbeam/base/timerservice.h>
+#include <hornbeam/membership/departure.h>
 #include <hornbeam/membership/target.h>
 
 #include <functional>
@@ -14,9 +15,12 @@
 class TargetRegistry
 {
 public:
-    /** Called after each change with the targets that are not suspended, sorted by address. */
+    /** Called after each change with the result of targets(). */
     using Listener = std::function<void(const std::vector<Target> &)>;
 
+    /** Called after each change of departures(), except for a restoration or an expiry. */
+    using DepartureListener = std::function<void()>;
+
     static constexpr std::size_t maxTargets = 8;
 
     /** Maximum of the estimated encoded size of all targets: a member with its targets has to fit into one datagram. */
@@ -54,9 +58,26 @@
      */
     void suspend(const Endpoint &address, std::uint64_t instance);
 
-    /** Returns the targets that are not suspended, sorted by address. */
+    /** Returns the targets that are not suspended, sorted by address; none between hideTargets() and restore(). */
     std::vector<Target> targets() const;
 
+    /**
+     * Hides all targets until restore(). Call it if an earlier process of this node may have acknowledged departures
+     * that are still being read.
+     */
+    void hideTargets();
+
+    /**
+     * Adds departures that an earlier process of this node has recorded, removes targets whose announcements they make
+     * outdated, and lists the others. May be called more than once.
+     */
+    void restore(const std::vector<Departure> &departures);
+
+    /** Returns the departures of the last 10 minutes, sorted by name; at most 256. */
+    std::vector<Departure> departures() const;
+
+    void subscribeDepartures(DepartureListener listener);
+
 private:
     struct Entry
     {
@@ -66,15 +87,16 @@
         bool suspended = false;
     };
 
-    /** Highest instance number of a named target that has ended; announcements up to it are stale. */
+    /** Keeps a departure for as long as an announcement may be delayed. */
     struct Tombstone
     {
-        std::uint64_t instance = 0;
+        Departure departure;
         TimePoint expiry;
     };
 
     bool isStale(const Target &target, std::uint64_t sequence) const;
-    void addTombstone(const std::string &name, std::uint64_t instance);
+    void recordDeparture(const Departure &departure);
+    bool addTombstone(const Departure &departure);
     Result<Target> validate(const Target &target, Duration timeToLive) const;
     std::uint64_t nextInstance();
     void expire();
@@ -85,6 +107,8 @@
     std::map<Endpoint, Entry> m_entries;
     std::map<std::string, Tombstone, std::less<>> m_tombstones; ///< By target name.
     std::uint64_t m_lastInstance;
+    std::vector<DepartureListener> m_departureListeners;
+    bool m_hidden = false; ///< Between hideTargets() and restore().
     TimerHandle m_expiryTimer;
 };
 
--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -78,14 +78,18 @@
     const bool known = it != m_entries.end();
     const bool sameInstance = known && isSameInstance(it->second.target, target);
     if (known && !sameInstance) {
-        addTombstone(it->second.target.name, it->second.target.instance);
+        recordDeparture({.name = it->second.target.name, .instance = it->second.target.instance});
     }
     if (target.instance == 0) {
         target.instance = sameInstance ? it->second.target.instance : nextInstance();
     }
     const bool changed = !known || it->second.suspended || it->second.target != target;
+    const bool wasLeaving = sameInstance && it->second.target.state == TargetState::Leaving;
     m_entries[target.address] = {.target = target, .expiry = m_timers.now() + timeToLive, .sequence = sequence};
     scheduleExpiry();
+    if (target.state == TargetState::Leaving && !wasLeaving && sequence > 0) {
+        recordDeparture({.name = target.name, .instance = target.instance, .sequence = sequence - 1});
+    }
     if (changed) {
         m_listener(targets());
     }
@@ -99,7 +103,7 @@
         return makeError(ErrorCode::NotFound, "no target is announced at " + address.toString());
     }
     auto target = it->second.target;
-    addTombstone(target.name, target.instance);
+    recordDeparture({.name = target.name, .instance = target.instance});
     m_entries.erase(it);
     scheduleExpiry();
     m_listener(targets());
@@ -111,7 +115,7 @@
     const auto it = std::find_if(
         m_entries.begin(), m_entries.end(), [&](const auto &entry) { return entry.second.target.name == name; });
     if (name.empty() || it == m_entries.end()) {
-        addTombstone(name, lastInstance);
+        recordDeparture({.name = name, .instance = lastInstance});
         return makeError(ErrorCode::NotFound, "no target with the name " + name + " is announced");
     }
     if (lastInstance != 0 && it->second.target.instance > lastInstance) {
@@ -132,7 +136,7 @@
 bool TargetRegistry::isStale(const Target &target, std::uint64_t sequence) const
 {
     const auto tombstone = m_tombstones.find(target.name);
-    if (tombstone != m_tombstones.end() && target.instance <= tombstone->second.instance) {
+    if (tombstone != m_tombstones.end() && tombstone->second.departure.covers(target.instance, sequence)) {
         return true;
     }
     const auto it = m_entries.find(target.address);
@@ -146,25 +150,73 @@
     return isSameInstance(entry.target, target) && sequence != 0 && sequence < entry.sequence;
 }
 
-void TargetRegistry::addTombstone(const std::string &name, std::uint64_t instance)
+void TargetRegistry::hideTargets()
+{
+    m_hidden = true;
+}
+
+void TargetRegistry::restore(const std::vector<Departure> &departures)
+{
+    for (const auto &departure : departures) {
+        addTombstone(departure);
+    }
+    const auto removed =
+        std::erase_if(m_entries, [this](const auto &it) { return isStale(it.second.target, it.second.sequence); });
+    scheduleExpiry();
+    if (std::exchange(m_hidden, false) || removed > 0) {
+        m_listener(targets());
+    }
+}
+
+std::vector<Departure> TargetRegistry::departures() const
+{
+    std::vector<Departure> list;
+    for (const auto &[name, tombstone] : m_tombstones) {
+        if (tombstone.expiry > m_timers.now()) {
+            list.push_back(tombstone.departure);
+        }
+    }
+    return list;
+}
+
+void TargetRegistry::subscribeDepartures(DepartureListener listener)
+{
+    m_departureListeners.push_back(std::move(listener));
+}
+
+void TargetRegistry::recordDeparture(const Departure &departure)
+{
+    if (addTombstone(departure)) {
+        for (const auto &listener : m_departureListeners) {
+            listener();
+        }
+    }
+}
+
+/** Returns false if the departure or a later one of the target is known. */
+bool TargetRegistry::addTombstone(const Departure &departure)
 {
-    if (name.empty()) {
-        return;
+    if (departure.name.empty()) {
+        return false;
     }
     const auto now = m_timers.now();
     std::erase_if(m_tombstones, [now](const auto &it) { return it.second.expiry <= now; });
-    if (m_tombstones.size() >= maxTombstones) {
+    const auto known = m_tombstones.find(departure.name);
+    if (known != m_tombstones.end() && known->second.departure >= departure) {
+        return false;
+    }
+    if (known == m_tombstones.end() && m_tombstones.size() >= maxTombstones) {
         m_tombstones.erase(m_tombstones.begin());
     }
-    auto &tombstone = m_tombstones[name];
-    tombstone = {.instance = std::max(tombstone.instance, instance), .expiry = now + tombstoneLifetime};
+    m_tombstones[departure.name] = {.departure = departure, .expiry = now + tombstoneLifetime};
+    return true;
 }
 
 std::vector<Target> TargetRegistry::targets() const
 {
     std::vector<Target> list;
     for (const auto &[address, entry] : m_entries) {
-        if (!entry.suspended) {
+        if (!entry.suspended && !m_hidden) {
             list.push_back(entry.target);
         }
     }
--- a/libs/membership/tests/targetregistrytest.cpp
+++ b/libs/membership/tests/targetregistrytest.cpp
@@ -151,3 +151,74 @@
     CHECK(registry.announce(makeTarget(80), 5s).has_value());
     CHECK_EQUAL(1, registry.targets().size());
 }
+
+// Guards against requests to a target whose leaving an earlier process of the node has acknowledged, if a heartbeat
+// from before it arrives at the restarted node.
+TEST(TargetRegistry, restoredDeparturesMakeLateAnnouncementsStale)
+{
+    auto target = makeTarget(80);
+    target.name = "i-1";
+    target.instance = 100;
+    registry.hideTargets();
+    CHECK(registry.announce(target, 5s, 7).has_value());
+    CHECK(registry.targets().empty());
+    registry.restore({{.name = "i-1", .instance = 100}});
+    CHECK(registry.targets().empty());
+    CHECK(ErrorCode::Conflict == registry.announce(target, 5s, 8).error().code());
+    target.instance = 101;
+    CHECK(registry.announce(target, 5s, 1).has_value());
+    CHECK_EQUAL(1, last.size());
+}
+
+// Guards against targets that stay unused after a restart because the departures of others are read late or never.
+TEST(TargetRegistry, listsOtherTargetsOnceDeparturesAreRestored)
+{
+    registry.hideTargets();
+    CHECK(registry.announce(makeTarget(80), 5s).has_value());
+    registry.restore({});
+    CHECK_EQUAL(1, last.size());
+    auto gone = makeTarget(81);
+    gone.name = "i-2";
+    gone.instance = 100;
+    CHECK(registry.announce(gone, 5s, 3).has_value());
+    CHECK_EQUAL(2, last.size());
+    registry.restore({{.name = "i-2", .instance = 100}});
+    CHECK_EQUAL(1, last.size());
+    CHECK_EQUAL(80, last.front().address.port());
+}
+
+// Guards against a draining target that serves again when a heartbeat from before the draining arrives at a restarted
+// node, and against a store write for each heartbeat of a draining target.
+TEST(TargetRegistry, recordsDrainingOnce)
+{
+    int records = 0;
+    registry.subscribeDepartures([&] { ++records; });
+    auto target = makeTarget(80);
+    target.name = "i-1";
+    target.instance = 100;
+    CHECK(registry.announce(target, 5s, 7).has_value());
+    CHECK_EQUAL(0, records);
+    auto leaving = target;
+    leaving.state = TargetState::Leaving;
+    CHECK(registry.announce(leaving, 5s, 8).has_value());
+    CHECK(registry.announce(leaving, 5s, 9).has_value());
+    CHECK_EQUAL(1, records);
+    const auto departures = registry.departures();
+    CHECK((departures == std::vector<Departure>{{.name = "i-1", .instance = 100, .sequence = 7}}));
+
+    TargetRegistry restarted{timers, [](const std::vector<Target> &) {
+                             }};
+    restarted.restore(departures);
+    CHECK(ErrorCode::Conflict == restarted.announce(target, 5s, 7).error().code());
+    CHECK(restarted.announce(leaving, 5s, 10).has_value());
+    CHECK(restarted.targets().front().state == TargetState::Leaving);
+}
+
+// Guards against departures that are kept forever.
+TEST(TargetRegistry, forgetsDeparturesAfterTenMinutes)
+{
+    CHECK_FALSE(registry.withdraw("i-1", 100).has_value());
+    CHECK_EQUAL(1, registry.departures().size());
+    timers.advance(10min);
+    CHECK(registry.departures().empty());
+}
