Refute a crash on all nodes when the request succeeds

Callers saw: a page that crashes nothing was refused with 503 "quarantined after crashes" on most nodes, for ten minutes by the code, after two instances had crashed while they ran it, although it was served some hundred times between the crashes.

Cause: a success was noted only at the node of the crashed target. Ruled out: different digests on the nodes (all refused the same one), and a page that is not run between the crashes (it was served by all nodes). In the same mechanism, two crashes of a target during the same request were spread as one rumor, and requests that were running at two targets when both crashed at once were refused for ten minutes whatever their other runs did.

Change: each crash report has an event number. The traffic threads know the suspects of all nodes and report the first success of one; the node then spreads a refutation that names the crashes. The quarantine counts only crashes that are not refuted, in whatever order the rumors arrive, and ends if the rest does not justify it. Refutations have a field of their own in the datagram, because nodes of earlier versions take each rumor for a crash report. The tests of CrashQuarantine report their crashes with event numbers; their checks are unchanged.

Cost: while there are suspects, each node computes the digest of each request, and a rumor of 80 bytes a refuted crash.

--- a/daemons/hornbeamd/crashreportforwarder.cpp
+++ b/daemons/hornbeamd/crashreportforwarder.cpp
@@ -7,6 +7,8 @@
 #include <hornbeam/membership/targetregistry.h>
 #include <hornbeam/proxy/crashquarantine.h>
 
+#include <random>
+
 namespace Hornbeam {
 
 namespace {
@@ -15,10 +17,17 @@
 // time of each other lead to its quarantine, so the report of a crash is not spread for longer.
 constexpr std::chrono::milliseconds reportLifetime{30000};
 
+std::uint64_t randomEvent()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
 } // namespace
 
 CrashReportForwarder::CrashReportForwarder(CrashReportForwarderDependencies dependencies)
     : m_dependencies(dependencies)
+    , m_lastEvent(randomEvent())
 {
 }
 
@@ -26,13 +35,23 @@
 {
     m_dependencies.executor.post([this, request, target] {
         // The detector also calls the listeners of this node. Among them is rumorReceived(), which records the crash.
-        m_dependencies.detector.spread({.request = request, .target = target, .timeToLive = reportLifetime});
+        m_dependencies.detector.spread(
+            {.request = request, .target = target, .event = ++m_lastEvent, .timeToLive = reportLifetime});
     });
 }
 
 void CrashReportForwarder::requestSucceeded(const Digest &request)
 {
-    m_dependencies.executor.post([this, request] { m_dependencies.quarantine.succeeded(request); });
+    m_dependencies.executor.post([this, request] {
+        for (const auto &crash : m_dependencies.quarantine.succeeded(request)) {
+            m_dependencies.detector.spread({.request = crash.request,
+                                            .target = crash.target,
+                                            .event = crash.event,
+                                            .refuted = true,
+                                            .timeToLive = reportLifetime});
+        }
+        m_dependencies.publisher.update();
+    });
 }
 
 void CrashReportForwarder::targetUnreachable(const Target &target)
@@ -42,9 +61,13 @@
 
 void CrashReportForwarder::rumorReceived(const Rumor &rumor)
 {
-    if (m_dependencies.quarantine.report(rumor.request, rumor.target, m_dependencies.timers.now())) {
-        m_dependencies.publisher.update();
+    const CrashReport crash{.request = rumor.request, .target = rumor.target, .event = rumor.event};
+    if (rumor.refuted) {
+        m_dependencies.quarantine.refute(crash, m_dependencies.timers.now());
+    } else {
+        m_dependencies.quarantine.report(crash, m_dependencies.timers.now());
     }
+    m_dependencies.publisher.update();
 }
 
 } // namespace Hornbeam
--- a/daemons/hornbeamd/routingpublisher.cpp
+++ b/daemons/hornbeamd/routingpublisher.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-// Upper bound of the time between the expiry of a quarantine and its release.
+// Upper bound of the time between the expiry of a quarantine or a suspicion and its release.
 constexpr auto quarantineCheckPeriod = std::chrono::seconds(1);
 
 bool precedes(const Target &a, const Target &b)
@@ -40,7 +40,9 @@
         }
     });
     m_quarantineTimer = m_dependencies.timers.every(quarantineCheckPeriod, [this] {
-        if (m_dependencies.quarantine.quarantined(m_dependencies.timers.now()) != m_publishedQuarantine) {
+        const auto now = m_dependencies.timers.now();
+        if (m_dependencies.quarantine.quarantined(now) != m_publishedQuarantine
+            || m_dependencies.quarantine.suspects(now) != m_publishedSuspects) {
             update();
         }
     });
@@ -75,6 +77,7 @@
     m_publicationPending = false;
     const auto state = build();
     m_publishedQuarantine = state->quarantined;
+    m_publishedSuspects = state->suspects;
     m_proxy->publish(state);
 }
 
@@ -84,6 +87,7 @@
     state->snapshot = m_dependencies.configuration.current();
     state->ready = m_ready;
     state->quarantined = m_dependencies.quarantine.quarantined(m_dependencies.timers.now());
+    state->suspects = m_dependencies.quarantine.suspects(m_dependencies.timers.now());
     const auto acceptsRequests = [&](const Target &target) {
         return target.state == TargetState::Serving && !state->snapshot->isLeaving(target.address);
     };
--- a/daemons/hornbeamd/routingpublisher.h
+++ b/daemons/hornbeamd/routingpublisher.h
@@ -56,6 +56,7 @@
     ProxyServer *m_proxy = nullptr;
     TimerHandle m_quarantineTimer;
     std::vector<Digest> m_publishedQuarantine;
+    std::vector<SuspectRequest> m_publishedSuspects;
     std::vector<Target> m_ownTargets;
     bool m_ready = false;
     bool m_publicationPending = false;
--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -180,7 +180,10 @@
             declarePredecessorsFailed(memberHash(datagram->sender_id()));
         }
         for (const auto &rumor : datagram->rumors()) {
-            spread(fromWire(rumor));
+            spread(fromWire(rumor, false));
+        }
+        for (const auto &rumor : datagram->refutations()) {
+            spread(fromWire(rumor, true));
         }
         handleSender(*datagram);
         dispatch(*datagram);
--- a/libs/membership/src/membershipcodec.cpp
+++ b/libs/membership/src/membershipcodec.cpp
@@ -137,7 +137,8 @@
     const bool valid = isValidId(datagram.sender_id()) && isValidEndpoint(datagram.sender_address())
         && datagram.incarnation() <= maxIncarnation && isValidBody(datagram)
         && std::all_of(datagram.updates().begin(), datagram.updates().end(), isValidUpdate)
-        && std::all_of(datagram.rumors().begin(), datagram.rumors().end(), isValidRumor);
+        && std::all_of(datagram.rumors().begin(), datagram.rumors().end(), isValidRumor)
+        && std::all_of(datagram.refutations().begin(), datagram.refutations().end(), isValidRumor);
     if (!valid) {
         return std::nullopt;
     }
@@ -189,16 +190,24 @@
     wire.set_request_digest(rumor.request.bytes());
     wire.set_target(rumor.target.toString());
     wire.set_time_to_live_ms(static_cast<std::uint32_t>(rumor.timeToLive.count()));
+    wire.set_event(rumor.event);
     return wire;
 }
 
-Rumor fromWire(const Wire::Rumor &wire)
+Rumor fromWire(const Wire::Rumor &wire, bool refuted)
 {
     return {.request = Digest::fromBytes(wire.request_digest()),
             .target = endpointFromWire(wire.target()),
+            .event = wire.event(),
+            .refuted = refuted,
             .timeToLive = std::chrono::milliseconds(wire.time_to_live_ms())};
 }
 
+void append(Wire::Datagram &datagram, const Rumor &rumor)
+{
+    *(rumor.refuted ? datagram.add_refutations() : datagram.add_rumors()) = toWire(rumor);
+}
+
 Endpoint endpointFromWire(const std::string &text)
 {
     return Endpoint::parse(text).value_or(Endpoint());
--- a/libs/membership/src/membershipcodec.h
+++ b/libs/membership/src/membershipcodec.h
@@ -29,7 +29,10 @@
 
 Wire::Rumor toWire(const Rumor &rumor);
 
-Rumor fromWire(const Wire::Rumor &rumor);
+Rumor fromWire(const Wire::Rumor &rumor, bool refuted);
+
+/** Adds the rumor to the list of the datagram to which it belongs. */
+void append(Wire::Datagram &datagram, const Rumor &rumor);
 
 /** Parses an address from a datagram that decodeDatagram() accepted. */
 Endpoint endpointFromWire(const std::string &text);
--- a/libs/membership/src/rumortable.cpp
+++ b/libs/membership/src/rumortable.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t fieldOverheadBytes = 4; // Tag and length of the field.
+constexpr std::size_t fieldOverheadBytes = 5; // Tag, of up to two bytes, and length of the field.
 constexpr auto minTimeToLive = std::chrono::milliseconds(1);
 constexpr auto maxTimeToLive = std::chrono::hours(1);
 
@@ -15,6 +15,15 @@
 
 } // namespace
 
+Rumor RumorTable::makeRumor(const Key &key, std::chrono::milliseconds timeLeft)
+{
+    return {.request = key.request,
+            .target = key.target,
+            .event = key.event,
+            .refuted = key.refuted,
+            .timeToLive = timeLeft};
+}
+
 RumorTable::RumorTable(TimerService &timers, std::uint32_t retransmissions)
     : m_timers(timers)
     , m_retransmissions(retransmissions)
@@ -26,7 +35,7 @@
     if (m_items.size() >= maxRumors || rumor.timeToLive < minTimeToLive || rumor.timeToLive > maxTimeToLive) {
         return false;
     }
-    const Key key(rumor.request, rumor.target);
+    const Key key{.request = rumor.request, .target = rumor.target, .event = rumor.event, .refuted = rumor.refuted};
     const Item item{.expiry = m_timers.now() + rumor.timeToLive, .retransmissionsLeft = m_retransmissions};
     if (!m_items.emplace(key, item).second) {
         return false;
@@ -81,7 +90,7 @@
     for (const auto &[key, item] : m_items) {
         const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(item.expiry - m_timers.now());
         if (timeLeft.count() > 0) {
-            rumors.push_back({.request = key.first, .target = key.second, .timeToLive = timeLeft});
+            rumors.push_back(makeRumor(key, timeLeft));
         }
     }
     return rumors;
@@ -99,11 +108,11 @@
     if (timeLeft.count() <= 0) {
         return true;
     }
-    const auto rumor = toWire(Rumor{.request = key.first, .target = key.second, .timeToLive = timeLeft});
-    if (datagram.ByteSizeLong() + rumor.ByteSizeLong() + fieldOverheadBytes > maxDatagramBytes) {
+    const auto rumor = makeRumor(key, timeLeft);
+    if (datagram.ByteSizeLong() + toWire(rumor).ByteSizeLong() + fieldOverheadBytes > maxDatagramBytes) {
         return false;
     }
-    *datagram.add_rumors() = rumor;
+    Hornbeam::append(datagram, rumor);
     return true;
 }
 
--- a/libs/membership/src/rumortable.h
+++ b/libs/membership/src/rumortable.h
@@ -5,14 +5,13 @@
 #include "membershipcodec.h"
 
 #include <map>
-#include <utility>
 #include <vector>
 
 namespace Hornbeam {
 
 /**
- * Rumors that this node knows, with their expiry and retransmissions. A rumor is identified by the request digest and
- * the target.
+ * Rumors that this node knows, with their expiry and retransmissions. A rumor is identified by all of its members
+ * except the time to live.
  */
 class RumorTable
 {
@@ -50,7 +49,15 @@
     void sweep();
 
 private:
-    using Key = std::pair<Digest, Endpoint>;
+    struct Key
+    {
+        Digest request;
+        Endpoint target;
+        std::uint64_t event = 0;
+        bool refuted = false;
+
+        friend auto operator<=>(const Key &, const Key &) = default;
+    };
 
     struct Item
     {
@@ -59,6 +66,7 @@
         bool pending = true; ///< Waits to be gossiped.
     };
 
+    static Rumor makeRumor(const Key &key, std::chrono::milliseconds timeLeft);
     bool append(Wire::Datagram &datagram, const Key &key, const Item &item) const;
 
     TimerService &m_timers;
--- a/libs/membership/tests/failuredetectortest.cpp
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace Hornbeam;
@@ -326,6 +327,26 @@
     CHECK(node(0).detector->rumors().empty());
 }
 
+// Guards against a second crash of a target that is taken for a copy of the report of the first one, and against a
+// refutation that is lost.
+TEST(FailureDetector, deliversEachCrashAndItsRefutation)
+{
+    network.makeCluster(3);
+    std::vector<Rumor> delivered;
+    node(2).detector->subscribeRumors([&](const Rumor &rumor) { delivered.push_back(rumor); });
+    for (std::uint64_t event : {1, 2}) {
+        auto rumor = makeRumor(5s);
+        rumor.event = event;
+        node(0).detector->spread(rumor);
+        rumor.refuted = true;
+        node(1).detector->spread(rumor);
+        network.time.advance(1s);
+    }
+    CHECK_EQUAL(4, delivered.size());
+    CHECK_EQUAL(2, std::count_if(delivered.begin(), delivered.end(), [](const Rumor &it) { return it.refuted; }));
+    CHECK_EQUAL(2, std::count_if(delivered.begin(), delivered.end(), [](const Rumor &it) { return it.event == 2; }));
+}
+
 // Guards against a node that forwards a request which has crashed targets, because the node joined after the crash
 // report had spread.
 TEST(FailureDetector, sendsRumorsToAJoiningMember)
--- a/libs/membership/tests/membershipcodectest.cpp
+++ b/libs/membership/tests/membershipcodectest.cpp
@@ -75,4 +75,8 @@
     rumor.set_time_to_live_ms(1);
     rumor.set_request_digest("short");
     CHECK_FALSE(accepted());
+    datagram.clear_rumors();
+    CHECK(accepted());
+    datagram.add_refutations()->set_request_digest("short");
+    CHECK_FALSE(accepted());
 }
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -24,7 +24,10 @@
     /** Reports that @p target closed its connection while it was running the request with this digest. */
     virtual void targetCrashed(const Digest &request, const Endpoint &target) = 0;
 
-    /** Reports that a target responded to a request that was running during a recent crash and did not cause it. */
+    /**
+     * Reports that a target of any node responded to a request during which a target has crashed recently, on this node
+     * or on another. The request did not cause that crash.
+     */
     virtual void requestSucceeded(const Digest & /*request*/) {}
 
     /** Reports that nothing listens at the address of a target on this host, so its process has ended. */
--- a/libs/proxy/src/crashsuspects.cpp
+++ b/libs/proxy/src/crashsuspects.cpp
@@ -23,15 +23,26 @@
         crashes.targets.insert(target);
         crashes.last = now;
     }
-    m_any = !m_crashes.empty();
+    updateAny();
+}
+
+void CrashSuspects::setReported(const std::vector<SuspectRequest> &suspects)
+{
+    const std::lock_guard lock(m_mutex);
+    m_reported.clear();
+    for (const auto &it : suspects) {
+        m_reported.emplace(it.request, it.targets);
+    }
+    updateAny();
 }
 
 bool CrashSuspects::remove(const Digest &request)
 {
     const std::lock_guard lock(m_mutex);
-    const bool removed = m_crashes.erase(request) != 0;
-    m_any = !m_crashes.empty();
-    return removed;
+    const bool seen = m_crashes.erase(request) != 0;
+    const bool reported = m_reported.erase(request) != 0;
+    updateAny();
+    return seen || reported;
 }
 
 bool CrashSuspects::contains(const Digest &request, TimePoint now)
@@ -52,7 +63,12 @@
 void CrashSuspects::removeExpired(TimePoint now)
 {
     std::erase_if(m_crashes, [&](const auto &it) { return it.second.last + m_window <= now; });
-    m_any = !m_crashes.empty();
+    updateAny();
+}
+
+void CrashSuspects::updateAny()
+{
+    m_any = !m_crashes.empty() || !m_reported.empty();
 }
 
 } // namespace Hornbeam
--- a/libs/proxy/src/crashsuspects.h
+++ b/libs/proxy/src/crashsuspects.h
@@ -3,15 +3,20 @@
 #include <hornbeam/base/digest.h>
 #include <hornbeam/base/endpoint.h>
 #include <hornbeam/base/timerservice.h>
+#include <hornbeam/proxy/suspectrequest.h>
 
 #include <atomic>
 #include <map>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace Hornbeam {
 
-/** Requests during which a target crashed, as seen by this node within the time window. Thread-safe. */
+/**
+ * Requests during which a target crashed: those that this node has seen within the time window, and those that other
+ * nodes have reported. Thread-safe.
+ */
 class CrashSuspects
 {
 public:
@@ -20,9 +25,13 @@
     /** Records that @p target crashed while it ran the request. */
     void add(const Digest &request, const Endpoint &target, TimePoint now);
 
-    /** Removes a request that has succeeded. Returns whether it was a suspect. */
+    /** Replaces the suspects of all nodes. */
+    void setReported(const std::vector<SuspectRequest> &suspects);
+
+    /** Removes a request that has succeeded. Returns whether it was a suspect, on this node or as reported. */
     bool remove(const Digest &request);
 
+    /** Whether a target crashed while it ran the request for this node. */
     bool contains(const Digest &request, TimePoint now);
 
     /**
@@ -45,11 +54,13 @@
     };
 
     void removeExpired(TimePoint now);
+    void updateAny();
 
     Duration m_window;
     std::atomic<bool> m_any = false;
     std::mutex m_mutex;
     std::map<Digest, Crashes> m_crashes;
+    std::map<Digest, std::vector<Endpoint>> m_reported; ///< Crashed targets of each suspect of all nodes.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -44,6 +44,7 @@
     // The load balancer is updated first: a request that is routed by the new state must find the targets of that
     // state there.
     balancer.publish(*state, std::chrono::steady_clock::now());
+    suspects.setReported(state->suspects);
     const std::lock_guard lock(m_mutex);
     m_state = std::move(state);
 }
--- a/libs/proxy/tests/crashquarantinetest.cpp
+++ b/libs/proxy/tests/crashquarantinetest.cpp
@@ -13,49 +13,56 @@
     const Endpoint first{"10.0.0.1", 80};
     const Endpoint second{"10.0.0.2", 80};
     CrashQuarantine quarantine{{.window = 30s, .quarantine = 600s, .maxSuspects = 2}};
+    std::uint64_t lastEvent = 0;
+
+    /** Reports a crash that was not reported before. */
+    bool report(const Digest &request, const Endpoint &target, TimePoint at)
+    {
+        return quarantine.report({.request = request, .target = target, .event = ++lastEvent}, at);
+    }
 };
 
 // A request that crashes its target must be stopped before its repetitions crash further targets.
 TEST(CrashQuarantine, quarantinesAfterCrashesOfTwoTargets)
 {
-    CHECK(!quarantine.report(crashing, first, now));
+    CHECK(!report(crashing, first, now));
     CHECK(quarantine.quarantined(now).empty());
-    CHECK(quarantine.report(crashing, second, now + 29s));
+    CHECK(report(crashing, second, now + 29s));
     CHECK(quarantine.quarantined(now + 29s) == std::vector{crashing});
 }
 
 // A faulty target that crashes on every request must not get those requests quarantined.
 TEST(CrashQuarantine, needsTwoDifferentTargets)
 {
-    quarantine.report(crashing, first, now);
-    CHECK(!quarantine.report(crashing, first, now + 1s));
+    report(crashing, first, now);
+    CHECK(!report(crashing, first, now + 1s));
     CHECK(quarantine.quarantined(now + 1s).empty());
 }
 
 TEST(CrashQuarantine, ignoresCrashesOutsideTheWindow)
 {
-    quarantine.report(crashing, first, now);
-    CHECK(!quarantine.report(crashing, second, now + 30s));
+    report(crashing, first, now);
+    CHECK(!report(crashing, second, now + 30s));
 }
 
 // A request that was merely in flight on a crashing target must not be quarantined after a later crash of another one.
 TEST(CrashQuarantine, successClearsASuspect)
 {
-    quarantine.report(crashing, first, now);
-    quarantine.report(harmless, first, now);
+    report(crashing, first, now);
+    report(harmless, first, now);
     quarantine.succeeded(harmless);
-    CHECK(quarantine.report(crashing, second, now + 1s));
-    CHECK(!quarantine.report(harmless, second, now + 1s));
+    CHECK(report(crashing, second, now + 1s));
+    CHECK(!report(harmless, second, now + 1s));
     CHECK(quarantine.quarantined(now + 1s) == std::vector{crashing});
 }
 
 TEST(CrashQuarantine, releasesRequestsAfterTheQuarantineTime)
 {
-    quarantine.report(crashing, first, now);
-    quarantine.report(crashing, second, now);
+    report(crashing, first, now);
+    report(crashing, second, now);
     CHECK_EQUAL(1, quarantine.quarantined(now + 599s).size());
     CHECK(quarantine.quarantined(now + 600s).empty());
-    CHECK(!quarantine.report(crashing, first, now + 601s));
+    CHECK(!report(crashing, first, now + 601s));
 }
 
 TEST(CrashQuarantine, appliesTheLaterReleaseOfAnotherNode)
@@ -69,8 +76,61 @@
 // Callers could otherwise fill the memory with made-up requests that crash targets.
 TEST(CrashQuarantine, limitsTheNumberOfSuspects)
 {
-    quarantine.report(Digest::of("a"), first, now);
-    quarantine.report(Digest::of("b"), first, now);
-    quarantine.report(crashing, first, now);
-    CHECK(!quarantine.report(crashing, second, now));
+    report(Digest::of("a"), first, now);
+    report(Digest::of("b"), first, now);
+    report(crashing, first, now);
+    CHECK(!report(crashing, second, now));
+}
+
+// A page that was running at two targets when they crashed for other reasons must not be refused, although it succeeded
+// between the crashes only on nodes other than the one that decides.
+TEST(CrashQuarantine, refutationOfAnotherNodeClearsASuspect)
+{
+    const CrashReport crash{.request = harmless, .target = first, .event = 70};
+    CHECK(!quarantine.report(crash, now));
+    quarantine.refute(crash, now + 1s);
+    CHECK(quarantine.suspects(now + 1s).empty());
+    CHECK(!report(harmless, second, now + 2s));
+    CHECK(quarantine.quarantined(now + 2s).empty());
+}
+
+// Gossip can deliver the refutation of a crash before the report.
+TEST(CrashQuarantine, ignoresAReportThatIsAlreadyRefuted)
+{
+    const CrashReport crash{.request = harmless, .target = first, .event = 70};
+    quarantine.refute(crash, now);
+    CHECK(!quarantine.report(crash, now));
+    CHECK(!report(harmless, second, now + 1s));
+    CHECK_EQUAL(1, quarantine.suspects(now + 1s).front().targets.size());
+}
+
+// A success refutes the crashes before it, not those after it.
+TEST(CrashQuarantine, countsCrashesAfterASuccess)
+{
+    report(crashing, first, now);
+    CHECK_EQUAL(1, quarantine.succeeded(crashing).size());
+    CHECK(quarantine.succeeded(crashing).empty());
+    CHECK(!report(crashing, second, now + 1s));
+    CHECK(report(crashing, first, now + 2s));
+}
+
+// A page that is running at many targets when two of them crash at the same moment must not be refused for minutes:
+// those of its requests that are already running succeed.
+TEST(CrashQuarantine, refutationEndsAQuarantineThatIsNotJustified)
+{
+    const CrashReport crash{.request = harmless, .target = first, .event = 70};
+    quarantine.report(crash, now);
+    CHECK(report(harmless, second, now));
+    CHECK_EQUAL(1, quarantine.quarantined(now).size());
+    quarantine.refute(crash, now + 1s);
+    CHECK(quarantine.quarantined(now + 1s).empty());
+}
+
+// A copy of a report must not count as a second crash.
+TEST(CrashQuarantine, countsACrashOnce)
+{
+    const CrashReport crash{.request = crashing, .target = first, .event = 70};
+    quarantine.report(crash, now);
+    quarantine.report(crash, now);
+    CHECK_EQUAL(1, quarantine.suspects(now).front().targets.size());
 }
--- a/libs/proxy/tests/crashtest.cpp
+++ b/libs/proxy/tests/crashtest.cpp
@@ -90,6 +90,23 @@
     CHECK(proxy.crashes.succeeded() == proxy.crashes.crashed());
 }
 
+// A request that was in flight during a crash at another node stays a suspect there, and is quarantined after a second
+// crash, unless its success on this node is reported. The report is sent once.
+TEST(Crash, reportsTheSuccessOfASuspectOfAnotherNode)
+{
+    TestTarget target(TestTarget::answer("ok"));
+    proxy.addTarget(target);
+    proxy.suspects = {{.request = Digest::of("GET\n/page\n"), .targets = {Endpoint("10.0.0.1", 80)}}};
+    proxy.start();
+    CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/other")).value().status());
+    CHECK(proxy.crashes.succeeded().empty());
+    CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/page")).value().status());
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.crashes.succeeded().size() == 1; }));
+    CHECK(proxy.crashes.succeeded().front() == proxy.suspects.front().request);
+    CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/page")).value().status());
+    CHECK_EQUAL(1, proxy.crashes.succeeded().size());
+}
+
 // A suspect must not reach a second target either when the proxy would retry it for another reason.
 TEST(Crash, doesNotRetryASuspect)
 {
--- a/libs/proxy/tests/proxyfixture.cpp
+++ b/libs/proxy/tests/proxyfixture.cpp
@@ -99,6 +99,7 @@
         return std::tie(a.service, a.address) < std::tie(b.service, b.address);
     });
     state->quarantined = quarantined;
+    state->suspects = suspects;
     state->ready = true;
     server->publish(state);
 }
--- a/libs/proxy/tests/proxyfixture.h
+++ b/libs/proxy/tests/proxyfixture.h
@@ -46,6 +46,7 @@
     Service service;
     std::vector<Target> targets;
     std::vector<Digest> quarantined;
+    std::vector<SuspectRequest> suspects;
     FakeClaims claims;
     FakeCrashReporter crashes;
     MetricsRegistry metrics;
@@ -58,7 +59,7 @@
     void addTarget(const TestTarget &target, std::uint32_t slots = 10);
     void start();
 
-    /** Publishes the present values of service, targets, quarantined and timeout. */
+    /** Publishes the present values of service, targets, quarantined, suspects and timeout. */
     void publish();
 
     TestSocket connect() const;
