Send a suspect to another target, and count crashes of one

Callers saw: a request that crashes its instances, sent by a client every 4 s at the same host, crashed the instance on that host each time it was back, and with it the other requests there.

Cause: only crashes of two different addresses led to a quarantine, since repeated crashes of one target can be its own fault, while the placement, which prefers the target on the caller's host and does not know the suspects, never let the request meet a second one. Ruled out: lost crash reports (the target was suspended and reported each time). On the same path: a crash was forgotten after 30 s, so a request that comes less often was never quarantined.

Change: the first attempt of a suspect uses a target that it has not crashed, if there is one. That run decides: a success refutes the crash, a crash of a second target quarantines the request. With a single target, the third crash quarantines it. Crashes are remembered for ten minutes; their reports are still spread for 30 s.

With the three parts switched off, Crash.sendsASuspectToAnotherTarget, CrashQuarantine.quarantinesAfterThreeCrashesOfOneTarget, CrashQuarantine.remembersCrashesForMinutes and CrashReportForwarder.quarantinesAfterThreeCrashesOfOneTarget fail; with them, all tests of proxy and hornbeamd pass.

--- a/daemons/hornbeamd/crashreportforwarder.cpp
+++ b/daemons/hornbeamd/crashreportforwarder.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Equal to the default of CrashQuarantineOptions::window, which the node uses. Only crashes of a request within that
-// time of each other lead to its quarantine, so the report of a crash is not spread for longer.
+// A rumor reaches all live nodes within seconds. For the rest of its lifetime, nodes that join receive it as well. The
+// nodes remember a crash for longer, see CrashQuarantineOptions::window.
 constexpr std::chrono::milliseconds reportLifetime{30000};
 
 std::uint64_t randomEvent()
--- a/daemons/hornbeamd/tests/crashreportforwardertest.cpp
+++ b/daemons/hornbeamd/tests/crashreportforwardertest.cpp
@@ -96,6 +96,17 @@
     CHECK_EQUAL(0, quarantines());
 }
 
+// Guards against a request that crashes the only target, or the one on its caller's host, without end: copies of the
+// first report must not hide the later ones.
+TEST(CrashReportForwarder, quarantinesAfterThreeCrashesOfOneTarget)
+{
+    crashAt(0);
+    crashAt(0);
+    CHECK_EQUAL(0, quarantines());
+    crashAt(0);
+    CHECK_EQUAL(3, quarantines());
+}
+
 // Guards against a request that crashes one target after the other.
 TEST(CrashReportForwarder, quarantinesOnAllNodesAfterCrashesOnTwo)
 {
--- a/libs/proxy/include/hornbeam/proxy/crashquarantine.h
+++ b/libs/proxy/include/hornbeam/proxy/crashquarantine.h
@@ -14,7 +14,7 @@
 
 struct CrashQuarantineOptions
 {
-    Duration window = std::chrono::seconds(30); ///< Time within which a second crash quarantines a request.
+    Duration window = std::chrono::minutes(10); ///< Time after its last crash for which a request is suspected.
     Duration quarantine = std::chrono::minutes(10); ///< Time for which a quarantined request is refused.
     std::size_t maxSuspects = 10000; ///< Limits the memory use; further requests are not recorded.
 };
@@ -32,10 +32,12 @@
 /**
  * Detects requests that crash the targets which run them, from the crash reports of all nodes. Control thread only.
  *
- * A request is quarantined when two different targets crashed while they ran it, within the window and without a
- * success in between. A crash is also recorded for the other requests that the target ran at that moment. Those are
- * cleared when they succeed on any target, or expire after the window. Reports and refutations may arrive in any order:
- * a refutation names the crashes that it refutes.
+ * A request is quarantined when two different targets crashed while they ran it, or one target three times, within the
+ * window and without a success in between. One target that crashes may be at fault itself, so a suspect is sent to
+ * another target if there is one, see SuspectRequest; the third crash decides if there is none. A crash is also
+ * recorded for the other requests that the target ran at that moment. Those are cleared when they succeed on any
+ * target, or expire after the window. Reports and refutations may arrive in any order: a refutation names the crashes
+ * that it refutes.
  */
 class CrashQuarantine
 {
--- a/libs/proxy/include/hornbeam/proxy/routingstate.h
+++ b/libs/proxy/include/hornbeam/proxy/routingstate.h
@@ -19,7 +19,7 @@
     SnapshotPtr snapshot;
     std::vector<Target> targets; ///< Live targets, except leaving ones, sorted by service and address.
     std::vector<Digest> quarantined; ///< Sorted digests of the quarantined requests.
-    std::vector<SuspectRequest> suspects; ///< Sorted by digest; the proxy reports when one of them succeeds.
+    std::vector<SuspectRequest> suspects; ///< Sorted by digest; sent to other targets, and reported when they succeed.
     std::vector<Target> localTargets; ///< Targets on this host that accept new requests, also relayed ones.
     std::size_t nodes = 1; ///< Live nodes including this one; they share the retry budget.
     /** False until the node knows the lowest configuration version that it may use; requests are refused until then. */
--- a/libs/proxy/src/claimedcall.cpp
+++ b/libs/proxy/src/claimedcall.cpp
@@ -62,7 +62,7 @@
         co_await m_call.refuse(stoppingRefusal(m_call));
         co_return;
     }
-    auto grant = co_await waitForSlot(m_call, {});
+    auto grant = co_await waitForFirstSlot(m_call);
     if (!grant.lease) {
         co_await m_call.refuse(refusalFor(grant, m_call));
         co_return;
--- a/libs/proxy/src/crashquarantine.cpp
+++ b/libs/proxy/src/crashquarantine.cpp
@@ -7,9 +7,12 @@
 
 namespace {
 
-/** Crashes that are kept of one request; two that are not refuted suffice for a quarantine. */
+/** Crashes that are kept of one request; three that are not refuted suffice for a quarantine. */
 constexpr std::size_t maxCrashes = 16;
 
+/** Crashes of a single target that quarantine a request. */
+constexpr std::size_t maxCrashesOfOneTarget = 3;
+
 } // namespace
 
 CrashQuarantine::CrashQuarantine(CrashQuarantineOptions options)
@@ -111,16 +114,17 @@
 
 bool CrashQuarantine::isJustified(const Record &record)
 {
-    // Repeated crashes of one target can be a fault of the target rather than of the request.
-    const Crash *first = nullptr;
+    const Crash *last = nullptr;
+    std::size_t n = 0;
     for (const auto &crash : record.crashes) {
         if (crash.refuted) {
             continue;
         }
-        if (first != nullptr && first->target != crash.target) {
+        ++n;
+        if (n == maxCrashesOfOneTarget || (last != nullptr && last->target != crash.target)) {
             return true;
         }
-        first = &crash;
+        last = &crash;
     }
     return false;
 }
--- a/libs/proxy/src/crashsuspects.cpp
+++ b/libs/proxy/src/crashsuspects.cpp
@@ -45,6 +45,20 @@
     return seen || reported;
 }
 
+std::vector<Endpoint> CrashSuspects::crashedTargets(const Digest &request, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    removeExpired(now);
+    std::set<Endpoint> targets;
+    if (const auto seen = m_crashes.find(request); seen != m_crashes.end()) {
+        targets = seen->second.targets;
+    }
+    if (const auto reported = m_reported.find(request); reported != m_reported.end()) {
+        targets.insert(reported->second.begin(), reported->second.end());
+    }
+    return {targets.begin(), targets.end()};
+}
+
 bool CrashSuspects::contains(const Digest &request, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/crashsuspects.h
+++ b/libs/proxy/src/crashsuspects.h
@@ -31,6 +31,9 @@
     /** Removes a request that has succeeded. Returns whether it was a suspect, on this node or as reported. */
     bool remove(const Digest &request);
 
+    /** Targets of any node that crashed while they ran the request, sorted. */
+    std::vector<Endpoint> crashedTargets(const Digest &request, TimePoint now);
+
     /** Whether a target crashed while it ran the request for this node. */
     bool contains(const Digest &request, TimePoint now);
 
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -43,7 +43,7 @@
         co_await refuse(stoppingRefusal(m_call));
         co_return;
     }
-    auto grant = co_await waitForSlot(m_call, {});
+    auto grant = co_await waitForFirstSlot(m_call);
     if (!grant.lease) {
         co_await refuse(refusalFor(grant, m_call));
         co_return;
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -84,6 +84,22 @@
     co_return finishRequest(call, request);
 }
 
+asio::awaitable<SlotGrant> waitForFirstSlot(CallContext &call)
+{
+    auto &suspects = call.core.suspects;
+    if (suspects.any()) {
+        auto crashed = suspects.crashedTargets(call.crashDigest(), std::chrono::steady_clock::now());
+        if (!crashed.empty()) {
+            call.updateLatestStart();
+            auto grant = co_await waitForSlot(call, std::move(crashed));
+            if (grant.result != SlotResult::NoTarget) {
+                co_return grant;
+            }
+        }
+    }
+    co_return co_await waitForSlot(call, {});
+}
+
 SlotGrant takeFreeSlot(CallContext &call, std::vector<Endpoint> excluded)
 {
     const auto request = makeRequest(call, std::move(excluded), [] {});
--- a/libs/proxy/src/slotwait.h
+++ b/libs/proxy/src/slotwait.h
@@ -19,6 +19,12 @@
 /** Waits for a slot of a target that is not in @p excluded, until the call's deadline or latest start. */
 asio::awaitable<SlotGrant> waitForSlot(CallContext &call, std::vector<Endpoint> excluded);
 
+/**
+ * Waits for a slot for the first attempt of a request. If targets of any node have crashed while they ran the request,
+ * it uses another one, unless there is none.
+ */
+asio::awaitable<SlotGrant> waitForFirstSlot(CallContext &call);
+
 /** Takes a slot of a target that is not in @p excluded, without waiting in this node's queue. */
 SlotGrant takeFreeSlot(CallContext &call, std::vector<Endpoint> excluded);
 
--- a/libs/proxy/tests/crashquarantinetest.cpp
+++ b/libs/proxy/tests/crashquarantinetest.cpp
@@ -39,6 +39,34 @@
     CHECK(quarantine.quarantined(now + 1s).empty());
 }
 
+// A request that meets the same target each time, because it is the only one or the one on the caller's host, must not
+// crash it without end.
+TEST(CrashQuarantine, quarantinesAfterThreeCrashesOfOneTarget)
+{
+    report(crashing, first, now);
+    report(crashing, first, now + 1s);
+    CHECK(report(crashing, first, now + 2s));
+    CHECK_EQUAL(1, quarantine.quarantined(now + 2s).size());
+}
+
+// A target that crashes by itself must not get a request quarantined that succeeds on it in between.
+TEST(CrashQuarantine, successRestartsTheCountOfOneTarget)
+{
+    report(harmless, first, now);
+    report(harmless, first, now + 1s);
+    quarantine.succeeded(harmless);
+    CHECK(!report(harmless, first, now + 2s));
+    CHECK(!report(harmless, first, now + 3s));
+}
+
+// A request that comes again once a minute must not crash a target each time.
+TEST(CrashQuarantine, remembersCrashesForMinutes)
+{
+    CrashQuarantine lasting{{}};
+    lasting.report({.request = crashing, .target = first, .event = 1}, now);
+    CHECK(lasting.report({.request = crashing, .target = second, .event = 2}, now + 9min));
+}
+
 TEST(CrashQuarantine, ignoresCrashesOutsideTheWindow)
 {
     report(crashing, first, now);
--- a/libs/proxy/tests/crashtest.cpp
+++ b/libs/proxy/tests/crashtest.cpp
@@ -107,6 +107,34 @@
     CHECK_EQUAL(1, proxy.crashes.succeeded().size());
 }
 
+// A client that comes back to its own host must not crash the target there each time, and a target that crashes by
+// itself must not get a request quarantined that succeeds elsewhere.
+TEST(Crash, sendsASuspectToAnotherTarget)
+{
+    TestTarget crashed(TestTarget::answer("ok"));
+    TestTarget other(TestTarget::answer("ok"));
+    proxy.addTarget(crashed);
+    proxy.addTarget(other);
+    proxy.suspects = {{.request = Digest::of("GET\n/page\n"), .targets = {crashed.address()}}};
+    proxy.start();
+    for (int i = 1; i <= 10; ++i) {
+        CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/page")).value().status());
+        CHECK_EQUAL(i, other.requests());
+        proxy.publish();
+    }
+    CHECK_EQUAL(0, crashed.requests());
+}
+
+// A suspect may be harmless, so it must be served if the crashed target is the only one.
+TEST(Crash, sendsASuspectToTheOnlyTarget)
+{
+    TestTarget crashed(TestTarget::answer("ok"));
+    proxy.addTarget(crashed);
+    proxy.suspects = {{.request = Digest::of("GET\n/page\n"), .targets = {crashed.address()}}};
+    proxy.start();
+    CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/page")).value().status());
+}
+
 // A suspect must not reach a second target either when the proxy would retry it for another reason.
 TEST(Crash, doesNotRetryASuspect)
 {
