Pass on "not run" only if the target says it of the request

Reported by other operators: an instance wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for a request that it was running. Here it happened if the copy had no Request-Id: only a copy with another id was recognised, and Not-Executed was believed without one. A non-idempotent request was then also sent to a second target. Beside it, a 408, 429 or 503 of a target without Not-Executed was passed on to the caller of a non-idempotent request, for whom these statuses promise that the request has not run.

Change: a refusal that does not name the request, and a promising status without the statement, count as bad responses of the target. The caller of a non-idempotent request gets 502 without the target's signature.

Outside the platform requests have no ids; there non-idempotent requests use a new connection each.

--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -26,6 +26,12 @@
 constexpr int maxSkippedResponses = 3;
 constexpr std::size_t maxSkippedBytes = std::size_t{1024} * 1024;
 
+/** Whether a response with this status tells its receiver that the request has not run and never will. */
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == misdirectedStatus || status == 429 || status == 503;
+}
+
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -312,7 +318,7 @@
         recordLoadReport();
         const bool framed = !reader.isCloseDelimited() || m_call.core.options.acceptUnframedResponses;
         const bool authentic = isAuthentic(reader.head());
-        const bool valid = status != 101 && framed && authentic;
+        const bool valid = status != 101 && framed && authentic && !promisesTooMuch(reader.head());
         co_return valid ? AttemptStatus::Response : AttemptStatus::BadResponse;
     }
     co_return AttemptStatus::BadResponse;
@@ -359,6 +365,27 @@
         && (names.requestId.empty() || response.find(names.requestId) != nullptr);
 }
 
+bool UpstreamExchange::identifiesRequest(const HttpHead &response) const
+{
+    const auto &name = m_call.core.options.headers.requestId;
+    const auto *asked = name.empty() ? nullptr : m_call.head().find(name);
+    const auto *answered = asked == nullptr ? nullptr : response.find(name);
+    return asked == nullptr || (answered != nullptr && *asked == *answered);
+}
+
+bool UpstreamExchange::promisesTooMuch(const HttpHead &response) const
+{
+    if (m_lease.isRemote() || !m_call.signedResponses()) {
+        return false;
+    }
+    if (!identifiesRequest(response)) {
+        // It may be a copy of an earlier refusal.
+        return promisesNotRun(response.status) || statesNotRun();
+    }
+    // The caller of a non-idempotent request would send it again.
+    return !m_call.route.idempotent && promisesNotRun(response.status) && !statesNotRun();
+}
+
 void UpstreamExchange::recordLoadReport()
 {
     if (!m_lease.isRemote()) {
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -112,6 +112,12 @@
     void endTracking();
     bool isAuthentic(const HttpHead &response) const;
     bool answersAnotherRequest(const HttpHead &response) const;
+
+    /** Whether the response has the id of the request, or the request has none. */
+    bool identifiesRequest(const HttpHead &response) const;
+
+    /** Whether the response promises "not run" without the target having said so of this request. */
+    bool promisesTooMuch(const HttpHead &response) const;
     asio::awaitable<bool> skipStrayResponse(TimePoint deadline);
     asio::awaitable<AttemptStatus> send();
     asio::awaitable<AttemptStatus> streamBody(bool chunked);
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -213,6 +213,60 @@
     STRCMP_EQUAL("right", response.body.c_str());
 }
 
+// Guards against "not run" for a request that a target has run, when the target writes an earlier refusal once more on
+// a kept connection, with or without the id of the request that it refused.
+TEST(Relay, doesNotBelieveARefusalOfAnotherRequest)
+{
+    for (const char *refusal : {"503 Busy\r\nNot-Run: 1\r\nCall-Id: c1\r\n",
+                                "503 Busy\r\nNot-Run: 1\r\n",
+                                "421 Misdirected\r\n",
+                                "429 Too Many\r\nNot-Run: 1\r\n",
+                                "400 Bad\r\nNot-Run: 1\r\n"}) {
+        front.reset();
+        nodes.clear();
+        targets.clear();
+        nextId = 0;
+        const auto text = "HTTP/1.1 " + std::string(refusal) + "Content-Length: 0\r\n\r\n";
+        std::atomic<int> ran = 0;
+        const auto handler = [&](const TestMessage &request, TestSocket &connection) {
+            if (request.startLine.find("/book") == std::string::npos) {
+                return connection.send(signedResponse(request, "ok"));
+            }
+            ++ran;
+            return connection.send(text + signedResponse(request, "ok"));
+        };
+        TestTarget first(handler);
+        TestTarget second(handler);
+        addTarget(first, "i-1");
+        addTarget(second, "i-2");
+        start();
+        CHECK_EQUAL(200, call("GET", "/").status());
+        const auto status = call("POST", "/book").status();
+        CHECK_TEXT(status == 200 || status == 502, refusal);
+        CHECK_EQUAL_TEXT(1, ran, refusal);
+    }
+}
+
+// Guards against a status that promises "not run" although the target does not say so: it may have run the request.
+TEST(Relay, passesOnNoPromiseThatTheTargetDidNotMake)
+{
+    for (const char *status : {"408 Timeout", "429 Too Many", "503 Busy"}) {
+        front.reset();
+        nodes.clear();
+        targets.clear();
+        TestTarget target([status](const TestMessage &request, TestSocket &connection) {
+            const auto id = "Call-Id: " + request.header("call-id") + "\r\n";
+            return connection.send(TestTarget::response(status, "", id + "Signed-By: t\r\n"));
+        });
+        addTarget(target, "i-1");
+        start();
+        const auto response = call("POST", "/book");
+        CHECK_EQUAL_TEXT(502, response.status(), status);
+        STRCMP_EQUAL("", response.header("signed-by").c_str());
+        CHECK_EQUAL(1, target.requests());
+    }
+}
+
 // Guards against refusing a close-delimited response although its connection was closed without an error.
 TEST(Relay, acceptsACloseDelimitedResponse)
 {
