Test responses that end within their head

Reported by other operators: an instance stopped in the middle of its response's head and closed, and clients got a 200 with an empty or short body, framed as whole. It does not happen here: HttpMessageReader completes a message at the end of the connection only if its head was complete and its body has no length.

--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -267,6 +267,41 @@
     }
 }
 
+// Guards against a complete response to a caller when the target closes or resets the connection within the head of its
+// response, wherever that is, on a new or kept connection.
+TEST(Relay, neverCompletesAResponseThatEndsInItsHead)
+{
+    std::size_t length = 0;
+    bool reset = false;
+    bool kept = false;
+    TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        if (request.startLine.find("/warm") != std::string::npos) {
+            return connection.send(signedResponse(request, "ok"));
+        }
+        const auto whole = signedResponse(request, "body");
+        connection.send(whole.substr(0, length));
+        if (reset) {
+            connection.reset();
+        }
+        return false;
+    });
+    addTarget(target, "i-1");
+    start();
+    const auto headBytes = signedResponse({.headers = {{"call-id", "c100"}}}, "body").find("\r\n\r\n") + 4;
+    for (int variant = 0; variant < 4; ++variant) {
+        reset = variant % 2 == 1;
+        kept = variant / 2 == 1;
+        for (length = 0; length < headBytes; ++length) {
+            if (kept) {
+                call("GET", "/warm");
+            }
+            nextId = 99;
+            const auto response = call(length % 2 == 0 ? "GET" : "POST", length % 2 == 0 ? "/" : "/book");
+            CHECK_TEXT(response.status() != 200 && response.status() != 503, std::to_string(length).c_str());
+        }
+    }
+}
+
 // Guards against refusing a close-delimited response although its connection was closed without an error.
 TEST(Relay, acceptsACloseDelimitedResponse)
 {
