--- a/libs/directory/tests/nodedirectorytest.cpp
+++ b/libs/directory/tests/nodedirectorytest.cpp
@@ -201,6 +201,26 @@
     CHECK(first.known.empty());
 }
 
+// Guards against a node that ends, or no longer finds the others, because of one odd entry among theirs.
+TEST(NodeDirectory, listsOtherNodesBesideOddEntries)
+{
+    int n = 0;
+    for (const std::string &value : {std::string(100000, '['),
+                                     std::string("10.0.0.9:65536"),
+                                     std::string("10.0.0.9:99999999999999999999"),
+                                     std::string("10.0.0.9:-1"),
+                                     std::string("\0\xff", 2),
+                                     std::string()}) {
+        Transaction transaction;
+        transaction.success.push_back(Operation::put("hornbeamring/nodes/odd" + std::to_string(++n), value));
+        second.store.commit(std::move(transaction), [](const Result<TransactionResult> &) {});
+    }
+    first.directory.start();
+    second.directory.start();
+    run(6s);
+    CHECK((first.known == std::vector{*Endpoint::parse("10.0.0.2:7380")}));
+}
+
 // Guards against a node that renews the lease of another node, while its own entry was lost with the restored store.
 TEST(NodeDirectory, registersAgainWhenARestoredStoreHasLostItsEntry)
 {
