Refuse names of targets that other nodes cannot decode

Reported by other operators: one odd entry, and machines stopped following the list. Here a target could announce itself with a name, zone or label that is not UTF-8. Its node accepted it, but protobuf decodes no such string, so the other nodes dropped each datagram that had the target: they no longer received the members and reports in it, and came to regard the node as failed.

Change: TargetRegistry accepts only UTF-8 without control characters, checked with Boost.Locale (headers of libboost-dev).

Evidence: MembershipCodec.decodesEachTargetThatANodeAccepts failed before and passes now, like all tests of membership.

--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -1,5 +1,7 @@
 #include <hornbeam/membership/targetregistry.h>
 
+#include <boost/locale/utf.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -32,9 +34,22 @@
     return n;
 }
 
+/** Whether @p text is UTF-8 without control characters. Other nodes cannot decode a datagram with any other text. */
+bool isValidText(const std::string &text)
+{
+    using Traits = boost::locale::utf::utf_traits<char>;
+    for (auto it = text.begin(); it != text.end();) {
+        const auto code = Traits::decode(it, text.end());
+        if (code == boost::locale::utf::illegal || code == boost::locale::utf::incomplete || code < ' ') {
+            return false;
+        }
+    }
+    return text.size() <= maxNameBytes;
+}
+
 bool isValidName(const std::string &name)
 {
-    return !name.empty() && name.size() <= maxNameBytes;
+    return !name.empty() && isValidText(name);
 }
 
 /** Whether @p target is the same instance as @p known; also true for an announcement without an instance number. */
@@ -46,7 +61,7 @@
 bool hasValidLabels(const Target &target)
 {
     return std::all_of(target.labels.begin(), target.labels.end(), [](const Label &label) {
-        return isValidName(label.name) && label.value.size() <= maxNameBytes;
+        return isValidName(label.name) && isValidText(label.value);
     });
 }
 
@@ -228,10 +243,10 @@
     if (!Endpoint::parse(target.address.toString())) {
         return makeError(ErrorCode::InvalidArgument, "the target's address is not an IP address and port");
     }
-    if (!isValidName(target.service) || target.zone.size() > maxNameBytes || target.name.size() > maxNameBytes
+    if (!isValidName(target.service) || !isValidText(target.zone) || !isValidText(target.name)
         || !hasValidLabels(target)) {
         return makeError(ErrorCode::InvalidArgument,
-                         "the target's service, zone, name or a label is empty or too long");
+                         "the target's service, zone, name or a label is empty, too long or no text");
     }
     if (target.slots < 1 || target.slots > maxSlots) {
         return makeError(ErrorCode::InvalidArgument, "the target's slots are not in 1..10000");
--- a/libs/membership/tests/membershipcodectest.cpp
+++ b/libs/membership/tests/membershipcodectest.cpp
@@ -1,5 +1,8 @@
 #include "membershipcodec.h"
 
+#include <hornbeam/base/faketimerservice.h>
+#include <hornbeam/membership/targetregistry.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Hornbeam;
@@ -80,3 +83,34 @@
     datagram.add_refutations()->set_request_digest("short");
     CHECK_FALSE(accepted());
 }
+
+// Guards against one odd announcement, such as a name that is not UTF-8, that makes the other nodes drop all datagrams
+// of its node: they must be able to decode whatever the node accepts.
+TEST(MembershipCodec, decodesEachTargetThatANodeAccepts)
+{
+    const std::vector<std::string> odd = {
+        "\xff", "\xc3(", std::string("a\0b", 3), "\xed\xa0\x80", "\n", std::string(128, 'x')};
+    for (const auto &text : odd) {
+        for (int field = 0; field < 4; ++field) {
+            Target target{.address = Endpoint("127.0.0.1", 80), .service = "rota", .zone = "z", .name = "i-1"};
+            std::string label;
+            (field == 0 ? target.service : field == 1 ? target.zone : field == 2 ? target.name : label) = text;
+            if (field == 3) {
+                target.labels = {{.name = label, .value = label}};
+            }
+            FakeTimerService timers;
+            TargetRegistry registry{timers, [](const std::vector<Target> &) {
+                                    }};
+            if (!registry.announce(target, std::chrono::seconds(5))) {
+                continue;
+            }
+            datagram.clear_updates();
+            *datagram.add_updates() = toWire(Member{.id = "b",
+                                                    .zone = "z",
+                                                    .peerAddress = Endpoint("127.0.0.1", 1),
+                                                    .incarnation = 1,
+                                                    .targets = registry.targets()});
+            CHECK_TEXT(accepted(), text.c_str());
+        }
+    }
+}
