Ignore unnumbered announcements of a numbered target

Callers saw: requests went on to an instance whose draining its node had acknowledged, after another writer had sent one heartbeat in its name without born.

Cause: TargetRegistry took an announcement without an instance number for one of the run that it knew, and with it a sequence number that made the instance's own heartbeats outdated. With another name, it replaced the running instance.

Change: an announcement without an instance number is stale where the target at the address has announced one. If it comes first, the next numbered one replaces it.

--- a/libs/membership/include/hornbeam/membership/targetregistry.h
+++ b/libs/membership/include/hornbeam/membership/targetregistry.h
@@ -36,8 +36,8 @@
      * announcements of one target instance; 0 for a target that does not number them.
      * Fails with InvalidArgument if a value is out of range, and with Overloaded if there would be more than maxTargets
      * targets or their estimated encoded size would exceed maxEncodedBytes. Fails with Conflict if the announcement is
-     * stale, because a later one for the same address, or a withdrawal, was received before it. A failed announcement
-     * has no effect.
+     * stale, because a later one for the same address, or a withdrawal, was received before it, or because it has no
+     * instance number while the target at the address has announced one. A failed announcement has no effect.
      */
     Result<Target> announce(Target target, Duration timeToLive, std::uint64_t sequence = 0);
 
@@ -84,7 +84,11 @@
         Target target;
         TimePoint expiry;
         std::uint64_t sequence = 0;
+        bool numbered = false; ///< The target has announced its instance number; otherwise this node assigned it.
         bool suspended = false;
+
+        /** True as well for the next announcement of the same name if only one of the two is numbered. */
+        bool isSameInstance(const Target &announced) const;
     };
 
     /** Keeps a departure for as long as an announcement may be delayed. */
--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -52,12 +52,6 @@
     return !name.empty() && isValidText(name);
 }
 
-/** Whether @p target is the same instance as @p known; also true for an announcement without an instance number. */
-bool isSameInstance(const Target &known, const Target &target)
-{
-    return known.name == target.name && (target.instance == 0 || known.instance == target.instance);
-}
-
 bool hasValidLabels(const Target &target)
 {
     return std::all_of(target.labels.begin(), target.labels.end(), [](const Label &label) {
@@ -67,6 +61,12 @@
 
 } // namespace
 
+bool TargetRegistry::Entry::isSameInstance(const Target &announced) const
+{
+    const bool bothNumbered = numbered && announced.instance != 0;
+    return target.name == announced.name && (!bothNumbered || target.instance == announced.instance);
+}
+
 TargetRegistry::TargetRegistry(TimerService &timers, Listener listener)
     : m_timers(timers)
     , m_listener(std::move(listener))
@@ -91,18 +91,20 @@
     }
     const auto it = m_entries.find(target.address);
     const bool known = it != m_entries.end();
-    const bool sameInstance = known && isSameInstance(it->second.target, target);
+    const bool sameInstance = known && it->second.isSameInstance(target);
     if (known && !sameInstance) {
         recordDeparture({.name = it->second.target.name, .instance = it->second.target.instance});
     }
-    if (target.instance == 0) {
+    const bool numbered = target.instance != 0;
+    if (!numbered) {
         target.instance = sameInstance ? it->second.target.instance : nextInstance();
     }
     const bool changed = !known || it->second.suspended || it->second.target != target;
     const bool wasLeaving = sameInstance && it->second.target.state == TargetState::Leaving;
-    m_entries[target.address] = {.target = target, .expiry = m_timers.now() + timeToLive, .sequence = sequence};
+    m_entries[target.address] = {
+        .target = target, .expiry = m_timers.now() + timeToLive, .sequence = sequence, .numbered = numbered};
     scheduleExpiry();
-    if (target.state == TargetState::Leaving && !wasLeaving && sequence > 0) {
+    if (target.state == TargetState::Leaving && !wasLeaving && numbered && sequence > 0) {
         recordDeparture({.name = target.name, .instance = target.instance, .sequence = sequence - 1});
     }
     if (changed) {
@@ -159,10 +161,14 @@
         return false;
     }
     const auto &entry = it->second;
-    if (target.instance != 0 && target.instance < entry.target.instance) {
+    if (entry.numbered != (target.instance != 0)) {
+        // What does not say which run it is of cannot be ordered, and changes nothing that is known of a numbered run.
+        return entry.numbered;
+    }
+    if (entry.numbered && target.instance < entry.target.instance) {
         return true;
     }
-    return isSameInstance(entry.target, target) && sequence != 0 && sequence < entry.sequence;
+    return entry.isSameInstance(target) && sequence != 0 && sequence < entry.sequence;
 }
 
 void TargetRegistry::hideTargets()
--- a/libs/membership/tests/targetregistrytest.cpp
+++ b/libs/membership/tests/targetregistrytest.cpp
@@ -222,3 +222,42 @@
     timers.advance(10min);
     CHECK(registry.departures().empty());
 }
+
+// Guards against an acknowledged draining without effect: an announcement of another writer, without an instance
+// number, must not set the sequence number or the state of a target that has one, nor replace it.
+TEST(TargetRegistry, unnumberedAnnouncementChangesNoNumberedTarget)
+{
+    auto target = makeTarget(80);
+    target.name = "i-1";
+    target.instance = 100;
+    CHECK(registry.announce(target, 5s, 7).has_value());
+    for (const char *name : {"i-1", "i-2", ""}) {
+        auto forged = makeTarget(80);
+        forged.name = name;
+        CHECK(ErrorCode::Conflict == registry.announce(forged, 5s, 1000).error().code());
+    }
+    auto leaving = target;
+    leaving.state = TargetState::Leaving;
+    CHECK(registry.announce(leaving, 5s, 8).has_value());
+    CHECK(last.front().state == TargetState::Leaving);
+}
+
+// Guards against a target whose announcements are ignored, because one without an instance number arrived before them.
+TEST(TargetRegistry, numberedAnnouncementReplacesAnUnnumberedOne)
+{
+    auto forged = makeTarget(80);
+    forged.name = "i-1";
+    CHECK(registry.announce(forged, 5s, 1000).has_value());
+    auto target = forged;
+    forged.state = TargetState::Leaving;
+    CHECK(registry.announce(forged, 5s, 1001).has_value());
+    target.instance = 100;
+    CHECK(registry.announce(target, 5s, 7).has_value());
+    CHECK_EQUAL(100, last.front().instance);
+    target.state = TargetState::Leaving;
+    CHECK(registry.announce(target, 5s, 8).has_value());
+    CHECK(last.front().state == TargetState::Leaving);
+    target.name = "i-3";
+    target.instance = 200;
+    CHECK(registry.announce(target, 5s, 1).has_value());
+}
