Send responses first to callers whose node is about to stop

Callers saw: exports that the instance had run in 0.1 s got no response at all when the node of their clients was stopped as planned half a second after the request.

Cause: the node of the target did not know of the stop, and its link went to responses with earlier deadlines. Ruled out: the instance (done before SIGTERM) and the link of the stopping node (no byte had reached it).

Change: a relayed request names its node and the length of that node's stop. When the membership reports that the node has left, the deadlines of its requests move before the end of its stop, also in the queue of the link, where a waiting piece changes its place. Requests that arrive after the report get the earlier deadline at once.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -58,7 +58,7 @@
 // all at once.
 constexpr auto joinJitter = 100ms;
 
-ProxyOptions proxyOptions(const Settings &settings)
+ProxyOptions proxyOptions(const Settings &settings, const std::string &id)
 {
     const auto &traffic = settings.traffic;
     ProxyOptions options{.listen = traffic.listen,
@@ -71,6 +71,7 @@
                          .drainBound = traffic.drainBound,
                          .retryBudgetPercent = traffic.retryBudgetPercent,
                          .slowStart = traffic.slowStart};
+    options.nodeId = id;
     options.relayListen = traffic.relayListen;
     options.hostService = settings.node.targetService;
     options.retryBudgetRatio = traffic.retryBudgetRatio;
@@ -324,7 +325,7 @@
                                                                                 .publisher = m_publisher,
                                                                                 .targets = m_targets});
     auto proxy = ProxyServer::make(
-        proxyOptions(m_settings),
+        proxyOptions(m_settings, m_id),
         {.claims = *m_claims, .crashes = *m_crashReportForwarder, .metrics = m_metrics, .log = &m_requestLog});
     if (!proxy) {
         return tl::unexpected(proxy.error());
@@ -550,6 +551,7 @@
         m_log.warning("member failed", {{"id", after->id}, {"zone", after->zone}});
     } else if (after->state == MemberState::Left) {
         m_log.info("member left", {{"id", after->id}, {"zone", after->zone}});
+        m_proxy->peerStops(after->id);
     } else if (!before) {
         m_log.info("member joined", {{"id", after->id}, {"zone", after->zone}});
     }
--- a/daemons/hornbeamd/tests/routingpublishertest.cpp
+++ b/daemons/hornbeamd/tests/routingpublishertest.cpp
@@ -39,6 +39,8 @@
         drained();
     }
 
+    void peerStops(const std::string & /*nodeId*/) override {}
+
     std::size_t requestsInFlight() const override
     {
         return 0;
--- a/libs/proxy/include/hornbeam/proxy/proxyoptions.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyoptions.h
@@ -24,6 +24,8 @@
     std::uint32_t retryBudgetPercent = 10; ///< Allowed retries, as a percentage of a service's requests. 0..100.
     std::chrono::milliseconds slowStart{10000}; ///< Time until a new target gets its full share of requests.
     std::chrono::milliseconds crashWindow{30000}; ///< Time for which a request is suspected after a crash.
+    std::string
+        nodeId{}; ///< Names this node in the requests that it relays, see ProxyServer::peerStops(); empty for none.
     std::optional<Endpoint> relayListen{}; ///< Address for requests of other nodes to targets on this host.
     HeaderNames headers{};
     bool routeTimeoutCapsDeadline = false; ///< A route's timeout also limits a longer deadline of a caller.
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace Hornbeam {
 
@@ -100,6 +101,13 @@
      */
     virtual void drain(std::function<void()> drained) = 0;
 
+    /**
+     * Tells that the node with this ProxyOptions::nodeId has begun a graceful shutdown. The deadlines of the requests
+     * that it has relayed to this node are moved before the end of its shutdown, so that their responses go first on a
+     * slow link. Any thread.
+     */
+    virtual void peerStops(const std::string &nodeId) = 0;
+
     /** Number of requests in progress. */
     virtual std::size_t requestsInFlight() const = 0;
 
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -1,5 +1,7 @@
 #include "callcontext.h"
 
+#include "linkturn.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -73,6 +75,12 @@
     return true;
 }
 
+std::optional<RelaySender> senderOf(const HttpHead &head)
+{
+    const auto *value = head.find(nodeHeaderName);
+    return value != nullptr ? RelaySender::parse(*value) : std::nullopt;
+}
+
 } // namespace
 
 CallContext::CallContext(CallEnvironment environment, const Route &matchedRoute, const Service &routeService)
@@ -108,6 +116,7 @@
     , route(relayRoute)
     , service(targetService)
     , relay(relayRequest)
+    , sender(senderOf(caller.head()))
     , body(caller.stream(), caller.head(), targetService.maxRequestBytes)
     , watch(caller.watch())
     , started(caller.received())
@@ -117,6 +126,23 @@
     , stages(started)
     , m_limitedByStop(limitToStop(core, deadline))
 {
+    if (sender) {
+        limitDeadline(core.stoppingPeers.endOf(*sender));
+    }
+}
+
+void CallContext::limitDeadline(TimePoint end)
+{
+    if (deadline <= end) {
+        return;
+    }
+    deadline = end;
+    if (large) {
+        large->limitDeadline(end);
+    }
+    if (linkTurn != nullptr) {
+        linkTurn->limitDeadline(end);
+    }
 }
 
 const std::string *CallContext::requestId() const
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -21,6 +21,8 @@
 
 namespace Hornbeam {
 
+class LinkTurn;
+
 /** Who sent a request to this node. */
 enum class CallOrigin {
     Caller,
@@ -53,6 +55,7 @@
     const Route &route; ///< From the state's snapshot, or made from the relay header.
     const Service &service; ///< Service of the target; from the state's snapshot or made from the relay header.
     std::optional<RelayRequest> relay; ///< Set for a request from another node.
+    std::optional<RelaySender> sender; ///< The node that has relayed the request, if it names itself.
     RequestBody body;
     CallerWatch &watch;
     TimePoint started;
@@ -62,6 +65,7 @@
     Duration expectedWait = Duration::zero(); ///< For a slot, as estimated at the last choice of a target.
     bool nested = false; ///< Made by a request that is running at a target of this host.
     std::optional<LargeResponse> large; ///< The response of the current attempt, if it is large.
+    LinkTurn *linkTurn = nullptr; ///< The piece of the response that waits for the link; null for none.
     bool repeated = false; ///< A target may already have run the request.
     bool late = false; ///< The request is expected to miss its latency objective.
     bool dependencyFailed = false; ///< Refused because of a busy dependency; reported to the sending node.
@@ -90,6 +94,10 @@
         return !core.options.headers.signature.empty();
     }
 
+    /** Moves the deadline to @p end unless it is earlier, also for the place of a large response in the link's queue.
+     */
+    void limitDeadline(TimePoint end);
+
     /** The request id that the caller sent; null if there is none. */
     const std::string *requestId() const;
 
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -63,7 +63,7 @@
 class CallerConnection::ActiveCall
 {
 public:
-    ActiveCall(std::vector<const CallContext *> &calls, const CallContext &call)
+    ActiveCall(std::vector<CallContext *> &calls, CallContext &call)
         : m_calls(calls)
         , m_call(call)
     {
@@ -79,8 +79,8 @@
     }
 
 private:
-    std::vector<const CallContext *> &m_calls;
-    const CallContext &m_call;
+    std::vector<CallContext *> &m_calls;
+    CallContext &m_call;
 };
 
 CallerConnection::CallerConnection(ServerCore &core,
@@ -250,6 +250,15 @@
     }
 }
 
+void CallerConnection::limitDeadlines(const std::string &nodeId)
+{
+    for (auto *call : m_calls) {
+        if (call->sender && call->sender->nodeId == nodeId) {
+            call->limitDeadline(m_core.stoppingPeers.endOf(*call->sender));
+        }
+    }
+}
+
 asio::awaitable<void> CallerConnection::refuseUnreadable(ReadResult result)
 {
     const auto version = m_core.state()->snapshot->version();
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -34,6 +34,9 @@
     /** Logs and counts the requests in progress, which the end of the process interrupts. */
     void reportInterrupted() const;
 
+    /** Limits the deadlines of requests in progress that the node with this id, which stops, has relayed. */
+    void limitDeadlines(const std::string &nodeId);
+
 private:
     class InFlight;
     class ActiveCall;
@@ -66,7 +69,7 @@
     ResponseOrder m_order;
     CallerChannel m_channel;
     std::vector<CallerExchange *> m_pipelined; ///< The exchanges that are served in the background.
-    std::vector<const CallContext *> m_calls; ///< The requests in progress that match a route.
+    std::vector<CallContext *> m_calls; ///< The requests in progress that match a route.
     const CallOrigin m_origin;
     bool m_reading = false; ///< Waiting for the head of a request.
     bool m_hasPipelined = false; ///< The caller has sent a request before the one before it was answered.
--- a/libs/proxy/src/largeresponse.h
+++ b/libs/proxy/src/largeresponse.h
@@ -32,6 +32,12 @@
         m_announced = true;
     }
 
+    /** Records an earlier deadline. */
+    void limitDeadline(TimePoint deadline)
+    {
+        m_link.largeResponseLimited(deadline, m_id);
+    }
+
     /** Records that @p bytes have been sent. */
     void sent(std::size_t bytes)
     {
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -83,6 +83,13 @@
     learnSize(static_cast<std::size_t>(size));
 }
 
+void LinkPacer::largeResponseLimited(TimePoint deadline, std::uint64_t id)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &entry = m_large.at(id);
+    entry.deadline = std::min(entry.deadline, deadline);
+}
+
 void LinkPacer::largeResponseSent(std::size_t bytes, std::uint64_t id)
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -49,6 +49,9 @@
      */
     void largeResponseAnnounced(std::size_t bytes, std::uint64_t id);
 
+    /** Moves the deadline of a response, unless it is earlier. */
+    void largeResponseLimited(TimePoint deadline, std::uint64_t id);
+
     /** Subtracts bytes that have been sent, at most those that remain of the response. */
     void largeResponseSent(std::size_t bytes, std::uint64_t id);
 
--- a/libs/proxy/src/linkqueue.cpp
+++ b/libs/proxy/src/linkqueue.cpp
@@ -26,6 +26,17 @@
     return m_granted == ticket;
 }
 
+void LinkQueue::change(const Ticket &ticket, const Ticket &changed)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_granted == ticket) {
+        m_granted = changed;
+    } else if (auto piece = m_waiting.extract(ticket)) {
+        piece.key() = changed;
+        m_waiting.insert(std::move(piece));
+    }
+}
+
 void LinkQueue::leave(const Ticket &ticket)
 {
     std::function<void()> granted;
--- a/libs/proxy/src/linkqueue.h
+++ b/libs/proxy/src/linkqueue.h
@@ -41,6 +41,9 @@
 
     bool isGranted(const Ticket &ticket) const;
 
+    /** Changes the deadline of a piece in the queue; @p changed has the same response number. */
+    void change(const Ticket &ticket, const Ticket &changed);
+
     /** Removes a piece and grants the link to the next one if it had been granted to this one. */
     void leave(const Ticket &ticket);
 
--- a/libs/proxy/src/linkturn.cpp
+++ b/libs/proxy/src/linkturn.cpp
@@ -20,6 +20,13 @@
     m_queue.leave(m_ticket);
 }
 
+void LinkTurn::limitDeadline(TimePoint deadline)
+{
+    const LinkQueue::Ticket limited{.deadline = deadline, .response = m_ticket.response};
+    m_queue.change(m_ticket, limited);
+    m_ticket = limited;
+}
+
 asio::awaitable<void> LinkTurn::wait()
 {
     m_hasWaited = !m_queue.isGranted(m_ticket);
--- a/libs/proxy/src/linkturn.h
+++ b/libs/proxy/src/linkturn.h
@@ -20,9 +20,12 @@
     LinkTurn &operator=(const LinkTurn &) = delete;
     ~LinkTurn();
 
-    /** Waits until the link is granted or the deadline has passed. */
+    /** Waits until the link is granted or the deadline at the construction has passed. */
     asio::awaitable<void> wait();
 
+    /** Moves the piece forward in the queue for an earlier deadline. */
+    void limitDeadline(TimePoint deadline);
+
     /** Whether the link was not granted at once. */
     bool hasWaited() const
     {
@@ -32,7 +35,7 @@
 private:
     LinkQueue &m_queue;
     const std::shared_ptr<asio::steady_timer> m_timer;
-    const LinkQueue::Ticket m_ticket;
+    LinkQueue::Ticket m_ticket;
     bool m_hasWaited = false;
 };
 
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -140,6 +140,15 @@
     checkDrained(bound, drained);
 }
 
+void ProxyServerImpl::peerStops(const std::string &nodeId)
+{
+    // Recorded first, for requests that the node has sent before its stop and that have not arrived yet.
+    m_core.stoppingPeers.add(nodeId, std::chrono::steady_clock::now());
+    for (const auto &thread : m_threads) {
+        thread->limitDeadlines(nodeId);
+    }
+}
+
 void ProxyServerImpl::checkDrained(TimePoint bound, const std::function<void()> &drained)
 {
     m_threads.front()->runAfter(drainCheckPeriod, [this, bound, drained] {
--- a/libs/proxy/src/proxyserverimpl.h
+++ b/libs/proxy/src/proxyserverimpl.h
@@ -22,6 +22,7 @@
     Endpoint localEndpoint() const override;
     Endpoint relayEndpoint() const override;
     void drain(std::function<void()> drained) override;
+    void peerStops(const std::string &nodeId) override;
     std::size_t requestsInFlight() const override;
     std::string dumpJson() const override;
 
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -72,6 +72,21 @@
         + (bulk ? '1' : '0');
 }
 
+std::string RelaySender::format() const
+{
+    return nodeId + ';' + milliseconds(stopTime);
+}
+
+std::optional<RelaySender> RelaySender::parse(std::string_view text)
+{
+    const auto parts = split(text, ';');
+    const auto values = numbers<1>(parts, 1, {maxMilliseconds});
+    if (!values || parts.front().empty()) {
+        return std::nullopt;
+    }
+    return RelaySender{.nodeId = std::string(parts.front()), .stopTime = std::chrono::milliseconds((*values)[0])};
+}
+
 std::optional<RelayRequest> RelayRequest::parse(std::string_view text)
 {
     constexpr std::size_t names = 3;
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -15,6 +15,9 @@
 /** Header of requests between nodes; its value is a RelayRequest. */
 inline constexpr std::string_view relayHeaderName = "X-Hornbeam-Relay";
 
+/** Header of requests between nodes; its value is a RelaySender. */
+inline constexpr std::string_view nodeHeaderName = "X-Hornbeam-Node";
+
 /** Header of responses between nodes; its value is a LoadReport. */
 inline constexpr std::string_view loadHeaderName = "X-Hornbeam-Load";
 
@@ -39,6 +42,20 @@
     friend bool operator==(const RelayRequest &, const RelayRequest &) = default;
 };
 
+/** The node that relays a request. */
+struct RelaySender
+{
+    std::string nodeId; ///< See ProxyOptions::nodeId. Not empty.
+    std::chrono::milliseconds stopTime{0}; ///< Time limit of a graceful shutdown of the node.
+
+    std::string format() const;
+
+    /** Parses the result of format(); nothing for any other text. */
+    static std::optional<RelaySender> parse(std::string_view text);
+
+    friend bool operator==(const RelaySender &, const RelaySender &) = default;
+};
+
 /** The load of a target as reported by the node on its host. */
 struct LoadReport
 {
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -194,7 +194,9 @@
     m_call.stages.enter(CallStage::Link, now);
     LinkTurn linkTurn(
         m_call.core.linkQueue, {.deadline = m_call.deadline, .response = m_responseNumber}, m_call.context);
+    m_call.linkTurn = &linkTurn;
     co_await linkTurn.wait();
+    m_call.linkTurn = nullptr;
     const auto granted = std::chrono::steady_clock::now();
     if (granted >= m_call.deadline || !isPaced()) {
         co_return;
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -9,6 +9,7 @@
 #include "routetimes.h"
 #include "runningrequests.h"
 #include "splitchooser.h"
+#include "stoppingpeers.h"
 
 #include <hornbeam/proxy/proxyserver.h>
 
@@ -38,6 +39,7 @@
     SplitChooser splits;
     RunningRequests running;
     RouteTimes routeTimes;
+    StoppingPeers stoppingPeers;
     std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> listeningThreads = 0; ///< Traffic threads that still accept connections.
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -196,6 +196,15 @@
     });
 }
 
+void TrafficThread::limitDeadlines(const std::string &nodeId)
+{
+    asio::post(*m_context, [this, nodeId] {
+        for (const auto &connection : m_connections) {
+            connection->limitDeadlines(nodeId);
+        }
+    });
+}
+
 void TrafficThread::closeOlder(const Endpoint &target, TimePoint since)
 {
     asio::post(*m_context, [this, target, since] { m_pool.closeOlder(target, since); });
--- a/libs/proxy/src/trafficthread.h
+++ b/libs/proxy/src/trafficthread.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <set>
+#include <string>
 #include <system_error>
 #include <thread>
 #include <vector>
@@ -41,6 +42,9 @@
     /** Logs the requests in progress and then calls @p reported on this thread. Any thread. */
     void reportInterrupted(std::function<void()> reported);
 
+    /** Limits the deadlines of requests in progress that a node which stops has relayed. Any thread. */
+    void limitDeadlines(const std::string &nodeId);
+
     /** Closes idle upstream connections, see UpstreamPool::closeOlder(). Any thread. */
     void closeOlder(const Endpoint &target, TimePoint since);
 
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -205,6 +205,11 @@
                                  .bulk = m_call.route.bulk,
                                  .repeated = m_call.repeated};
         out += std::string(relayHeaderName) + ": " + relay.format() + "\r\n";
+        const auto &options = m_call.core.options;
+        if (!options.nodeId.empty()) {
+            const RelaySender sender{.nodeId = options.nodeId, .stopTime = options.drainBound};
+            out += std::string(nodeHeaderName) + ": " + sender.format() + "\r\n";
+        }
         return;
     }
     out += names.deadline + ": " + std::to_string(left.count()) + "\r\n";
--- a/libs/proxy/tests/linkqueuetest.cpp
+++ b/libs/proxy/tests/linkqueuetest.cpp
@@ -80,6 +80,23 @@
     CHECK(queue.isGranted(enter(9s, 'e')));
 }
 
+// Guards against a response that keeps its place behind others after its deadline was moved forward.
+TEST(LinkQueue, movesAPieceWhoseDeadlineChanges)
+{
+    auto first = enter(5s, 'a');
+    enter(1s, 'b');
+    const auto late = enter(3s, 'c');
+    const LinkQueue::Ticket urgent{.deadline = now, .response = late.response};
+    queue.change(late, urgent);
+    const LinkQueue::Ticket earlier{.deadline = now + 4s, .response = first.response};
+    queue.change(first, earlier);
+    CHECK(queue.isGranted(earlier));
+    queue.leave(earlier);
+    CHECK(queue.isGranted(urgent));
+    queue.leave(urgent);
+    STRCMP_EQUAL("cb", granted.c_str());
+}
+
 // Guards against a link that stays granted to a response that has ended, or is granted to one that gave up.
 TEST(LinkQueue, skipsAPieceThatHasLeft)
 {
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -17,6 +17,7 @@
                        .notExecuted = "Not-Run",
                        .fractionalRetryAfter = true};
     options.hostService = nodeOptions.hostService;
+    options.nodeId = nodeOptions.nodeId;
     options.linkMegabitsPerSecond = nodeOptions.linkMegabits;
     options.routeTimeoutCapsDeadline = true;
     options.acceptUnframedResponses = true;
--- a/libs/proxy/tests/relayfixture.h
+++ b/libs/proxy/tests/relayfixture.h
@@ -12,6 +12,7 @@
 struct RelayNodeOptions
 {
     std::string hostService;
+    std::string nodeId{};
     double linkMegabits = 0; ///< Capacity of the host's link; 0 for no pacing.
     std::chrono::milliseconds stopNotice{500};
     std::chrono::milliseconds drainBound{30000};
--- a/libs/proxy/tests/relayheadertest.cpp
+++ b/libs/proxy/tests/relayheadertest.cpp
@@ -21,6 +21,15 @@
     CHECK(RelayRequest::parse(request.format()) == request);
 }
 
+TEST(RelayHeader, parsesAFormattedSender)
+{
+    const RelaySender sender{.nodeId = "4f1c", .stopTime = std::chrono::milliseconds(5500)};
+    CHECK(RelaySender::parse(sender.format()) == sender);
+    for (const char *text : {"", "4f1c", ";5500", "4f1c;", "4f1c;-1", "4f1c;5500;1", "4f1c;3600001"}) {
+        CHECK_FALSE(RelaySender::parse(text).has_value());
+    }
+}
+
 TEST(RelayHeader, parsesAFormattedReport)
 {
     const LoadReport report{.running = 9,
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -87,6 +87,44 @@
     CHECK_EQUAL(bytes, response->body.size());
 }
 
+// Guards against a response that was requested before the stop and is cut off by it, because the node of the target
+// first sends responses with earlier deadlines to callers whose node does not stop.
+TEST(StoppingNode, completesALargeResponseThatWasRequestedBeforeTheStop)
+{
+    // At 5 Mbit/s, the response alone takes 0.4 s; the others keep the link busy for 2.8 s.
+    constexpr std::size_t bytes = 200000;
+    constexpr std::size_t otherBytes = 400000;
+    const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        const bool other = request.header("call-id").front() == 'o';
+        return connection.send(signedResponse(request, std::string(other ? otherBytes : bytes, 'x')));
+    });
+    targetOptions.linkMegabits = 5;
+    timeout = 8000ms;
+    frontOptions.stopNotice = 500ms;
+    frontOptions.drainBound = 2000ms;
+    frontOptions.nodeId = "front";
+    addTarget(target, "first");
+    start();
+    const auto neighbour = startCallerNode({.hostService = "desk", .nodeId = "neighbour"});
+    std::vector<TestSocket> others;
+    for (int i = 0; i < 4; ++i) {
+        others.push_back(TestSocket::connectTo(neighbour->server->localEndpoint()));
+        others.back().send("GET /export HTTP/1.1\r\nHost: rota.example\r\nLeft-Ms: 6000\r\nCall-Id: o"
+                           + std::to_string(i) + "\r\n\r\n");
+    }
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 4; }));
+    auto socket = TestSocket::connectTo(front->server->localEndpoint());
+    socket.send(getRequest("/export", "c"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 5; }));
+    beginStop();
+    nodes[0]->server->peerStops("front");
+    const auto response = readUntilStopped(socket);
+    CHECK(response.has_value());
+    CHECK(response->complete);
+    CHECK_EQUAL(200, response->status());
+    CHECK_EQUAL(bytes, response->body.size());
+}
+
 // Guards against a response in progress that a stop cuts off because its host's link would need longer than the stop.
 TEST(StoppingNode, handsOverTheResponsesInProgressBeforeItEnds)
 {
