Keep the zero byte of a number in a test of claims

The literal ended at its zero byte, so ClaimRecord.refusesNumbersOutOfRange tested a truncated record instead of the number 1e300.

--- a/libs/claims/tests/claimrecordtest.cpp
+++ b/libs/claims/tests/claimrecordtest.cpp
@@ -42,6 +42,7 @@
     const auto at = valid.find("deadline") + 8;
     const std::string large = valid.substr(0, at) + "\x1b\xff\xff\xff\xff\xff\xff\xff\xff" + valid.substr(at + 1);
     CHECK_FALSE(ClaimRecord::decode(large).has_value());
-    const std::string fraction = valid.substr(0, at) + "\xfb\x7e\x37\xe4\x3c\x88\x00\x75\x9c" + valid.substr(at + 1);
+    const std::string number("\xfb\x7e\x37\xe4\x3c\x88\x00\x75\x9c", 9); // 1e300
+    const std::string fraction = valid.substr(0, at) + number + valid.substr(at + 1);
     CHECK_FALSE(ClaimRecord::decode(fraction).has_value());
 }
