Share the set-up of two tests of stopping nodes

The two tests of exports that wait for the link repeated their target, their other callers and their checks.

--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -11,19 +11,51 @@
 
 namespace {
 
-std::string getRequest(const std::string &path, const std::string &id)
+std::string getRequest(const std::string &path, const std::string &id, const std::string &headers = {})
 {
-    return "GET " + path + " HTTP/1.1\r\nHost: rota.example\r\nCall-Id: " + id + "\r\n\r\n";
+    return "GET " + path + " HTTP/1.1\r\nHost: rota.example\r\n" + headers + "Call-Id: " + id + "\r\n\r\n";
 }
 
 /** A front node that is stopped while a test runs; its process ends when the stop does. */
 class StoppingNodeTest : public Utest, protected RelayFixture
 {
 protected:
+    static constexpr std::size_t exportBytes = 200000;
+    static constexpr std::size_t otherExportBytes = 400000;
+
     std::atomic<bool> drained = false;
     std::atomic<bool> answeredBeforeStop =
         false; ///< The response of callUntilStopped() came before the end of the stop.
 
+    /** Responds with exportBytes, and with otherExportBytes to the requests of occupyLink(). */
+    static bool respondToExport(const TestMessage &request, TestSocket &connection)
+    {
+        const bool other = request.header("call-id").front() == 'o';
+        return connection.send(signedResponse(request, std::string(other ? otherExportBytes : exportBytes, 'x')));
+    }
+
+    /** Sends four requests to @p node and waits until @p target has them. Returns their connections. */
+    static std::vector<TestSocket> occupyLink(const RelayNode &node,
+                                              const TestTarget &target,
+                                              const std::string &headers = {})
+    {
+        std::vector<TestSocket> others;
+        for (int i = 0; i < 4; ++i) {
+            others.push_back(TestSocket::connectTo(node.server->localEndpoint()));
+            others.back().send(getRequest("/export", "o" + std::to_string(i), headers));
+        }
+        CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 4; }));
+        return others;
+    }
+
+    static void checkExport(const std::optional<TestMessage> &response)
+    {
+        CHECK(response.has_value());
+        CHECK(response->complete);
+        CHECK_EQUAL(200, response->status());
+        CHECK_EQUAL(exportBytes, response->body.size());
+    }
+
     void beginStop()
     {
         front->server->drain([this] { drained = true; });
@@ -60,12 +92,7 @@
 TEST(StoppingNode, completesALargeResponseBesideOthersOnTheLink)
 {
     // At 5 Mbit/s, the response alone takes 0.4 s, and 1.8 s if it shares the link with four others.
-    constexpr std::size_t bytes = 200000;
-    constexpr std::size_t otherBytes = 400000;
-    const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
-        const bool other = request.header("call-id").front() == 'o';
-        return connection.send(signedResponse(request, std::string(other ? otherBytes : bytes, 'x')));
-    });
+    const TestTarget target(respondToExport);
     targetOptions.linkMegabits = 5;
     timeout = 4000ms;
     frontOptions.stopNotice = 1000ms;
@@ -73,18 +100,9 @@
     addTarget(target, "first");
     start();
     const auto neighbour = startCallerNode({.hostService = "desk"});
-    std::vector<TestSocket> others;
-    for (int i = 0; i < 4; ++i) {
-        others.push_back(TestSocket::connectTo(neighbour->server->localEndpoint()));
-        others.back().send(getRequest("/export", "o" + std::to_string(i)));
-    }
-    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 4; }));
+    const auto others = occupyLink(*neighbour, target);
     beginStop();
-    const auto response = callUntilStopped(getRequest("/export", "c"));
-    CHECK(response.has_value());
-    CHECK(response->complete);
-    CHECK_EQUAL(200, response->status());
-    CHECK_EQUAL(bytes, response->body.size());
+    checkExport(callUntilStopped(getRequest("/export", "c")));
 }
 
 // Guards against a response that was requested before the stop and is cut off by it, because the node of the target
@@ -92,12 +110,7 @@
 TEST(StoppingNode, completesALargeResponseThatWasRequestedBeforeTheStop)
 {
     // At 5 Mbit/s, the response alone takes 0.4 s; the others keep the link busy for 2.8 s.
-    constexpr std::size_t bytes = 200000;
-    constexpr std::size_t otherBytes = 400000;
-    const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
-        const bool other = request.header("call-id").front() == 'o';
-        return connection.send(signedResponse(request, std::string(other ? otherBytes : bytes, 'x')));
-    });
+    const TestTarget target(respondToExport);
     targetOptions.linkMegabits = 5;
     timeout = 8000ms;
     frontOptions.stopNotice = 500ms;
@@ -106,23 +119,13 @@
     addTarget(target, "first");
     start();
     const auto neighbour = startCallerNode({.hostService = "desk", .nodeId = "neighbour"});
-    std::vector<TestSocket> others;
-    for (int i = 0; i < 4; ++i) {
-        others.push_back(TestSocket::connectTo(neighbour->server->localEndpoint()));
-        others.back().send("GET /export HTTP/1.1\r\nHost: rota.example\r\nLeft-Ms: 6000\r\nCall-Id: o"
-                           + std::to_string(i) + "\r\n\r\n");
-    }
-    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 4; }));
+    const auto others = occupyLink(*neighbour, target, "Left-Ms: 6000\r\n");
     auto socket = TestSocket::connectTo(front->server->localEndpoint());
     socket.send(getRequest("/export", "c"));
     CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 5; }));
     beginStop();
     nodes[0]->server->peerStops("front");
-    const auto response = readUntilStopped(socket);
-    CHECK(response.has_value());
-    CHECK(response->complete);
-    CHECK_EQUAL(200, response->status());
-    CHECK_EQUAL(bytes, response->body.size());
+    checkExport(readUntilStopped(socket));
 }
 
 // Guards against a response in progress that a stop cuts off because its host's link would need longer than the stop.
