Say what the nodes respond when a version is not served in time

Version.changeReachesEveryNodeWhileStoreWatchersArePausedPastTheirLeases (KNOWN-RED.txt) said only that some node was late. checkServed() now also gives the response and the version of each node and keeps the logs; bound and condition are the same.

--- a/tests/integration/tests/versionintegrationtest.cpp
+++ b/tests/integration/tests/versionintegrationtest.cpp
@@ -15,7 +15,22 @@
     /** Checks that the nodes serve the newest version within the bound. */
     void checkServed(const std::vector<int> &nodes, const char *failureText)
     {
-        CHECK_TEXT(mesh->waitForVersion(version, nodes, convergenceBound, "/rota"), failureText);
+        if (!mesh->waitForVersion(version, nodes, convergenceBound, "/rota")) {
+            mesh->processes().keepLogs();
+            FAIL((failureText + describeNodes(nodes)).c_str());
+        }
+    }
+
+    /** What the nodes respond, and where their logs are. */
+    std::string describeNodes(const std::vector<int> &nodes) const
+    {
+        auto text = "; expected version " + std::to_string(version);
+        for (const int node : nodes) {
+            const auto response = mesh->call(node, {.url = "/rota"});
+            const auto served = response ? response->header("x-hornbeam-version") : std::string();
+            text += "; node " + std::to_string(node) + ": " + describe(response) + ", version " + served;
+        }
+        return text + "; logs in " + mesh->processes().directory().string();
     }
 
     /** Whether the node's dump reports the zone as unreachable or reachable, as given by @p expected. */
