Do not cut off responses before a peer's stop ends

Change: the deadline is the end of the peer's stop, counted from the report that it stops, so it never precedes the real end.

Evidence: StoppingNode.isNotCutOffByTheNodeOfTheTargetBeforeTheStopEnds fails with the reserve (504 instead of 200) and passes without it; all tests of stopping nodes pass, 10 of 10.

--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -103,7 +103,7 @@
 
     /**
      * Tells that the node with this ProxyOptions::nodeId has begun a graceful shutdown. The deadlines of the requests
-     * that it has relayed to this node are moved before the end of its shutdown, so that their responses go first on a
+     * that it has relayed to this node are moved to the end of its shutdown, so that their responses go first on a
      * slow link. Any thread.
      */
     virtual void peerStops(const std::string &nodeId) = 0;
--- a/libs/proxy/src/stoppingpeers.cpp
+++ b/libs/proxy/src/stoppingpeers.cpp
@@ -9,9 +9,6 @@
 /** The upper bound of ProxyOptions::drainBound in the settings. */
 constexpr auto longestStop = std::chrono::hours(1);
 
-/** Covers the delay of the news that a node stops, and the way of the response from that node to its caller. */
-constexpr auto reserve = std::chrono::milliseconds(500);
-
 } // namespace
 
 void StoppingPeers::add(const std::string &nodeId, TimePoint now)
@@ -25,7 +22,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_starts.find(sender.nodeId);
-    return it == m_starts.end() ? TimePoint::max() : it->second + sender.stopTime - reserve;
+    return it == m_starts.end() ? TimePoint::max() : it->second + sender.stopTime;
 }
 
 } // namespace Hornbeam
--- a/libs/proxy/src/stoppingpeers.h
+++ b/libs/proxy/src/stoppingpeers.h
@@ -17,7 +17,10 @@
     /** Records that a node begins its shutdown. Forgets shutdowns that began more than an hour ago. */
     void add(const std::string &nodeId, TimePoint now);
 
-    /** Time by which the node needs the responses to its requests; the maximum if it is not known to stop. */
+    /**
+     * End of the node's shutdown, not before the real one; the maximum if the node is not known to stop. Responses are
+     * cut off at that time, so it has no reserve.
+     */
     TimePoint endOf(const RelaySender &sender) const;
 
 private:
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -128,6 +128,32 @@
     checkExport(readUntilStopped(socket));
 }
 
+// Guards against a response that the node of the target cuts off shortly before the stop of the caller's node ends,
+// although it would have been complete by then.
+TEST(StoppingNode, isNotCutOffByTheNodeOfTheTargetBeforeTheStopEnds)
+{
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        const auto whole = signedResponse(request, "response in two parts");
+        std::this_thread::sleep_for(300ms);
+        connection.send(whole.substr(0, whole.size() - 5));
+        std::this_thread::sleep_for(1000ms);
+        return connection.send(whole.substr(whole.size() - 5));
+    });
+    timeout = 4000ms;
+    frontOptions.drainBound = 1700ms;
+    frontOptions.nodeId = "front";
+    addTarget(target, "first");
+    start();
+    auto socket = TestSocket::connectTo(front->server->localEndpoint());
+    socket.send(getRequest("/", "c"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    beginStop();
+    nodes[0]->server->peerStops("front");
+    const auto response = readUntilStopped(socket);
+    CHECK(response.has_value());
+    CHECK_EQUAL(200, response->status());
+}
+
 // Guards against a response in progress that a stop cuts off because its host's link would need longer than the stop.
 TEST(StoppingNode, handsOverTheResponsesInProgressBeforeItEnds)
 {
