Wait for the reported success in a test of suspects

Cause, from the code: the test published the suspect again as soon as it had the response, while the traffic thread could still be about to forget it, which it does after the response is sent; the new suspect was then forgotten as well. In the product that order is harmless, since the success has refuted the crash. The test now waits for the report of the success, which follows the removal, and checks the same as before. It passed 300 of 300 times by itself before (so the failure was not shown again) and after the change.

--- a/libs/proxy/tests/crashtest.cpp
+++ b/libs/proxy/tests/crashtest.cpp
@@ -120,6 +120,8 @@
     for (int i = 1; i <= 10; ++i) {
         CHECK_EQUAL(200, proxy.call(ProxyFixture::get("/page")).value().status());
         CHECK_EQUAL(i, other.requests());
+        // The proxy forgets the suspect when it reports the success, which may be after the response has arrived here.
+        CHECK(ProxyFixture::waitUntil([&] { return proxy.crashes.succeeded().size() == static_cast<std::size_t>(i); }));
         proxy.publish();
     }
     CHECK_EQUAL(0, crashed.requests());
