Add decision classes for roll-outs

Cause: the product knows no versions of targets, so a new version gets its full share of the requests as soon as its targets announce themselves.

Nothing uses the library yet.

--- /dev/null
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <hornbeam/base/backoff.h>
+#include <hornbeam/base/timerservice.h>
+#include <hornbeam/rollouts/fleetoutcomes.h>
+#include <hornbeam/rollouts/outcomeledger.h>
+#include <hornbeam/rollouts/rolloutdecider.h>
+#include <hornbeam/rollouts/rolloutnetwork.h>
+#include <hornbeam/rollouts/rolloutorder.h>
+#include <hornbeam/rollouts/rolloutplan.h>
+#include <hornbeam/rollouts/versionrule.h>
+#include <hornbeam/store/keyvaluestore.h>
+#include <hornbeam/store/leaseelection.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Hornbeam {
+
+struct RolloutCoordinatorOptions
+{
+    std::string node; ///< Id of this node.
+    RolloutLimits limits{};
+    std::string prefix = "hornbeamring/rollouts/"; ///< Of the keys with the newest step of each service.
+    std::string electionPrefix = "hornbeamring/rollout-decider/";
+    Duration tick = std::chrono::milliseconds(100); ///< Period of decisions while a roll-out runs.
+    Duration beat = std::chrono::milliseconds(300); ///< Period in which the decider repeats the newest step.
+    Duration beatPerNode = std::chrono::milliseconds(2); ///< Lower bound of the same, for each live node.
+    /** A step that is not repeated within this time ends: the node sends nothing to the new version until the next. */
+    Duration stepLifetime = std::chrono::milliseconds(1500);
+    std::chrono::seconds leaseTime{3}; ///< Time to live of the decider's lease.
+    BackoffOptions readBackoff{.initial = std::chrono::seconds(1), .maximum = std::chrono::seconds(4)};
+};
+
+/** A version of a service that live targets run. */
+struct RunningVersion
+{
+    std::string service;
+    std::string version;
+    std::uint64_t firstInstance = 0; ///< Lowest instance number of its targets, which grows with their start times.
+    bool serving = false; ///< Whether a target of the version accepts requests.
+
+    friend auto operator<=>(const RunningVersion &, const RunningVersion &) = default;
+};
+
+/** The referenced objects must outlive the coordinator. */
+struct RolloutCoordinatorDependencies
+{
+    KeyValueStore &store;
+    TimerService &timers;
+    RolloutNetwork &network;
+    RolloutListener &listener;
+    OutcomeLedger &ledger;
+    const RolloutStatusEncoder &status;
+};
+
+/**
+ * Runs the roll-outs on one node: knows the orders and the newest steps, says which versions requests may use, reports
+ * results, and decides while this node holds the decider's lease. Before a step takes effect, the decider writes it to
+ * the store on the condition that the store still has its own step before, so that a decider that was replaced while it
+ * was paused or cut off changes nothing. Control thread only.
+ */
+class RolloutCoordinator : private LeaseElectionListener
+{
+public:
+    static Result<std::unique_ptr<RolloutCoordinator>> make(RolloutCoordinatorOptions options,
+                                                            RolloutCoordinatorDependencies dependencies);
+    ~RolloutCoordinator() override;
+
+    /** Frees the lease if this node decides. Call it when a stop begins. */
+    void stop();
+
+    /** Takes over an order, unless a later one of its service is known. */
+    void setOrder(const RolloutOrder &order);
+
+    /** Replaces the running versions. */
+    void setVersions(std::vector<RunningVersion> versions);
+
+    /** Handles a message of another node; malformed ones are ignored. */
+    void receive(const std::string &node, std::string_view message);
+
+    /** Which versions requests may use now, sorted by service. A service without an announced version has no rule. */
+    std::vector<VersionRule> rules() const;
+
+    /** The newest known step of each service with an order. */
+    std::vector<RolloutStep> steps() const;
+
+    bool isDecider() const;
+
+private:
+    struct Service
+    {
+        explicit Service(const BackoffOptions &reads)
+            : readBackoff(reads)
+        {
+        }
+
+        std::optional<RolloutOrder> order;
+        TimePoint orderKnown{};
+        std::optional<RolloutStep> step; ///< The newest one known.
+        TimePoint heard = TimePoint::min(); ///< When the decider has last sent or repeated the step.
+        TimePoint finished = TimePoint::min(); ///< When the step became final.
+        std::string stable; ///< Version that serves when no step says otherwise.
+        std::vector<RunningVersion> versions;
+        FleetOutcomes outcomes;
+        std::unique_ptr<RolloutDecider> decider;
+        std::int64_t modRevision = 0; ///< Of the step in the store that this decider has written.
+        bool storeBusy = false;
+        TimePoint storeRetry = TimePoint::min();
+        bool reading = false;
+        TimePoint readAt = TimePoint::min();
+        Backoff readBackoff;
+        std::optional<VersionRule> rule;
+
+        bool isOpen() const;
+        bool isCurrent() const; ///< The step belongs to the newest order.
+        bool serves(const std::string &version) const;
+        bool runs(const std::string &version) const;
+    };
+
+    RolloutCoordinator(RolloutCoordinatorOptions options, RolloutCoordinatorDependencies dependencies);
+
+    void acquired(std::uint32_t slot) override;
+    void lost() override;
+
+    Service &serviceOf(const std::string &name);
+    void chooseStable(Service &service);
+    void schedule();
+    void tick();
+    void updateCandidacy();
+    void updateRules();
+    std::optional<VersionRule> ruleOf(const std::string &name, const Service &service) const;
+    void adopt(Service &service, const RolloutStep &step, bool live, bool decider);
+    void decide(const std::string &name, Service &service);
+    void takeOver(const std::string &name);
+    void takeOver(const std::string &name, const Result<RangeResult> &stored);
+    void write(const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first);
+    void written(const std::string &name, const RolloutStep &step);
+    void writeFailed(const std::string &name, const RolloutStep &step, bool first);
+    void readBack(const std::string &name, const RolloutStep &step, bool first, const Result<RangeResult> &stored);
+    void readStep(const std::string &name);
+    void beat(bool now);
+    OutcomeReport reportOf(const std::string &name, const Service &service) const;
+    Duration elapsedOf(const Service &service) const;
+    std::string keyOf(const std::string &name) const;
+
+    const RolloutCoordinatorOptions m_options;
+    RolloutCoordinatorDependencies m_dependencies;
+    std::unique_ptr<LeaseElection> m_election;
+    std::map<std::string, Service> m_services;
+    TimerHandle m_tick;
+    TimePoint m_lastBeat = TimePoint::min();
+    std::shared_ptr<bool> m_alive;
+    bool m_candidate = false;
+    bool m_stopped = false;
+};
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -0,0 +1,637 @@
+#include <hornbeam/rollouts/rolloutcoordinator.h>
+
+#include <algorithm>
+
+namespace Hornbeam {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr char stepMessage = 'S';
+constexpr char reportMessage = 'R';
+
+/** Part of the allowed share that the nodes use; the rest covers requests that are counted late or not at all. */
+constexpr double usedShare = 0.9;
+
+/** The same for the additional requests, which are divided among the nodes; half, because nodes join and restart. */
+constexpr double usedSlack = 0.5;
+
+/** For how long the decider repeats a final step, so that nodes that missed it learn of it without the store. */
+constexpr Duration finalRepeats = 10s;
+
+constexpr Duration storeRetryDelay = 300ms;
+
+/** A node that has heard nothing of a running roll-out for this long reads the step from the store. */
+constexpr Duration silence = 2s;
+
+/** How long after the deadline a service without targets of the stable version uses those of the new one. */
+constexpr Duration lateFallback = 1s;
+
+/** Duration of an order that is known only from its steps. */
+constexpr std::chrono::milliseconds unknownDuration = 1h;
+
+std::uint64_t stepKey(const RolloutStep &step)
+{
+    constexpr unsigned numberBits = 24;
+    return (step.fence << numberBits) | step.number;
+}
+
+Result<RolloutStep> storedStep(const RangeResult &stored)
+{
+    if (stored.entries.empty()) {
+        return makeError(ErrorCode::NotFound, "no step in the store");
+    }
+    return RolloutStep::decode(stored.entries.front().value);
+}
+
+std::int64_t storedRevision(const RangeResult &stored)
+{
+    return stored.entries.empty() ? 0 : stored.entries.front().modRevision;
+}
+
+} // namespace
+
+bool RolloutCoordinator::Service::isCurrent() const
+{
+    return order && step && step->order >= order->revision;
+}
+
+bool RolloutCoordinator::Service::isOpen() const
+{
+    return order && !(isCurrent() && step->isFinal());
+}
+
+bool RolloutCoordinator::Service::serves(const std::string &version) const
+{
+    return std::any_of(
+        versions.begin(), versions.end(), [&](const auto &it) { return it.version == version && it.serving; });
+}
+
+bool RolloutCoordinator::Service::runs(const std::string &version) const
+{
+    return std::any_of(versions.begin(), versions.end(), [&](const auto &it) { return it.version == version; });
+}
+
+Result<std::unique_ptr<RolloutCoordinator>> RolloutCoordinator::make(RolloutCoordinatorOptions options,
+                                                                     RolloutCoordinatorDependencies dependencies)
+{
+    std::unique_ptr<RolloutCoordinator> coordinator(new RolloutCoordinator(std::move(options), dependencies));
+    const auto &made = coordinator->m_options;
+    auto election = LeaseElection::make({.prefix = made.electionPrefix,
+                                         .candidate = made.node,
+                                         .timeToLive = made.leaseTime,
+                                         .backoff = {.initial = 100ms, .maximum = 500ms},
+                                         .occupiedBackoff = {.initial = 500ms, .maximum = 1s}},
+                                        dependencies.store,
+                                        dependencies.timers,
+                                        *coordinator);
+    if (!election) {
+        return tl::unexpected(election.error());
+    }
+    coordinator->m_election = std::move(*election);
+    return coordinator;
+}
+
+RolloutCoordinator::RolloutCoordinator(RolloutCoordinatorOptions options, RolloutCoordinatorDependencies dependencies)
+    : m_options(std::move(options))
+    , m_dependencies(dependencies)
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+RolloutCoordinator::~RolloutCoordinator()
+{
+    *m_alive = false;
+}
+
+void RolloutCoordinator::stop()
+{
+    m_stopped = true;
+    updateCandidacy();
+}
+
+RolloutCoordinator::Service &RolloutCoordinator::serviceOf(const std::string &name)
+{
+    const auto known = m_services.find(name);
+    if (known != m_services.end()) {
+        return known->second;
+    }
+    return m_services.try_emplace(name, m_options.readBackoff).first->second;
+}
+
+void RolloutCoordinator::setOrder(const RolloutOrder &order)
+{
+    auto &service = serviceOf(order.service);
+    if (service.order && service.order->revision == order.revision) {
+        service.order = order;
+        return;
+    }
+    if (service.order && service.order->revision > order.revision) {
+        return;
+    }
+    service.order = order;
+    service.orderKnown = m_dependencies.timers.now();
+    service.decider.reset();
+    service.outcomes = {};
+    service.readAt = service.orderKnown + silence;
+    if (service.isOpen()) {
+        m_dependencies.ledger.track(order.service, order.revision);
+    }
+    chooseStable(service);
+    updateRules();
+    schedule();
+}
+
+void RolloutCoordinator::setVersions(std::vector<RunningVersion> versions)
+{
+    for (auto &[name, service] : m_services) {
+        service.versions.clear();
+    }
+    for (auto &version : versions) {
+        serviceOf(version.service).versions.push_back(std::move(version));
+    }
+    for (auto &[name, service] : m_services) {
+        chooseStable(service);
+    }
+    updateRules();
+}
+
+void RolloutCoordinator::chooseStable(Service &service)
+{
+    const auto ordered = service.order ? service.order->version : std::string();
+    const bool others = std::any_of(
+        service.versions.begin(), service.versions.end(), [&](const auto &it) { return it.version != ordered; });
+    if (service.runs(service.stable) && !(others && service.stable == ordered)) {
+        return;
+    }
+    const RunningVersion *oldest = nullptr;
+    for (const auto &version : service.versions) {
+        const bool usable = !others || version.version != ordered;
+        if (usable && (oldest == nullptr || version.firstInstance < oldest->firstInstance)) {
+            oldest = &version;
+        }
+    }
+    if (oldest != nullptr) {
+        service.stable = oldest->version;
+    }
+}
+
+bool RolloutCoordinator::isDecider() const
+{
+    return m_election->isHolder();
+}
+
+void RolloutCoordinator::schedule()
+{
+    const auto now = m_dependencies.timers.now();
+    const bool active = std::any_of(m_services.begin(), m_services.end(), [&](const auto &it) {
+        return it.second.isOpen() || it.second.finished > now - finalRepeats;
+    });
+    if (!active) {
+        m_tick.reset();
+        updateCandidacy();
+    } else if (!m_tick) {
+        m_tick = m_dependencies.timers.once(m_options.tick, [this] { tick(); });
+    }
+}
+
+void RolloutCoordinator::tick()
+{
+    updateCandidacy();
+    const auto now = m_dependencies.timers.now();
+    for (auto &[name, service] : m_services) {
+        if (!service.isOpen()) {
+            continue;
+        }
+        if (isDecider()) {
+            decide(name, service);
+        } else if (now - std::max(service.heard, service.orderKnown) > silence && now >= service.readAt) {
+            readStep(name);
+        }
+    }
+    beat(false);
+    updateRules();
+    m_tick.reset();
+    schedule();
+}
+
+void RolloutCoordinator::updateCandidacy()
+{
+    const auto now = m_dependencies.timers.now();
+    const bool active = std::any_of(m_services.begin(), m_services.end(), [&](const auto &it) {
+        return it.second.isOpen() || (isDecider() && it.second.finished > now - finalRepeats);
+    });
+    const bool wanted = !m_stopped && active && (m_dependencies.network.isCandidate() || isDecider());
+    if (wanted == m_candidate) {
+        return;
+    }
+    m_candidate = wanted;
+    if (wanted) {
+        m_election->start();
+    } else {
+        m_election->stop();
+    }
+}
+
+void RolloutCoordinator::acquired(std::uint32_t /*slot*/)
+{
+    m_dependencies.listener.decidesRollouts(true);
+}
+
+void RolloutCoordinator::lost()
+{
+    for (auto &[name, service] : m_services) {
+        service.decider.reset();
+    }
+    m_dependencies.listener.decidesRollouts(false);
+}
+
+void RolloutCoordinator::decide(const std::string &name, Service &service)
+{
+    const auto now = m_dependencies.timers.now();
+    const bool mayWrite = !service.storeBusy && now >= service.storeRetry;
+    if (!service.decider) {
+        if (mayWrite) {
+            takeOver(name);
+        }
+        return;
+    }
+    service.outcomes.add(m_options.node, reportOf(name, service), now);
+    const auto next = service.decider->next({.outcomes = service.outcomes,
+                                             .liveNodes = m_dependencies.network.liveNodes(),
+                                             .hasFreshTargets = service.serves(service.order->version)},
+                                            now);
+    if (!next) {
+        return;
+    }
+    if (next->phase == RolloutPhase::Withdrawing) {
+        service.decider->taken(*next, now);
+        adopt(service, *next, true, true);
+        beat(true);
+    } else if (mayWrite) {
+        write(name, *next, service.modRevision, false);
+    }
+}
+
+void RolloutCoordinator::takeOver(const std::string &name)
+{
+    serviceOf(name).storeBusy = true;
+    m_dependencies.store.range({.key = keyOf(name)}, [this, alive = m_alive, name](const Result<RangeResult> &stored) {
+        if (*alive) {
+            takeOver(name, stored);
+        }
+    });
+}
+
+void RolloutCoordinator::takeOver(const std::string &name, const Result<RangeResult> &stored)
+{
+    auto &service = serviceOf(name);
+    service.storeBusy = false;
+    if (!stored || !isDecider() || !service.isOpen()) {
+        service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+        return;
+    }
+    const auto &order = *service.order;
+    const auto known = storedStep(*stored);
+    if (known && known->order > order.revision) {
+        // The order that this step belongs to has not reached this node yet.
+        service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+        return;
+    }
+    const bool sameOrder = known && known->order == order.revision;
+    if (sameOrder && known->isFinal()) {
+        adopt(service, *known, true, false);
+        return;
+    }
+    RolloutStep first{.service = name,
+                      .order = order.revision,
+                      .fence = std::max(known ? known->fence : 0, service.step ? service.step->fence : 0) + 1,
+                      .number = 1,
+                      .phase = RolloutPhase::Canary,
+                      .sharePerMille = 0,
+                      .stableVersion = service.stable,
+                      .version = order.version,
+                      .elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(elapsedOf(service)),
+                      .reason = sameOrder ? "another node decides now" : "the order was received"};
+    if (known) {
+        first.stableVersion = sameOrder ? known->stableVersion : known->servingVersion();
+    }
+    if (service.isCurrent() && service.step->phase == RolloutPhase::Withdrawing) {
+        first.phase = RolloutPhase::Withdrawing;
+        first.reason = service.step->reason;
+    }
+    write(name, first, storedRevision(*stored), true);
+}
+
+void RolloutCoordinator::write(const std::string &name,
+                               const RolloutStep &step,
+                               std::int64_t expectedRevision,
+                               bool first)
+{
+    auto &service = serviceOf(name);
+    service.storeBusy = true;
+    Transaction transaction;
+    transaction.compares.push_back(
+        {.key = keyOf(name), .field = Compare::Field::ModRevision, .revision = expectedRevision});
+    transaction.success.push_back(Operation::put(keyOf(name), step.encode()));
+    const auto status = m_dependencies.status.statusOf(step);
+    const bool changed = first || !service.step || m_dependencies.status.statusOf(*service.step).value != status.value;
+    if (changed && !status.key.empty()) {
+        transaction.success.push_back(Operation::put(status.key, status.value));
+    }
+    m_dependencies.store.commit(std::move(transaction),
+                                [this, alive = m_alive, name, step, first](const Result<TransactionResult> &result) {
+                                    if (!*alive) {
+                                        return;
+                                    }
+                                    auto &written = serviceOf(name);
+                                    written.storeBusy = false;
+                                    if (result && result->succeeded) {
+                                        written.modRevision = result->revision;
+                                        this->written(name, step);
+                                    } else if (!result && result.error().code() != ErrorCode::OutcomeUnknown) {
+                                        written.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+                                    } else {
+                                        writeFailed(name, step, first);
+                                    }
+                                });
+}
+
+void RolloutCoordinator::written(const std::string &name, const RolloutStep &step)
+{
+    auto &service = serviceOf(name);
+    const auto now = m_dependencies.timers.now();
+    if (!service.order || service.order->revision != step.order) {
+        return;
+    }
+    if (step.isFinal()) {
+        service.decider.reset();
+        adopt(service, step, true, true);
+        beat(true);
+        return;
+    }
+    if (!isDecider()) {
+        return;
+    }
+    if (!service.decider) {
+        auto first = step;
+        first.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(elapsedOf(service));
+        service.decider = std::make_unique<RolloutDecider>(*service.order, m_options.limits, std::move(first), now);
+    } else if (service.decider->current().phase == RolloutPhase::Withdrawing) {
+        // The new version turned out bad while the write was under way.
+        return;
+    } else {
+        service.decider->taken(step, now);
+    }
+    adopt(service, step, true, true);
+    beat(true);
+}
+
+void RolloutCoordinator::writeFailed(const std::string &name, const RolloutStep &step, bool first)
+{
+    serviceOf(name).storeBusy = true;
+    m_dependencies.store.range({.key = keyOf(name)},
+                               [this, alive = m_alive, name, step, first](const Result<RangeResult> &stored) {
+                                   if (*alive) {
+                                       readBack(name, step, first, stored);
+                                   }
+                               });
+}
+
+void RolloutCoordinator::readBack(const std::string &name,
+                                  const RolloutStep &step,
+                                  bool first,
+                                  const Result<RangeResult> &stored)
+{
+    auto &service = serviceOf(name);
+    service.storeBusy = false;
+    service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+    if (!stored) {
+        // The outcome stays unknown. A new attempt begins with a read and a higher fence.
+        service.decider.reset();
+        return;
+    }
+    const auto known = storedStep(*stored);
+    if (known && *known == step) {
+        service.modRevision = storedRevision(*stored);
+        written(name, step);
+    } else if (known && known->isFinal() && service.order && known->order == service.order->revision) {
+        service.decider.reset();
+        adopt(service, *known, true, false);
+    } else if (!first && known && known->order == step.order && known->fence == step.fence) {
+        // An earlier write of this decider took effect late.
+        service.modRevision = storedRevision(*stored);
+    } else {
+        service.decider.reset();
+    }
+}
+
+void RolloutCoordinator::readStep(const std::string &name)
+{
+    auto &service = serviceOf(name);
+    if (service.reading) {
+        return;
+    }
+    service.reading = true;
+    m_dependencies.store.range({.key = keyOf(name), .mayBeStale = true},
+                               [this, alive = m_alive, name](const Result<RangeResult> &stored) {
+                                   if (!*alive) {
+                                       return;
+                                   }
+                                   auto &read = serviceOf(name);
+                                   read.reading = false;
+                                   read.readAt = m_dependencies.timers.now() + m_options.tick + read.readBackoff.next();
+                                   if (!stored) {
+                                       return;
+                                   }
+                                   if (const auto step = storedStep(*stored)) {
+                                       adopt(read, *step, false, false);
+                                       updateRules();
+                                   }
+                               });
+}
+
+void RolloutCoordinator::adopt(Service &service, const RolloutStep &step, bool live, bool decider)
+{
+    const bool same = service.step == step;
+    if (!same && service.step && !step.supersedes(*service.step)) {
+        return;
+    }
+    const auto now = m_dependencies.timers.now();
+    if (live) {
+        service.heard = now;
+        service.readBackoff.reset();
+    }
+    if (same) {
+        return;
+    }
+    if (!service.order || service.order->revision < step.order) {
+        setOrder(
+            {.service = step.service, .version = step.version, .duration = unknownDuration, .revision = step.order});
+    }
+    service.step = step;
+    if (step.isFinal()) {
+        service.finished = now;
+        m_dependencies.ledger.stopTracking(step.service);
+    }
+    if (service.decider && !decider) {
+        service.decider.reset();
+    }
+    m_dependencies.listener.stepChanged(step, decider);
+    updateRules();
+}
+
+void RolloutCoordinator::receive(const std::string &node, std::string_view message)
+{
+    if (message.empty()) {
+        return;
+    }
+    const auto body = message.substr(1);
+    if (message.front() == reportMessage) {
+        const auto report = OutcomeReport::decode(body);
+        const auto service = report ? m_services.find(report->service) : m_services.end();
+        if (service != m_services.end() && service->second.order && service->second.order->revision == report->order) {
+            service->second.outcomes.add(node, *report, m_dependencies.timers.now());
+        }
+        return;
+    }
+    const auto step = message.front() == stepMessage ? RolloutStep::decode(body) : RolloutStep::decode({});
+    if (!step) {
+        return;
+    }
+    auto &service = serviceOf(step->service);
+    if (service.step && service.step->supersedes(*step)) {
+        // The sender was replaced, or it does not know that the roll-out has ended.
+        if (service.step->order == step->order) {
+            m_dependencies.network.send(node, stepMessage + service.step->encode());
+        }
+        return;
+    }
+    if (service.order && service.order->revision > step->order) {
+        return;
+    }
+    adopt(service, *step, true, false);
+    if (!step->isFinal()) {
+        m_dependencies.network.send(node, reportMessage + reportOf(step->service, service).encode());
+    }
+}
+
+void RolloutCoordinator::beat(bool now)
+{
+    if (!isDecider()) {
+        return;
+    }
+    const auto time = m_dependencies.timers.now();
+    const auto period = std::max<Duration>(
+        m_options.beat, m_options.beatPerNode * static_cast<Duration::rep>(m_dependencies.network.liveNodes()));
+    if (!now && m_lastBeat != TimePoint::min() && time - m_lastBeat < period) {
+        return;
+    }
+    m_lastBeat = time;
+    for (auto &[name, service] : m_services) {
+        const bool finished = service.isCurrent() && service.step->isFinal() && time - service.finished < finalRepeats;
+        if (finished || (service.decider && service.isCurrent())) {
+            service.heard = time;
+            m_dependencies.network.broadcast(stepMessage + service.step->encode());
+        }
+    }
+}
+
+OutcomeReport RolloutCoordinator::reportOf(const std::string &name, const Service &service) const
+{
+    auto report = m_dependencies.ledger.report(name);
+    report.service = name;
+    report.order = service.order ? service.order->revision : 0;
+    report.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(elapsedOf(service));
+    return report;
+}
+
+Duration RolloutCoordinator::elapsedOf(const Service &service) const
+{
+    return m_dependencies.timers.now() - service.orderKnown;
+}
+
+std::string RolloutCoordinator::keyOf(const std::string &name) const
+{
+    return m_options.prefix + name;
+}
+
+std::optional<VersionRule> RolloutCoordinator::ruleOf(const std::string &name, const Service &service) const
+{
+    VersionRule rule{.service = name, .stableVersion = service.stable};
+    const bool open = service.isOpen();
+    if (service.step && (open || service.runs(service.step->servingVersion()))) {
+        rule.stableVersion = service.step->servingVersion();
+    }
+    if (rule.stableVersion.empty()) {
+        return std::nullopt;
+    }
+    if (!open) {
+        return rule;
+    }
+    const auto now = m_dependencies.timers.now();
+    const auto &order = *service.order;
+    const auto passed = elapsedOf(service);
+    const bool live =
+        service.isCurrent() && service.heard != TimePoint::min() && now - service.heard <= m_options.stepLifetime;
+    const bool withdrawn = service.isCurrent() && service.step->phase == RolloutPhase::Withdrawing;
+    if (passed > order.duration + lateFallback && !withdrawn && !service.serves(rule.stableVersion)
+        && service.serves(order.version)) {
+        rule.stableVersion = order.version;
+        return rule;
+    }
+    rule.freshVersion = order.version;
+    rule.order = order.revision;
+    rule.sharePerMille = live ? service.step->sharePerMille : 0;
+    rule.step = service.isCurrent() ? stepKey(*service.step) : 0;
+    const bool limited = passed < order.duration;
+    rule.shareLimit = limited ? m_options.limits.canaryShare * usedShare : 1;
+    return rule;
+}
+
+void RolloutCoordinator::updateRules()
+{
+    bool changed = false;
+    for (auto &[name, service] : m_services) {
+        auto rule = ruleOf(name, service);
+        if (rule && !rule->freshVersion.empty()) {
+            const bool sameOrder = service.rule && service.rule->order == rule->order;
+            const auto nodes = static_cast<double>(std::max<std::size_t>(m_dependencies.network.liveNodes(), 1));
+            // Kept for the whole roll-out, so that the rule does not change with each node that joins or leaves.
+            rule->extraRequests =
+                sameOrder ? service.rule->extraRequests : m_options.limits.canarySlack * usedSlack / nodes;
+        }
+        if (rule != service.rule) {
+            service.rule = std::move(rule);
+            changed = true;
+        }
+    }
+    if (changed) {
+        m_dependencies.listener.rulesChanged();
+    }
+}
+
+std::vector<VersionRule> RolloutCoordinator::rules() const
+{
+    std::vector<VersionRule> rules;
+    for (const auto &[name, service] : m_services) {
+        if (service.rule) {
+            rules.push_back(*service.rule);
+        }
+    }
+    return rules;
+}
+
+std::vector<RolloutStep> RolloutCoordinator::steps() const
+{
+    std::vector<RolloutStep> steps;
+    for (const auto &[name, service] : m_services) {
+        if (service.step) {
+            steps.push_back(*service.step);
+        }
+    }
+    return steps;
+}
+
+} // namespace Hornbeam
--- /dev/null
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -0,0 +1,448 @@
+#include <hornbeam/base/faketimerservice.h>
+#include <hornbeam/rollouts/rolloutcoordinator.h>
+#include <hornbeam/rollouts/versiongate.h>
+#include <hornbeam/store/inmemorystore.h>
+#include <hornbeam/store/manualexecutor.h>
+#include <hornbeam/store/pausabletimerservice.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <memory>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto step = 20ms;
+constexpr int nodeCount = 8;
+constexpr int requestsPerStep = 2; ///< Of each node; 800 a second in all.
+
+class Status : public RolloutStatusEncoder
+{
+public:
+    StatusEntry statusOf(const RolloutStep &step) const override
+    {
+        const char *state = step.phase == RolloutPhase::Completed ? "completed"
+            : step.phase == RolloutPhase::RolledBack              ? "rolled_back"
+                                                                  : "running";
+        return {.key = "status/" + step.service, .value = state + (" " + step.version)};
+    }
+};
+
+class Cluster;
+
+/** One node with its own executor, timers and store handle: it can be paused and disconnected on its own. */
+class TestNode : public RolloutNetwork, public RolloutListener
+{
+public:
+    TestNode(Cluster &cluster, TimerService &time, const InMemoryStore &shared, int number);
+
+    void broadcast(std::string_view message) override;
+    void send(const std::string &node, std::string_view message) override;
+
+    std::size_t liveNodes() const override
+    {
+        return nodeCount;
+    }
+
+    bool isCandidate() const override
+    {
+        return number < 3;
+    }
+
+    void rulesChanged() override
+    {
+        gate.setRules(coordinator->rules());
+    }
+
+    void stepChanged(const RolloutStep &, bool) override {}
+    void decidesRollouts(bool) override {}
+
+    void order(const RolloutOrder &order)
+    {
+        coordinator->setOrder(order);
+        rulesChanged();
+    }
+
+    void pause()
+    {
+        paused = true;
+        timers.pause();
+    }
+
+    void resume()
+    {
+        paused = false;
+        timers.resume();
+    }
+
+    Cluster &cluster;
+    const int number;
+    const std::string id;
+    ManualExecutor executor;
+    PausableTimerService timers;
+    InMemoryStore store;
+    Status status;
+    OutcomeLedger ledger;
+    VersionGate gate;
+    std::unique_ptr<RolloutCoordinator> coordinator;
+    std::deque<std::pair<std::string, std::string>> inbox;
+    bool paused = false;
+    bool killed = false;
+    bool cut = false; ///< From the other nodes; the store can be reached.
+};
+
+/** Eight nodes, each with one target of the stable and one of the new version, and a constant rate of requests. */
+class Cluster
+{
+public:
+    Cluster()
+    {
+        for (int i = 0; i < nodeCount; ++i) {
+            nodes.push_back(std::make_unique<TestNode>(*this, time, shared, i));
+            nodes.back()->coordinator->setVersions(
+                {{.service = "menu", .version = "v1", .firstInstance = 1, .serving = true},
+                 {.service = "menu", .version = "v2", .firstInstance = 2, .serving = true},
+                 {.service = "menu", .version = "v3", .firstInstance = 3, .serving = true}});
+        }
+    }
+
+    void order(const std::string &version, std::int64_t revision)
+    {
+        ordered = time.now();
+        for (const auto &node : nodes) {
+            node->order({.service = "menu", .version = version, .duration = 15s, .revision = revision});
+        }
+    }
+
+    void pass(Duration duration)
+    {
+        for (Duration passed{0}; passed < duration; passed += step) {
+            time.advance(step);
+            for (const auto &node : nodes) {
+                if (node->paused || node->killed) {
+                    continue;
+                }
+                deliver(*node);
+                node->executor.run();
+                serve(*node);
+            }
+        }
+    }
+
+    TestNode *decider()
+    {
+        for (const auto &node : nodes) {
+            if (!node->paused && !node->killed && node->coordinator->isDecider()) {
+                return node.get();
+            }
+        }
+        return nullptr;
+    }
+
+    void setFaults(const InMemoryStoreFaults &faults)
+    {
+        for (const auto &node : nodes) {
+            node->store.setFaults(faults);
+        }
+    }
+
+    std::string status()
+    {
+        std::string value;
+        shared.range({.key = "status/menu"}, [&](const Result<RangeResult> &result) {
+            value = result && !result->entries.empty() ? result->entries.front().value : "";
+        });
+        idle.run();
+        return value;
+    }
+
+    Duration sinceOrder() const
+    {
+        return time.now() - ordered;
+    }
+
+    FakeTimerService time;
+    ManualExecutor idle;
+    InMemoryStore shared{idle, time};
+    std::vector<std::unique_ptr<TestNode>> nodes;
+    bool bad = false; ///< The new version fails every other request.
+    int requests = 0;
+    int fresh = 0; ///< Requests to a version other than the first.
+    int badResponses = 0;
+    TimePoint fiftiethBad = TimePoint::max();
+    TimePoint lastFresh = TimePoint::min();
+
+private:
+    void deliver(TestNode &node)
+    {
+        for (std::deque<std::pair<std::string, std::string>> messages = std::move(node.inbox); !messages.empty();
+             messages.pop_front()) {
+            node.coordinator->receive(messages.front().first, messages.front().second);
+        }
+        node.inbox.clear();
+    }
+
+    void serve(TestNode &node)
+    {
+        for (int i = 0; i < requestsPerStep; ++i) {
+            const auto track = node.gate.next("menu");
+            std::string version;
+            for (const char *it : {"v1", "v2", "v3"}) {
+                version = node.gate.trackOf("menu", it) == track ? it : version;
+            }
+            const bool isFresh = version != "v1";
+            const bool failed = isFresh && bad && ++m_counter % 2 == 0;
+            node.gate.sent("menu", track);
+            node.gate.responded("menu", track, failed);
+            node.ledger.record("menu", version, "browse", failed, 100ms);
+            ++requests;
+            if (isFresh) {
+                ++fresh;
+                lastFresh = time.now();
+                if (failed && ++badResponses == 50) {
+                    fiftiethBad = time.now();
+                }
+            }
+        }
+    }
+
+    TimePoint ordered;
+    int m_counter = 0;
+};
+
+TestNode::TestNode(Cluster &owner, TimerService &time, const InMemoryStore &shared, int n)
+    : cluster(owner)
+    , number(n)
+    , id("node-" + std::to_string(n))
+    , timers(time)
+    , store(executor, shared)
+    , gate(static_cast<std::uint64_t>(n) + 1)
+    , coordinator(std::move(*RolloutCoordinator::make(
+          {.node = id, .limits = {.canarySlack = 50}},
+          {.store = store, .timers = timers, .network = *this, .listener = *this, .ledger = ledger, .status = status})))
+{
+}
+
+void TestNode::broadcast(std::string_view message)
+{
+    for (const auto &node : cluster.nodes) {
+        send(node->id, message);
+    }
+}
+
+void TestNode::send(const std::string &node, std::string_view message)
+{
+    for (const auto &it : cluster.nodes) {
+        if (it->id == node && it.get() != this && !it->cut && !cut && !it->killed) {
+            it->inbox.emplace_back(id, std::string(message));
+        }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(RolloutCoordinator)
+{
+    Cluster cluster;
+
+    /** Checks what must hold for a bad version, whatever happens to the decider and the store. */
+    void checkExposure()
+    {
+        CHECK(cluster.fresh <= 0.1 * 15 * nodeCount * requestsPerStep * 50 + 50);
+        CHECK(cluster.fiftiethBad == TimePoint::max() || cluster.lastFresh <= cluster.fiftiethBad + 5s);
+    }
+
+    void waitForDecider()
+    {
+        while (cluster.decider() == nullptr && cluster.sinceOrder() < 15s) {
+            cluster.pass(step);
+        }
+        CHECK(cluster.decider() != nullptr);
+    }
+};
+
+TEST(RolloutCoordinator, completesAGoodVersionBeforeTheDeadline)
+{
+    cluster.order("v2", 10);
+    cluster.pass(1s);
+    STRCMP_EQUAL("running v2", cluster.status().c_str());
+    cluster.pass(14s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+    cluster.fresh = 0;
+    cluster.requests = 0;
+    cluster.pass(1s);
+    CHECK_EQUAL(cluster.requests, cluster.fresh);
+}
+
+TEST(RolloutCoordinator, rollsBackABadVersion)
+{
+    cluster.bad = true;
+    cluster.order("v2", 10);
+    cluster.pass(15s);
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+    checkExposure();
+    CHECK(cluster.lastFresh < cluster.time.now() - 8s);
+}
+
+// Guards against requests to targets of a version before its order is known.
+TEST(RolloutCoordinator, usesTheOldestVersionWithoutAnOrder)
+{
+    for (const auto &node : cluster.nodes) {
+        node->rulesChanged();
+    }
+    cluster.pass(1s);
+    CHECK_EQUAL(0, cluster.fresh);
+    CHECK(cluster.requests > 0);
+}
+
+// Guards against a roll-out that ends, or goes on unwatched, when its decider is killed.
+TEST(RolloutCoordinator, anotherNodeCompletesAfterTheDeciderIsKilled)
+{
+    cluster.order("v2", 10);
+    cluster.pass(4s);
+    cluster.decider()->killed = true;
+    cluster.pass(11s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+}
+
+TEST(RolloutCoordinator, keepsTheExposureWhenTheDeciderOfABadVersionIsKilled)
+{
+    cluster.order("v2", 10);
+    cluster.pass(4s);
+    cluster.decider()->killed = true;
+    cluster.bad = true;
+    cluster.pass(14s);
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+    checkExposure();
+}
+
+// Guards against a decider that was paused between the decision and the write, and then changes what its successor did.
+TEST(RolloutCoordinator, aPausedDeciderChangesNothingAfterItWasReplaced)
+{
+    cluster.order("v2", 10);
+    waitForDecider();
+    auto *first = cluster.decider();
+    first->pause();
+    cluster.pass(5s);
+    cluster.bad = true;
+    cluster.pass(6s);
+    CHECK(cluster.decider() != nullptr);
+    first->resume();
+    cluster.pass(8s);
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+    checkExposure();
+    CHECK_EQUAL(0, first->gate.next("menu") == VersionTrack::Fresh);
+}
+
+// Guards against a decider that hears no reports and raises the share of a version that fails elsewhere.
+TEST(RolloutCoordinator, keepsTheExposureWhenTheDeciderIsCutOff)
+{
+    cluster.order("v2", 10);
+    cluster.pass(4s);
+    cluster.decider()->cut = true;
+    cluster.bad = true;
+    cluster.pass(14s);
+    checkExposure();
+    CHECK(cluster.status() != "completed v2");
+}
+
+// Guards against a repeated or lost step when the response of the store does not arrive.
+TEST(RolloutCoordinator, completesAlthoughResponsesOfTheStoreAreLost)
+{
+    cluster.order("v2", 10);
+    waitForDecider();
+    for (int i = 0; i < 7; ++i) {
+        cluster.decider()->store.setFaults({.loseAnswers = 1});
+        cluster.pass(2s);
+    }
+    cluster.pass(2s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+}
+
+TEST(RolloutCoordinator, completesWithASlowStore)
+{
+    cluster.setFaults({.answerDelay = 200ms});
+    cluster.order("v2", 10);
+    cluster.pass(15s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+}
+
+// Guards against a version that stays in use because its roll-back cannot be written.
+TEST(RolloutCoordinator, withdrawsABadVersionWhileTheStoreIsDown)
+{
+    cluster.order("v2", 10);
+    cluster.pass(4s);
+    cluster.setFaults({.unavailable = true});
+    cluster.bad = true;
+    cluster.pass(12s);
+    checkExposure();
+    cluster.setFaults({});
+    cluster.pass(5s);
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+    checkExposure();
+}
+
+// Guards against the use of a version whose order was replaced, and against one that becomes stable by its replacement.
+TEST(RolloutCoordinator, anOrderReplacesAnOrder)
+{
+    cluster.order("v2", 10);
+    cluster.pass(6s);
+    cluster.order("v3", 20);
+    cluster.pass(1s);
+    STRCMP_EQUAL("running v3", cluster.status().c_str());
+    for (const auto &node : cluster.nodes) {
+        CHECK(node->gate.trackOf("menu", "v2") == VersionTrack::Held);
+        CHECK(node->gate.trackOf("menu", "v1") == VersionTrack::Stable);
+    }
+    cluster.pass(14s);
+    STRCMP_EQUAL("completed v3", cluster.status().c_str());
+}
+
+// Guards against a second roll-out that starts from the version before the first one.
+TEST(RolloutCoordinator, aCompletedVersionIsTheStableOneOfTheNextOrder)
+{
+    cluster.order("v2", 10);
+    cluster.pass(20s);
+    cluster.order("v3", 20);
+    cluster.pass(1s);
+    for (const auto &node : cluster.nodes) {
+        CHECK(node->gate.trackOf("menu", "v2") == VersionTrack::Stable);
+        CHECK(node->gate.trackOf("menu", "v1") == VersionTrack::Held);
+    }
+}
+
+// Guards against a roll-out of one service that stops or changes the one of another.
+TEST(RolloutCoordinator, runsTwoServicesSideBySide)
+{
+    cluster.order("v2", 10);
+    for (const auto &node : cluster.nodes) {
+        node->order({.service = "orders", .version = "v2", .duration = 15s, .revision = 11});
+    }
+    cluster.bad = true;
+    cluster.pass(10s);
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+    const auto steps = cluster.nodes[5]->coordinator->steps();
+    CHECK_EQUAL(2U, steps.size());
+    CHECK_FALSE(steps[1].isFinal());
+}
+
+// Guards against calls to the store, and a lease, that go on after the roll-out.
+TEST(RolloutCoordinator, isQuietAfterTheRollout)
+{
+    cluster.order("v2", 10);
+    cluster.pass(30s);
+    CHECK(cluster.decider() == nullptr);
+    std::uint64_t before = 0;
+    std::uint64_t after = 0;
+    for (const auto &node : cluster.nodes) {
+        before += node->store.calls().reads + node->store.calls().writes;
+    }
+    cluster.pass(10s);
+    for (const auto &node : cluster.nodes) {
+        after += node->store.calls().reads + node->store.calls().writes;
+    }
+    CHECK_EQUAL(before, after);
+}
