Run roll-outs on the users' platform

Cause: targets announce the version of their software, but the nodes ignore it, so that a new version gets requests before and beyond an order.

Change: the version of a target is announced through the membership; the one watch of the configuration covers all documents of the operators, so the orders cost no further calls; membership datagrams carry payloads, by which the decider repeats the newest step and the nodes report results; the placement of a request uses the targets of one version, chosen by the gate; results are counted at the node of the target. The state is in /dump, /v1/rollouts and hornbeamctl rollouts.

--- a/daemons/hornbeamctl/src/commandrunner.cpp
+++ b/daemons/hornbeamctl/src/commandrunner.cpp
@@ -67,6 +67,8 @@
             return dump();
         case Command::Targets:
             return show("/v1/targets", printTargets);
+        case Command::Rollouts:
+            return show("/v1/rollouts", printRollouts);
         }
     } catch (const json::exception &exception) {
         return fail(std::string("the reply is not from a hornbeamd node: ") + exception.what(), ExitCode::Unreachable);
--- a/daemons/hornbeamctl/src/ctloptions.cpp
+++ b/daemons/hornbeamctl/src/ctloptions.cpp
@@ -18,6 +18,7 @@
   rollout VERSION      show how many known nodes have a version
   dump                 show the node's state
   targets              show the targets that the node knows
+  rollouts             show the roll-outs of services, their last step and its reason
 
 Exit status:
   0  success
@@ -41,6 +42,7 @@
     {"rollout", Command::Rollout, "VERSION"},
     {"dump", Command::Dump, nullptr},
     {"targets", Command::Targets, nullptr},
+    {"rollouts", Command::Rollouts, nullptr},
 };
 
 cxxopts::Options declareOptions()
--- a/daemons/hornbeamctl/src/ctloptions.h
+++ b/daemons/hornbeamctl/src/ctloptions.h
@@ -26,6 +26,7 @@
     Rollout,
     Dump,
     Targets,
+    Rollouts,
 };
 
 /** The validated command line. */
--- a/daemons/hornbeamctl/src/replyprinter.cpp
+++ b/daemons/hornbeamctl/src/replyprinter.cpp
@@ -139,6 +139,21 @@
     table.print(out);
 }
 
+void printRollouts(const json &rollouts, std::ostream &out)
+{
+    TablePrinter table({"SERVICE", "FROM", "TO", "PHASE", "SHARE", "STEP", "REASON"});
+    for (const auto &step : rollouts.at("steps")) {
+        table.add({cell(step.at("service")),
+                   cell(step.at("stable")),
+                   cell(step.at("version")),
+                   cell(step.at("phase")),
+                   cell(step.at("share")) + "/1000",
+                   cell(step.at("fence")) + "." + cell(step.at("step")),
+                   cell(step.at("reason"))});
+    }
+    table.print(out);
+}
+
 void printTargets(const json &reply, std::ostream &out)
 {
     TablePrinter table({"TARGET", "SERVICE", "ZONE", "SLOTS", "STATE", "LABELS"});
--- a/daemons/hornbeamd/adminfacade.cpp
+++ b/daemons/hornbeamd/adminfacade.cpp
@@ -1,5 +1,6 @@
 #include "adminfacade.h"
 
+#include "rolloutagent.h"
 #include "routingpublisher.h"
 #include "zonesummary.h"
 
@@ -194,10 +195,17 @@
         {"zones", zones},
         {"members", members},
         {"quarantined", quarantined},
+        {"rollouts", nlohmann::json::parse(rolloutsJson(), nullptr, false)},
         {"proxy", nlohmann::json::parse(m_dependencies.proxy.dumpJson(), nullptr, false)}};
     return dump.dump(2);
 }
 
+std::string AdminFacade::rolloutsJson() const
+{
+    return m_dependencies.rollouts != nullptr ? m_dependencies.rollouts->dumpJson()
+                                              : R"({"decider":false,"steps":[],"rules":[]})";
+}
+
 HealthStatus AdminFacade::health() const
 {
     if (m_stopping) {
--- a/daemons/hornbeamd/adminfacade.h
+++ b/daemons/hornbeamd/adminfacade.h
@@ -15,6 +15,7 @@
 class MembershipTable;
 class MetricsRegistry;
 class ProxyServer;
+class RolloutAgent;
 class RoutingPublisher;
 class TargetRegistry;
 class TimerService;
@@ -37,6 +38,7 @@
     CrashQuarantine &quarantine;
     RoutingPublisher &publisher;
     ProxyServer &proxy;
+    RolloutAgent *rollouts; ///< Null without roll-outs.
     MetricsRegistry &metrics;
 };
 
@@ -64,6 +66,7 @@
 
     std::string renderMetrics() const override;
     std::string dumpJson() const override;
+    std::string rolloutsJson() const override;
     HealthStatus health() const override;
 
     /** Makes health() report from now on that the node is not ready, so that callers go elsewhere. */
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -5,6 +5,7 @@
 #include "logger.h"
 #include "repositorysource.h"
 #include "requestlogger.h"
+#include "rolloutagent.h"
 #include "routingpublisher.h"
 #include "watchercandidacy.h"
 #include "zonesummary.h"
@@ -27,6 +28,7 @@
 #include <hornbeam/platform/configdocumentdecoder.h>
 #include <hornbeam/platform/headers.h>
 #include <hornbeam/platform/platformstore.h>
+#include <hornbeam/platform/rolloutdocuments.h>
 #include <hornbeam/proxy/crashquarantine.h>
 #include <hornbeam/proxy/proxyserver.h>
 #include <hornbeam/settings/settings.h>
@@ -165,9 +167,11 @@
     Result<bool> buildTraffic();
     Result<bool> buildAdmin();
     void subscribe();
+    Result<bool> buildRollouts();
     void startStoreAccess();
     bool isOnPlatform() const;
     void registeredInDirectory(RegistrationReason reason);
+    void operatorDocumentReceived(const KeyValue &entry);
     void departuresRead(const std::vector<Departure> &departures);
     void targetsChanged(std::vector<Target> targets);
     void versionApplied(const SnapshotPtr &snapshot);
@@ -199,6 +203,8 @@
     std::unique_ptr<WatcherCandidacy> m_candidacy; ///< Null when all nodes watch the store.
     std::unique_ptr<NodeDirectory> m_directory; ///< Null outside the platform, where the settings list the seeds.
     std::unique_ptr<DepartureLog> m_departures; ///< Null outside the platform, whose targets do not number their runs.
+    const Platform::RolloutStatusDocument m_rolloutStatus;
+    std::unique_ptr<RolloutAgent> m_rollouts; ///< Null unless the settings have limits for roll-outs.
     std::unique_ptr<CrashReportForwarder> m_crashReportForwarder;
     std::unique_ptr<StoreClaimCoordinator> m_claims;
     std::unique_ptr<ProxyServer> m_proxy;
@@ -220,7 +226,11 @@
         return tl::unexpected(store.error());
     }
     m_store = std::move(*store);
-    for (const auto step : {&Impl::buildMembership, &Impl::buildDistribution, &Impl::buildTraffic, &Impl::buildAdmin}) {
+    for (const auto step : {&Impl::buildMembership,
+                            &Impl::buildDistribution,
+                            &Impl::buildRollouts,
+                            &Impl::buildTraffic,
+                            &Impl::buildAdmin}) {
         auto result = (this->*step)();
         if (!result) {
             return result;
@@ -278,8 +288,15 @@
     m_peerServer = std::move(*server);
     ConfigSourceListener &listener = *this;
     if (isOnPlatform()) {
+        FurtherDocuments further;
+        if (m_settings.rollout) {
+            // One watch for all documents of the operators costs no more calls than one for the configuration.
+            further = {.prefix = Platform::operatorPrefix, .received = [this](const KeyValue &entry) {
+                           operatorDocumentReceived(entry);
+                       }};
+        }
         m_configSource = std::make_unique<DocumentSource>(
-            Platform::configurationKey, m_documentDecoder, *m_store, m_timers, listener);
+            Platform::configurationKey, m_documentDecoder, *m_store, m_timers, listener, std::move(further));
         m_directory = std::make_unique<NodeDirectory>(
             NodeDirectoryOptions{.address = m_settings.peer.advertise},
             *m_store,
@@ -308,6 +325,34 @@
     return true;
 }
 
+Result<bool> Node::Impl::buildRollouts()
+{
+    if (!m_settings.rollout || !isOnPlatform()) {
+        return true;
+    }
+    const auto &limits = *m_settings.rollout;
+    auto agent = RolloutAgent::make({.node = m_id,
+                                     .limits = {.canaryShare = limits.canaryShare,
+                                                .canarySlack = limits.canarySlack,
+                                                .rollbackTime = limits.rollbackTime}},
+                                    {.store = *m_store,
+                                     .timers = m_timers,
+                                     .detector = *m_detector,
+                                     .members = m_members,
+                                     .metrics = m_metrics,
+                                     .status = m_rolloutStatus});
+    if (!agent) {
+        return tl::unexpected(agent.error());
+    }
+    m_rollouts = std::move(*agent);
+    m_rollouts->start([this] { m_publisher.update(); });
+    m_publisher.setVersionRules([this](const std::vector<Target> &targets) {
+        m_rollouts->setTargets(targets);
+        return m_rollouts->rules();
+    });
+    return true;
+}
+
 Result<bool> Node::Impl::buildTraffic()
 {
     auto claims = StoreClaimCoordinator::make(
@@ -324,9 +369,12 @@
                                                                                 .detector = *m_detector,
                                                                                 .publisher = m_publisher,
                                                                                 .targets = m_targets});
-    auto proxy = ProxyServer::make(
-        proxyOptions(m_settings, m_id),
-        {.claims = *m_claims, .crashes = *m_crashReportForwarder, .metrics = m_metrics, .log = &m_requestLog});
+    auto proxy = ProxyServer::make(proxyOptions(m_settings, m_id),
+                                   {.claims = *m_claims,
+                                    .crashes = *m_crashReportForwarder,
+                                    .metrics = m_metrics,
+                                    .log = &m_requestLog,
+                                    .outcomes = m_rollouts ? &m_rollouts->ledger() : nullptr});
     if (!proxy) {
         return tl::unexpected(proxy.error());
     }
@@ -350,6 +398,7 @@
                                                                           .quarantine = m_quarantine,
                                                                           .publisher = m_publisher,
                                                                           .proxy = *m_proxy,
+                                                                          .rollouts = m_rollouts.get(),
                                                                           .metrics = m_metrics});
     if (isOnPlatform()) {
         m_adminExtension = std::make_unique<Platform::Announcements>(
@@ -432,6 +481,9 @@
     if (m_candidacy) {
         m_candidacy->stop();
     }
+    if (m_rollouts) {
+        m_rollouts->stop();
+    }
     if (m_directory) {
         m_directory->leave();
     }
@@ -518,6 +570,19 @@
     m_log.info("registered in the directory", {{"reason", name}});
 }
 
+void Node::Impl::operatorDocumentReceived(const KeyValue &entry)
+{
+    if (!Platform::isRolloutOrder(entry)) {
+        return;
+    }
+    const auto order = Platform::decodeRolloutOrder(entry);
+    if (order) {
+        m_rollouts->ordered(*order);
+    } else {
+        m_rollouts->orderRefused(entry.key, order.error());
+    }
+}
+
 void Node::Impl::departuresRead(const std::vector<Departure> &departures)
 {
     m_departuresTimer.reset();
--- a/daemons/hornbeamd/routingpublisher.cpp
+++ b/daemons/hornbeamd/routingpublisher.cpp
@@ -55,6 +55,11 @@
     update();
 }
 
+void RoutingPublisher::setVersionRules(std::function<std::vector<VersionRule>(const std::vector<Target> &)> rules)
+{
+    m_versionRules = std::move(rules);
+}
+
 void RoutingPublisher::update()
 {
     if (m_publicationPending) {
@@ -98,6 +103,13 @@
                      std::back_inserter(state->targets),
                      acceptsRequests);
     }
+    if (m_versionRules) {
+        std::vector<Target> known;
+        for (const auto &listed : *members) {
+            known.insert(known.end(), listed.member->targets.begin(), listed.member->targets.end());
+        }
+        state->versions = m_versionRules(known);
+    }
     state->nodes = std::max<std::size_t>(members->size(), 1);
     std::copy_if(m_ownTargets.begin(), m_ownTargets.end(), std::back_inserter(state->localTargets), acceptsRequests);
     std::sort(state->targets.begin(), state->targets.end(), precedes);
--- a/daemons/hornbeamd/routingpublisher.h
+++ b/daemons/hornbeamd/routingpublisher.h
@@ -4,6 +4,9 @@
 #include <hornbeam/config/snapshot.h>
 #include <hornbeam/proxy/routingstate.h>
 
+#include <functional>
+#include <vector>
+
 namespace Hornbeam {
 
 class CrashQuarantine;
@@ -37,6 +40,12 @@
     /** Sets the targets on this host, which the node knows first-hand; the membership is told of them as well. */
     void setOwnTargets(std::vector<Target> targets);
 
+    /**
+     * Uses the rules of roll-outs. @p rules: called for each publication with all targets of live members, leaving ones
+     * included; returns the rules for RoutingState::versions.
+     */
+    void setVersionRules(std::function<std::vector<VersionRule>(const std::vector<Target> &)> rules);
+
     /** Schedules a publication. Calls made before it runs are coalesced. */
     void update();
 
@@ -58,6 +67,7 @@
     std::vector<Digest> m_publishedQuarantine;
     std::vector<SuspectRequest> m_publishedSuspects;
     std::vector<Target> m_ownTargets;
+    std::function<std::vector<VersionRule>(const std::vector<Target> &)> m_versionRules; ///< Null without roll-outs.
     bool m_ready = false;
     bool m_publicationPending = false;
 };
--- a/libs/admin/include/hornbeam/admin/statusapi.h
+++ b/libs/admin/include/hornbeam/admin/statusapi.h
@@ -22,6 +22,12 @@
     /** The state of the process as a JSON object. */
     virtual std::string dumpJson() const = 0;
 
+    /** The roll-outs of new versions of services as a JSON object with "decider", "steps" and "rules". */
+    virtual std::string rolloutsJson() const
+    {
+        return R"({"decider":false,"steps":[],"rules":[]})";
+    }
+
     virtual HealthStatus health() const = 0;
 };
 
--- a/libs/admin/src/adminrouter.cpp
+++ b/libs/admin/src/adminrouter.cpp
@@ -165,6 +165,8 @@
         respond(jsonResponse(toJson(*m_dependencies.operators.configuration())));
     } else if (const auto version = withoutPrefix(path, "/v1/rollout/")) {
         respond(rollout(*version));
+    } else if (path == "/v1/rollouts") {
+        respond({.status = Ok, .contentType = "application/json", .body = m_dependencies.status.rolloutsJson()});
     } else if (path == "/metrics") {
         respond(
             {.status = Ok, .contentType = "text/plain; version=0.0.4", .body = m_dependencies.status.renderMetrics()});
--- a/libs/config/include/hornbeam/config/documentsource.h
+++ b/libs/config/include/hornbeam/config/documentsource.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/config/storeconfigsource.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,14 @@
     virtual Result<SnapshotPtr> decode(std::string_view document) const = 0;
 };
 
+/** Further documents of the operators, which the read and the watch of the configuration report as well. */
+struct FurtherDocuments
+{
+    std::string prefix; ///< Prefix of their keys and of the configuration's key; empty for none.
+    /** Called for each of them when it is read or written; the same one can be reported repeatedly. */
+    std::function<void(const KeyValue &)> received;
+};
+
 /**
  * Reads and watches a configuration that operators keep as one document under one key of the store. A document takes
  * effect as soon as it is written, without a plan.
@@ -30,7 +39,8 @@
                    const DocumentDecoder &decoder,
                    KeyValueStore &store,
                    TimerService &timers,
-                   ConfigSourceListener &listener);
+                   ConfigSourceListener &listener,
+                   FurtherDocuments further = {});
 
 private:
     void readStore() override;
@@ -38,9 +48,11 @@
 
     void received(const Result<RangeResult> &result);
     void decode(const KeyValue &document);
+    const std::string &watchedPrefix() const;
 
     const std::string m_key;
     const DocumentDecoder &m_decoder;
+    const FurtherDocuments m_further;
     std::optional<StoreGeneration> m_decodedGeneration; ///< Store generation of the last decoded document, if known.
     std::int64_t m_decodedRevision = 0; ///< Store revision of the last decoded document, in its generation.
 };
--- a/libs/config/src/documentsource.cpp
+++ b/libs/config/src/documentsource.cpp
@@ -1,5 +1,7 @@
 #include <hornbeam/config/documentsource.h>
 
+#include <algorithm>
+
 namespace Hornbeam {
 
 namespace {
@@ -15,20 +17,28 @@
                                const DocumentDecoder &decoder,
                                KeyValueStore &store,
                                TimerService &timers,
-                               ConfigSourceListener &listener)
+                               ConfigSourceListener &listener,
+                               FurtherDocuments further)
     : StoreConfigSource(store, timers, listener, retryBackoff)
     , m_key(std::move(key))
     , m_decoder(decoder)
+    , m_further(std::move(further))
 {
 }
 
 void DocumentSource::readStore()
 {
-    store().range({.key = m_key}, [this, alive = alive()](const Result<RangeResult> &result) {
-        if (*alive) {
-            received(result);
-        }
-    });
+    store().range({.key = watchedPrefix(), .prefix = !m_further.prefix.empty()},
+                  [this, alive = alive()](const Result<RangeResult> &result) {
+                      if (*alive) {
+                          received(result);
+                      }
+                  });
+}
+
+const std::string &DocumentSource::watchedPrefix() const
+{
+    return m_further.prefix.empty() ? m_key : m_further.prefix;
 }
 
 void DocumentSource::received(const Result<RangeResult> &result)
@@ -42,8 +52,10 @@
         decode(entry);
     }
     if (watching()) {
-        watchFrom(m_key, result->revision + 1);
-    } else if (result->entries.empty()) {
+        watchFrom(watchedPrefix(), result->revision + 1);
+    } else if (std::none_of(result->entries.begin(), result->entries.end(), [this](const KeyValue &it) {
+                   return it.key == m_key;
+               })) {
         readAgain();
     }
 }
@@ -51,6 +63,9 @@
 void DocumentSource::decode(const KeyValue &document)
 {
     if (document.key != m_key) {
+        if (m_further.received) {
+            m_further.received(document);
+        }
         return;
     }
     // The same revision can be read repeatedly; it is decoded only once. A lower one is decoded, because a restored
--- a/libs/membership/include/hornbeam/membership/failuredetector.h
+++ b/libs/membership/include/hornbeam/membership/failuredetector.h
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hornbeam {
@@ -35,6 +37,7 @@
     using HeartbeatListener = std::function<void(const Heartbeat &)>;
     using RumorListener = std::function<void(const Rumor &)>;
     using JoinListener = std::function<void()>;
+    using PayloadListener = std::function<void(const std::string &sender, std::string_view data)>;
 
     /** InvalidArgument when an option is out of range. */
     static Result<std::unique_ptr<FailureDetector>> make(FailureDetectorOptions options,
@@ -75,6 +78,15 @@
     /** Returns the rumors that have not expired, with their remaining time to live. */
     std::vector<Rumor> rumors() const;
 
+    /**
+     * Sends @p data, at most 1000 bytes, to the live member with this id. Unreliable and unordered; ignored for an
+     * unknown member and after leave(). @p kind: names the component whose listeners receive the data.
+     */
+    void sendPayload(const std::string &member, std::uint32_t kind, std::string_view data);
+
+    /** Calls @p listener for each payload of that kind, with the id of its sender. */
+    void subscribePayloads(std::uint32_t kind, PayloadListener listener);
+
     /** Calls @p listener for every valid datagram received, with the state of the sender that it reports. */
     void subscribeHeartbeats(HeartbeatListener listener);
 
--- a/libs/membership/include/hornbeam/membership/target.h
+++ b/libs/membership/include/hornbeam/membership/target.h
@@ -28,6 +28,7 @@
     std::uint64_t instance = 0; ///< Identifies one run of the target process; a restart gets a higher number.
     std::string name{}; ///< Name that the target checks in requests; empty for none. At most 128 characters.
     Endpoint gateway{}; ///< Relay listener of its node if other hosts cannot connect to the target; else port 0.
+    std::string version{}; ///< Of its software; empty if it is not known. At most 64 characters.
 
     /** Whether other hosts can reach the target only through the relay listener of its node. */
     bool isBehindGateway() const
--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t leaveFanout = 8;
 constexpr auto leaveRepeatDelay = std::chrono::milliseconds(50);
 constexpr std::size_t maxIdBytes = 64;
+constexpr std::size_t maxPayloadBytes = 1000; // With the header of a datagram below its maximum size.
 
 bool isLive(MemberState state)
 {
@@ -152,6 +153,19 @@
         return m_rumors.active();
     }
 
+    void sendPayload(const std::string &member, std::uint32_t kind, std::string_view data)
+    {
+        const auto peer = m_table.find(memberHash(member));
+        if (!peer || !isLive(peer->state) || m_self.state == MemberState::Left || data.size() > maxPayloadBytes) {
+            return;
+        }
+        auto datagram = m_channel.makeDatagram();
+        datagram.mutable_payload()->set_kind(kind);
+        datagram.mutable_payload()->set_data(data.data(), data.size());
+        m_channel.sendWithoutPiggyback(peer->peerAddress, datagram);
+    }
+
+    std::multimap<std::uint32_t, PayloadListener> payloadListeners; ///< By kind.
     std::vector<HeartbeatListener> heartbeatListeners;
     std::vector<RumorListener> rumorListeners;
     std::vector<JoinListener> joinListeners;
@@ -206,6 +220,8 @@
             return m_sync.handleTableRequest(datagram);
         case Wire::Datagram::kTablePage:
             return m_sync.handleTablePage(datagram);
+        case Wire::Datagram::kPayload:
+            return notifyPayload(datagram);
         case Wire::Datagram::kGossip:
         case Wire::Datagram::BODY_NOT_SET:
             return;
@@ -258,7 +274,7 @@
         }
         // The ack to a ping carries the recorded state already. If gossip were answered, two members that suspect each
         // other would exchange datagrams without end.
-        if (!datagram.has_ping() && !datagram.has_gossip()) {
+        if (!datagram.has_ping() && !datagram.has_gossip() && !datagram.has_payload()) {
             m_channel.sendRecordedState(sender);
         }
     }
@@ -488,6 +504,14 @@
         }
     }
 
+    void notifyPayload(const Wire::Datagram &datagram)
+    {
+        const auto [first, last] = payloadListeners.equal_range(datagram.payload().kind());
+        for (auto it = first; it != last; ++it) {
+            it->second(datagram.sender_id(), datagram.payload().data());
+        }
+    }
+
     void notifyRumor(const Rumor &rumor)
     {
         for (const auto &listener : rumorListeners) {
@@ -597,6 +621,16 @@
     return m_impl->rumors();
 }
 
+void FailureDetector::sendPayload(const std::string &member, std::uint32_t kind, std::string_view data)
+{
+    m_impl->sendPayload(member, kind, data);
+}
+
+void FailureDetector::subscribePayloads(std::uint32_t kind, PayloadListener listener)
+{
+    m_impl->payloadListeners.emplace(kind, std::move(listener));
+}
+
 void FailureDetector::subscribeHeartbeats(HeartbeatListener listener)
 {
     m_impl->heartbeatListeners.push_back(std::move(listener));
--- a/libs/membership/src/membershipcodec.cpp
+++ b/libs/membership/src/membershipcodec.cpp
@@ -38,8 +38,9 @@
 bool isValidTarget(const Wire::Target &target)
 {
     return isValidEndpoint(target.address()) && isValidName(target.service()) && target.zone().size() <= maxNameBytes
-        && target.name().size() <= maxNameBytes && (target.gateway().empty() || isValidEndpoint(target.gateway()))
-        && target.slots() >= 1 && target.slots() <= maxSlots && target.labels_size() <= maxLabelsPerTarget
+        && target.name().size() <= maxNameBytes && target.version().size() <= maxNameBytes
+        && (target.gateway().empty() || isValidEndpoint(target.gateway())) && target.slots() >= 1
+        && target.slots() <= maxSlots && target.labels_size() <= maxLabelsPerTarget
         && std::all_of(target.labels().begin(), target.labels().end(), isValidLabel);
 }
 
@@ -103,6 +104,7 @@
     if (target.isBehindGateway()) {
         wire.set_gateway(target.gateway.toString());
     }
+    wire.set_version(target.version);
     return wire;
 }
 
@@ -123,6 +125,7 @@
     if (!wire.gateway().empty()) {
         target.gateway = endpointFromWire(wire.gateway());
     }
+    target.version = wire.version();
     return target;
 }
 
--- a/libs/membership/src/targetregistry.cpp
+++ b/libs/membership/src/targetregistry.cpp
@@ -26,7 +26,8 @@
 
 std::size_t estimatedEncodedBytes(const Target &target)
 {
-    std::size_t n = fixedBytesPerTarget + target.service.size() + target.zone.size() + target.name.size();
+    std::size_t n =
+        fixedBytesPerTarget + target.service.size() + target.zone.size() + target.name.size() + target.version.size();
     n += target.isBehindGateway() ? target.gateway.toString().size() : 0;
     for (const auto &label : target.labels) {
         n += fixedBytesPerLabel + label.name.size() + label.value.size();
@@ -250,9 +251,9 @@
         return makeError(ErrorCode::InvalidArgument, "the target's address is not an IP address and port");
     }
     if (!isValidName(target.service) || !isValidText(target.zone) || !isValidText(target.name)
-        || !hasValidLabels(target)) {
+        || !isValidText(target.version) || !hasValidLabels(target)) {
         return makeError(ErrorCode::InvalidArgument,
-                         "the target's service, zone, name or a label is empty, too long or no text");
+                         "the target's service, zone, name, version or a label is empty, too long or no text");
     }
     if (target.slots < 1 || target.slots > maxSlots) {
         return makeError(ErrorCode::InvalidArgument, "the target's slots are not in 1..10000");
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -13,6 +13,7 @@
 
 class ClaimCoordinator;
 class MetricsRegistry;
+class OutcomeLedger;
 class RequestLog;
 class Digest;
 
@@ -42,6 +43,7 @@
     CrashReporter &crashes;
     MetricsRegistry &metrics;
     RequestLog *log = nullptr; ///< Null for no request log.
+    OutcomeLedger *outcomes = nullptr; ///< Counts the results of the targets on this host; null for none.
 };
 
 /**
--- a/libs/proxy/include/hornbeam/proxy/routingstate.h
+++ b/libs/proxy/include/hornbeam/proxy/routingstate.h
@@ -4,6 +4,7 @@
 #include <hornbeam/config/snapshot.h>
 #include <hornbeam/membership/target.h>
 #include <hornbeam/proxy/suspectrequest.h>
+#include <hornbeam/rollouts/versionrule.h>
 
 #include <memory>
 #include <vector>
@@ -21,6 +22,7 @@
     std::vector<Digest> quarantined; ///< Sorted digests of the quarantined requests.
     std::vector<SuspectRequest> suspects; ///< Sorted by digest; sent to other targets, and reported when they succeed.
     std::vector<Target> localTargets; ///< Targets on this host that accept new requests, also relayed ones.
+    std::vector<VersionRule> versions; ///< Which versions requests may use, for services with a rule.
     std::size_t nodes = 1; ///< Live nodes including this one; they share the retry budget.
     /** False until the node knows the lowest configuration version that it may use; requests are refused until then. */
     bool ready = false;
--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -2,11 +2,14 @@
 
 #include "slotwait.h"
 
+#include <hornbeam/rollouts/outcomeledger.h>
+
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace Hornbeam {
 
@@ -21,6 +24,46 @@
     return status >= 500 && status != 501 && status != 503;
 }
 
+/** Whether the status of an attempt is a failure of the target; nothing if it says nothing about the target. */
+std::optional<bool> failureOfTarget(const UpstreamExchange &exchange, AttemptStatus status)
+{
+    switch (status) {
+    case AttemptStatus::Response:
+        if (exchange.dependencyFailed() || exchange.statesNotRun() || exchange.isFailureOfPeer()) {
+            return std::nullopt;
+        }
+        return isFailureStatus(exchange.responseStatus());
+    case AttemptStatus::Broken:
+    case AttemptStatus::BadResponse:
+    case AttemptStatus::Silent:
+        return exchange.lease().isRemote() ? std::nullopt : std::optional(true);
+    case AttemptStatus::Expired:
+        // Its time counts: the target is at least as slow as this.
+        return exchange.lease().isRemote() ? std::nullopt : std::optional(false);
+    default:
+        return std::nullopt;
+    }
+}
+
+/** Reports the result of the target's version, for the comparison of versions during a roll-out. */
+void reportVersion(CallContext &call, const UpstreamExchange &exchange, AttemptStatus status, TimePoint now)
+{
+    const auto failed = call.state->versions.empty() ? std::nullopt : failureOfTarget(exchange, status);
+    if (!failed) {
+        return;
+    }
+    const auto &lease = exchange.lease();
+    call.core.balancer.recordVersionResult(lease, *failed);
+    auto *ledger = call.core.dependencies.outcomes;
+    if (ledger != nullptr && !lease.isRemote()) {
+        ledger->record(lease.target().service,
+                       lease.target().version,
+                       call.routeName(),
+                       *failed,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(now - lease.started()));
+    }
+}
+
 void reportCrash(CallContext &call, const Endpoint &target, TimePoint now)
 {
     call.core.metrics.crashes.add();
@@ -34,6 +77,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto &balancer = call.core.balancer;
+    reportVersion(call, exchange, status, now);
     const bool unreachable = status == AttemptStatus::ConnectFailed || status == AttemptStatus::Silent;
     if (unreachable && exchange.lease().isRemote()) {
         balancer.recordUnreachable(exchange.lease(), now);
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -69,6 +69,7 @@
 void LoadBalancer::publish(const RoutingState &state, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
+    m_versions.setRules(state.versions);
     rebuildTargets(state, now);
     // The first targets that a new node learns are not new themselves; slow start applies only to later ones.
     m_seenTargets = m_seenTargets || !state.targets.empty();
@@ -94,6 +95,7 @@
         const auto *service = state.snapshot ? state.snapshot->findService(target.service) : nullptr;
         load->slots = service != nullptr && service->slotsPerTarget != 0 ? service->slotsPerTarget : target.slots;
         load->target = target;
+        load->track = m_versions.trackOf(target.service, target.version);
         load->local = local;
         load->withdrawn = false;
         targets[target.service].push_back(std::move(load));
@@ -188,6 +190,25 @@
     return applyDecision(service.admission.admit(request, load->slots, now), *request);
 }
 
+PlacementPolicy::Placement LoadBalancer::choosePlacement(ServiceState &service,
+                                                         const std::string &name,
+                                                         PlacementQuery query,
+                                                         TimePoint now)
+{
+    const auto ahead = service.admission.queuedAhead(query.rank);
+    query.track = m_versions.next(name);
+    auto placement = m_placement.choose(service.targets, query, ahead, now);
+    if (placement.target || query.track == VersionTrack::Stable) {
+        return placement;
+    }
+    // During a switch, requests at the stable version would be cut off when its targets stop.
+    if (placement.outcome == PlacementPolicy::Outcome::NoRoom && m_versions.isSwitching(name)) {
+        return placement;
+    }
+    query.track = VersionTrack::Stable;
+    return m_placement.choose(service.targets, query, ahead, now);
+}
+
 bool LoadBalancer::placeRequest(const SlotRequestPtr &request, ServiceState &service, TimePoint now)
 {
     const auto &options = request->m_options;
@@ -198,7 +219,7 @@
                                .rank = options.rank,
                                .bulk = options.bulk,
                                .bulkTransferTime = options.bulk ? m_link.largeResponseTime() : Duration::zero()};
-    auto placement = m_placement.choose(service.targets, query, service.admission.queuedAhead(options.rank), now);
+    auto placement = choosePlacement(service, options.service, query, now);
     request->m_expectedWait = placement.expectedWait;
     switch (placement.outcome) {
     case PlacementPolicy::Outcome::NoTarget:
@@ -211,6 +232,7 @@
     case PlacementPolicy::Outcome::Wait:
         break;
     }
+    m_versions.sent(options.service, placement.target->track);
     if (!placement.target->isRemote()) {
         return acquireLocal(request, service, placement.target, now);
     }
@@ -304,6 +326,12 @@
     }
 }
 
+void LoadBalancer::recordVersionResult(const SlotLease &lease, bool failed)
+{
+    const std::lock_guard lock(m_mutex);
+    m_versions.responded(lease.m_service, lease.m_load->track, failed);
+}
+
 void LoadBalancer::recordOutcome(TargetLoad &load, bool failed)
 {
     load.failureRate += ((failed ? 1.0 : 0.0) - load.failureRate) * failureWeight;
@@ -420,6 +448,7 @@
                                {"zone", load->target.zone},
                                {"slots", load->slots},
                                {"outstanding", load->outstanding},
+                               {"version", load->target.version},
                                {"consecutiveFailures", load->consecutiveFailures},
                                {"ejected", load->isEjected(now)}});
         }
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -12,6 +12,7 @@
 #include <hornbeam/base/metrics.h>
 #include <hornbeam/proxy/proxyoptions.h>
 #include <hornbeam/proxy/routingstate.h>
+#include <hornbeam/rollouts/versiongate.h>
 
 #include <map>
 #include <mutex>
@@ -67,6 +68,9 @@
     /** Records a failure of the target, which may eject it. */
     void recordFailure(const SlotLease &lease, TimePoint now);
 
+    /** Records a response for the comparison of the versions during a roll-out. */
+    void recordVersionResult(const SlotLease &lease, bool failed);
+
     /** Updates the load of a remote target from the report that its node sent with a response. */
     void recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now);
 
@@ -109,6 +113,10 @@
     };
 
     bool acquireLocal(const SlotRequestPtr &request, ServiceState &service, const TargetLoadPtr &load, TimePoint now);
+    PlacementPolicy::Placement choosePlacement(ServiceState &service,
+                                               const std::string &name,
+                                               PlacementQuery query,
+                                               TimePoint now);
     bool placeRequest(const SlotRequestPtr &request, ServiceState &service, TimePoint now);
     bool applyDecision(AdmissionController::Decision decision, SlotRequest &request);
     void recordOutcome(TargetLoad &load, bool failed);
@@ -126,6 +134,7 @@
     TargetSelector m_selector;
     PlacementPolicy m_placement;
     OutlierDetector m_outliers;
+    VersionGate m_versions;
     std::map<std::string, ServiceState, std::less<>> m_services;
     std::mt19937_64 m_random;
     bool m_seenTargets = false;
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -25,7 +25,7 @@
 bool isSuitable(const TargetLoad &load, const PlacementQuery &query)
 {
     const auto &labels = load.target.labels;
-    return !load.withdrawn
+    return !load.withdrawn && load.track == query.track
         && std::includes(labels.begin(), labels.end(), query.requiredLabels.begin(), query.requiredLabels.end())
         && std::find(query.excluded.begin(), query.excluded.end(), load.target.address) == query.excluded.end();
 }
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -39,6 +39,7 @@
     AdmissionRank rank = Priority::Normal;
     bool bulk = false; ///< The response is large.
     Duration bulkTransferTime = Duration::zero(); ///< Of a large response over one more host link.
+    VersionTrack track = VersionTrack::Stable; ///< Targets of other versions are not suitable.
 };
 
 /**
--- a/libs/proxy/src/slotlease.h
+++ b/libs/proxy/src/slotlease.h
@@ -35,6 +35,12 @@
         return m_load->isRemote();
     }
 
+    /** When the slot was granted. */
+    TimePoint started() const
+    {
+        return m_started;
+    }
+
     /** Frees the slot; target() and address() stay valid. */
     void release();
 
--- a/libs/proxy/src/targetload.h
+++ b/libs/proxy/src/targetload.h
@@ -4,6 +4,7 @@
 
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/membership/target.h>
+#include <hornbeam/rollouts/versiongate.h>
 
 #include <cstdint>
 #include <memory>
@@ -17,6 +18,7 @@
 struct TargetLoad
 {
     Target target;
+    VersionTrack track = VersionTrack::Stable; ///< Which requests may use it during a roll-out.
     std::uint32_t slots = 1;
     std::uint32_t outstanding = 0; ///< Requests of this node that hold a slot of the target.
     TimePoint firstSeen; ///< Start of the slow-start period; TimePoint::min() for none.
--- a/libs/proxy/src/targetselector.cpp
+++ b/libs/proxy/src/targetselector.cpp
@@ -55,7 +55,8 @@
 bool TargetSelector::isSuitable(const TargetLoad &load, const TargetQuery &query)
 {
     const auto &labels = load.target.labels;
-    return std::includes(labels.begin(), labels.end(), query.requiredLabels.begin(), query.requiredLabels.end())
+    return load.track == VersionTrack::Stable
+        && std::includes(labels.begin(), labels.end(), query.requiredLabels.begin(), query.requiredLabels.end())
         && std::find(query.excluded.begin(), query.excluded.end(), load.target.address) == query.excluded.end();
 }
 
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -77,6 +77,16 @@
     friend auto operator<=>(const StoreSettings &, const StoreSettings &) = default;
 };
 
+/** Limits of the operators for roll-outs of new versions of services. */
+struct RolloutSettings
+{
+    double canaryShare = 0.1; ///< Part of a service's requests that a bad version may get before the deadline. 0..1.
+    std::uint32_t canarySlack = 0; ///< Further requests that it may get, over all nodes. 0..100000.
+    std::chrono::milliseconds rollbackTime{5000}; ///< Time limit of a withdrawal after 50 bad responses. 500..600000.
+
+    friend auto operator<=>(const RolloutSettings &, const RolloutSettings &) = default;
+};
+
 /** Minimum severity of the messages that are logged. */
 enum class LogLevel {
     Debug,
@@ -108,6 +118,7 @@
     AdminSettings admin;
     PeerSettings peer;
     StoreSettings store;
+    std::optional<RolloutSettings> rollout; ///< Absent: versions are ignored, and there are no roll-outs.
     LogSettings log;
 
     /** Parses and validates JSON. Returns all problems, not just the first. */
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -188,6 +188,16 @@
     return store;
 }
 
+RolloutSettings readRollout(Section section)
+{
+    RolloutSettings rollout;
+    rollout.canaryShare =
+        section.reader().optionalNumber("canaryShare", {.minimum = 0, .maximum = 1}).value_or(rollout.canaryShare);
+    rollout.canarySlack = section.count("canarySlack", rollout.canarySlack, {0, 100000});
+    rollout.rollbackTime = section.duration("rollbackMs", rollout.rollbackTime, {500, 600000});
+    return rollout;
+}
+
 LogSettings readLog(Section section)
 {
     const auto level = section.reader().optionalString("level").value_or("info");
@@ -228,6 +238,9 @@
     settings.admin = readAdmin(required("admin"));
     settings.peer = readPeer(required("peer"));
     settings.store = readStore(required("store"));
+    if (const auto *rollout = reader.optionalObject("rollout")) {
+        settings.rollout = readRollout(Section(rollout, reader.pathOf("rollout"), problems));
+    }
     settings.log = readLog(Section(reader.optionalObject("log"), reader.pathOf("log"), problems));
     reader.finish();
     return settings;
