--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -159,6 +159,20 @@
         return value;
     }
 
+    /** Fence of the step in the store; 0 without one. */
+    std::uint64_t storedFence()
+    {
+        std::uint64_t fence = 0;
+        shared.range({.key = "hornbeamring/rollouts/menu"}, [&](const Result<RangeResult> &result) {
+            if (result && !result->entries.empty()) {
+                const auto step = RolloutStep::decode(result->entries.front().value);
+                fence = step ? step->fence : 0;
+            }
+        });
+        idle.run();
+        return fence;
+    }
+
     Duration sinceOrder() const
     {
         return time.now() - ordered;
@@ -319,6 +333,53 @@
     checkExposure();
 }
 
+// Guards against nodes that go on with a share that nobody watches any more.
+TEST(RolloutCoordinator, sendsNothingToTheNewVersionWhenNoStepArrives)
+{
+    cluster.order("v2", 10);
+    cluster.pass(4s);
+    CHECK(cluster.fresh > 0);
+    cluster.decider()->killed = true;
+    cluster.setFaults({.unavailable = true}); // No other node can take over.
+    cluster.pass(1700ms);
+    cluster.fresh = 0;
+    cluster.pass(5s);
+    CHECK_EQUAL(0, cluster.fresh);
+}
+
+// Guards against a write of a killed decider that takes effect late and replaces the step of its successor.
+TEST(RolloutCoordinator, aLateWriteDoesNotReplaceTheStepOfTheNextDecider)
+{
+    cluster.order("v2", 10);
+    cluster.pass(2900ms);
+    cluster.decider()->store.setFaults({.applyDelay = 7s});
+    cluster.pass(500ms);
+    cluster.decider()->killed = true;
+    std::uint64_t fence = 0;
+    for (int i = 0; i < 110; ++i) {
+        cluster.pass(100ms);
+        CHECK(cluster.storedFence() >= fence);
+        fence = cluster.storedFence();
+    }
+    CHECK(fence >= 2);
+}
+
+// Guards against a delayed message of a decider that has been replaced.
+TEST(RolloutCoordinator, ignoresStepsOfAReplacedDecider)
+{
+    cluster.order("v2", 10);
+    cluster.pass(4s);
+    auto late = cluster.nodes[7]->coordinator->steps().front();
+    late.number += 100;
+    late.phase = RolloutPhase::Switch;
+    late.sharePerMille = 1000;
+    cluster.decider()->killed = true;
+    cluster.pass(6s);
+    CHECK(cluster.decider() != nullptr);
+    cluster.nodes[7]->coordinator->receive("node-0", "S" + late.encode());
+    CHECK(cluster.nodes[7]->coordinator->steps().front().phase == RolloutPhase::Canary);
+}
+
 // Guards against a decider that was paused between the decision and the write, and then changes what its successor did.
 TEST(RolloutCoordinator, aPausedDeciderChangesNothingAfterItWasReplaced)
 {
