Stop the timers of a killed node in the tests of roll-outs

Cause: the timers of a node that the tests had killed went on, so it repeated its steps, and the test of the lifetime of steps failed. rolloutstests passes (46 tests).

--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -66,6 +66,12 @@
         rulesChanged();
     }
 
+    void kill()
+    {
+        killed = true;
+        timers.pause();
+    }
+
     void pause()
     {
         paused = true;
@@ -317,7 +323,7 @@
 {
     cluster.order("v2", 10);
     cluster.pass(4s);
-    cluster.decider()->killed = true;
+    cluster.decider()->kill();
     cluster.pass(11s);
     STRCMP_EQUAL("completed v2", cluster.status().c_str());
 }
@@ -326,7 +332,7 @@
 {
     cluster.order("v2", 10);
     cluster.pass(4s);
-    cluster.decider()->killed = true;
+    cluster.decider()->kill();
     cluster.bad = true;
     cluster.pass(14s);
     STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
@@ -339,7 +345,7 @@
     cluster.order("v2", 10);
     cluster.pass(4s);
     CHECK(cluster.fresh > 0);
-    cluster.decider()->killed = true;
+    cluster.decider()->kill();
     cluster.setFaults({.unavailable = true}); // No other node can take over.
     cluster.pass(1700ms);
     cluster.fresh = 0;
@@ -354,7 +360,7 @@
     cluster.pass(2900ms);
     cluster.decider()->store.setFaults({.applyDelay = 7s});
     cluster.pass(500ms);
-    cluster.decider()->killed = true;
+    cluster.decider()->kill();
     std::uint64_t fence = 0;
     for (int i = 0; i < 110; ++i) {
         cluster.pass(100ms);
@@ -373,7 +379,7 @@
     late.number += 100;
     late.phase = RolloutPhase::Switch;
     late.sharePerMille = 1000;
-    cluster.decider()->killed = true;
+    cluster.decider()->kill();
     cluster.pass(6s);
     CHECK(cluster.decider() != nullptr);
     cluster.nodes[7]->coordinator->receive("node-0", "S" + late.encode());
