--- a/daemons/hornbeamctl/tests/commandrunnertest.cpp
+++ b/daemons/hornbeamctl/tests/commandrunnertest.cpp
@@ -121,6 +121,20 @@
     STRCMP_CONTAINS("confirm the same plan again", err.str().c_str());
 }
 
+// Guards against a roll-out whose state or reason operators cannot see.
+TEST(CommandRunner, showsRolloutsWithTheirReasons)
+{
+    const ScriptedServer server({ScriptedServer::response(
+        200,
+        R"({"decider":true,"rules":[],"steps":[{"service":"menu","order":9,"fence":2,"step":5,"phase":"rolled-back",)"
+        R"("share":0,"stable":"v1","version":"v2","elapsedMs":4100,"reason":"route r: 5 of 10 requests failed"}]})")});
+    CHECK(run({.command = Command::Rollouts, .argument = {}, .nodes = {server.endpoint()}}) == ExitCode::Ok);
+    STRCMP_CONTAINS("rolled-back", out.str().c_str());
+    STRCMP_CONTAINS("2.5", out.str().c_str());
+    STRCMP_CONTAINS("route r: 5 of 10 requests failed", out.str().c_str());
+    STRCMP_EQUAL("GET /v1/rollouts", server.requests().front().c_str());
+}
+
 TEST(CommandRunner, waitsForTheRollout)
 {
     const ScriptedServer server(
--- a/libs/config/tests/documentsourcetest.cpp
+++ b/libs/config/tests/documentsourcetest.cpp
@@ -135,6 +135,31 @@
     CHECK_EQUAL(2, listener.versions.size());
 }
 
+// Guards against orders that reach a node late, or cost a watch of their own, and against a configuration that is lost
+// among them.
+TEST(DocumentSource, reportsTheFurtherDocumentsOfTheSameWatch)
+{
+    std::vector<std::string> received;
+    DocumentSource wide(
+        "op/config", decoder, store, timers, listener, {.prefix = "op/", .received = [&](const KeyValue &it) {
+                                                            received.push_back(it.key + "=" + it.value);
+                                                        }});
+    write("a", "op/rollout/menu");
+    wide.start(0ms);
+    wide.setWatching(true);
+    run(1s);
+    CHECK(listener.versions.empty());
+    CHECK(received.size() >= 1);
+    write("4");
+    write("b", "op/rollout/menu");
+    run(3s);
+    CHECK(listener.versions == std::vector<ConfigVersion>{4});
+    STRCMP_EQUAL("op/rollout/menu=b", received.back().c_str());
+    const auto reads = store.calls().reads;
+    run(5s);
+    CHECK_EQUAL(reads, store.calls().reads);
+}
+
 // Guards against a node that never receives a configuration because the key did not exist when the node started.
 TEST(DocumentSource, waitsForTheFirstDocument)
 {
--- a/libs/membership/tests/failuredetectortest.cpp
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -361,6 +361,25 @@
 }
 
 // Guards against datagrams that are fragmented, and against more than 1 KB/s of traffic per idle node.
+// Guards against a payload that reaches another component, or one that makes a datagram too large to be decoded.
+TEST(FailureDetector, deliversPayloadsByTheirKind)
+{
+    network.makeCluster(3);
+    std::vector<std::string> received;
+    const auto record = [&received](const std::string &sender, std::string_view data) {
+        received.push_back(sender + ":" + std::string(data.substr(0, 4)));
+    };
+    node(1).detector->subscribePayloads(7, record);
+    const auto sender = node(0).id;
+    node(0).detector->sendPayload(node(1).id, 7, "step");
+    node(0).detector->sendPayload(node(1).id, 8, "other kind");
+    node(0).detector->sendPayload("unknown", 7, "nobody");
+    node(0).detector->sendPayload(node(1).id, 7, std::string(1000, 'x'));
+    node(0).detector->sendPayload(node(1).id, 7, std::string(1001, 'y'));
+    network.time.advance(100ms);
+    CHECK((received == std::vector<std::string>{sender + ":step", sender + ":xxxx"}));
+}
+
 TEST(FailureDetector, keepsDatagramsAndIdleTrafficSmall)
 {
     network.makeCluster(size);
--- a/libs/membership/tests/membershipcodectest.cpp
+++ b/libs/membership/tests/membershipcodectest.cpp
@@ -39,7 +39,8 @@
                                      .labels = {{.name = "track", .value = "canary"}},
                                      .slots = 10,
                                      .state = TargetState::Leaving,
-                                     .instance = 3}}};
+                                     .instance = 3,
+                                     .version = "v2"}}};
     CHECK(member == fromWire(toWire(member)));
 }
 
--- a/libs/proxy/tests/loadbalancertest.cpp
+++ b/libs/proxy/tests/loadbalancertest.cpp
@@ -8,6 +8,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+
 using namespace Hornbeam;
 using namespace std::chrono_literals;
 
@@ -51,6 +53,86 @@
     }
 };
 
+TEST_GROUP(LoadBalancerVersions)
+{
+    const TimePoint now{1h};
+    ProxyOptions options;
+    MetricsRegistry metrics;
+    LinkPacer link{{}};
+    LoadBalancer balancer{options, metrics, link};
+    RoutingState state;
+
+    void add(std::uint16_t port, const std::string &version)
+    {
+        Target target;
+        target.address = Endpoint("10.0.0.1", port);
+        target.service = "rota";
+        target.slots = 1000;
+        target.gateway = Endpoint("10.0.0.1", 7000);
+        target.version = version;
+        state.targets.push_back(target);
+    }
+
+    /** Places a request; returns the version of its target, or "none". */
+    std::string place(std::vector<Endpoint> excluded = {})
+    {
+        auto request = std::make_shared<SlotRequest>(balancer,
+                                                     SlotRequestOptions{.service = "rota",
+                                                                        .requiredLabels = {},
+                                                                        .excluded = std::move(excluded),
+                                                                        .deadline = now + 10s,
+                                                                        .latestStart = now + 10s,
+                                                                        .wake = [] {
+                                                                        }});
+        balancer.acquire(request, now);
+        return balancer.finish(request) == SlotResult::Granted ? request->target()->target.version : "none";
+    }
+};
+
+// Guards against requests, also repeated ones, to a version that is held or beyond its share.
+TEST(LoadBalancerVersions, usesOnlyTheVersionThatTheRulesAllow)
+{
+    add(1, "v1");
+    add(2, "v2");
+    add(3, "v3");
+    state.versions = {{.service = "rota",
+                       .stableVersion = "v1",
+                       .freshVersion = "v2",
+                       .sharePerMille = 100,
+                       .order = 1,
+                       .step = 1,
+                       .shareLimit = 1}};
+    balancer.publish(state, now);
+    std::map<std::string, int> placed;
+    for (int i = 0; i < 500; ++i) {
+        ++placed[place()];
+    }
+    CHECK(placed["v2"] >= 49 && placed["v2"] <= 51);
+    CHECK_EQUAL(500, placed["v1"] + placed["v2"]);
+    state.versions.front().sharePerMille = 0;
+    state.versions.front().step = 2;
+    balancer.publish(state, now);
+    for (int i = 0; i < 100; ++i) {
+        STRCMP_EQUAL("v1", place().c_str());
+    }
+    STRCMP_EQUAL("none", place({Endpoint("10.0.0.1", 1)}).c_str());
+}
+
+// Guards against refused requests while the new version has no targets, or none that can be reached.
+TEST(LoadBalancerVersions, usesTheStableVersionIfTheNewOneHasNoTarget)
+{
+    add(1, "v1");
+    state.versions = {{.service = "rota",
+                       .stableVersion = "v1",
+                       .freshVersion = "v2",
+                       .sharePerMille = 1000,
+                       .order = 1,
+                       .step = 1,
+                       .shareLimit = 1}};
+    balancer.publish(state, now);
+    STRCMP_EQUAL("v1", place().c_str());
+}
+
 // A request whose latest start has passed must still get a slot if the slot and the link are free now.
 TEST(LoadBalancer, grantsAFreeSlotToALargeResponseThatCannotWait)
 {
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -123,6 +123,21 @@
 
 // Guards against a misspelt environment, with which the node would start with other interfaces than its operators
 // expect.
+// Guards against roll-outs in a deployment that has not asked for them.
+TEST(Settings, hasRolloutsOnlyWhereTheSectionIs)
+{
+    CHECK_FALSE(Settings::parse(validSettings)->rollout.has_value());
+    const auto with = [](const std::string &section) {
+        return replaced("\"store\"", "\"rollout\": " + section + ", \"store\"");
+    };
+    const auto settings = Settings::parse(with(R"({"canaryShare": 0.05, "canarySlack": 7, "rollbackMs": 3000})"));
+    CHECK(settings.has_value());
+    CHECK(settings->rollout
+          == (RolloutSettings{.canaryShare = 0.05, .canarySlack = 7, .rollbackTime = std::chrono::seconds(3)}));
+    CHECK(reports(with(R"({"canaryShare": 1.5})"), "$.rollout.canaryShare"));
+    CHECK(reports(with(R"({"share": 1})"), "$.rollout.share"));
+}
+
 TEST(Settings, refusesAnUnknownEnvironment)
 {
     CHECK(reports(replaced("\"node\"", "\"environment\": \"plattform\", \"node\""), "$.environment"));
