Let a decider that is cut off leave the roll-outs to others

Cause: a decider that reaches the store but not the nodes keeps its lease, and the roll-out waits with a share of 0.

--- a/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -135,6 +135,7 @@
     std::optional<VersionRule> ruleOf(const std::string &name, const Service &service) const;
     void adopt(Service &service, const RolloutStep &step, bool live, bool decider);
     void decide(const std::string &name, Service &service);
+    void resignIfCutOff(const Service &service);
     void takeOver(const std::string &name);
     void takeOver(const std::string &name, const Result<RangeResult> &stored);
     void write(const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first);
@@ -154,6 +155,8 @@
     TimerHandle m_tick;
     TimePoint m_lastBeat = TimePoint::min();
     std::shared_ptr<bool> m_alive;
+    TimePoint m_lastReports; ///< When enough nodes reported to this decider, or its term began.
+    TimePoint m_candidateFrom = TimePoint::min(); ///< After a resignation, other candidates come first until then.
     bool m_candidate = false;
     bool m_stopped = false;
 };
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -22,6 +22,14 @@
 
 constexpr Duration storeRetryDelay = 300ms;
 
+/** A decider that most nodes do not report to for this long is cut off from them, and leaves the lease to others. */
+constexpr Duration longestDeafness = 3s;
+
+/** Long enough for another candidate to take the lease, see LeaseElectionOptions::occupiedBackoff. */
+constexpr Duration resignation = 5s;
+
+constexpr Duration reportLifetime = 2s;
+
 /** A node that has heard nothing of a running roll-out for this long reads the step from the store. */
 constexpr Duration silence = 2s;
 
@@ -222,7 +230,7 @@
     const bool active = std::any_of(m_services.begin(), m_services.end(), [&](const auto &it) {
         return it.second.isOpen() || (isDecider() && it.second.finished > now - finalRepeats);
     });
-    const bool wanted = !m_stopped && active && (m_dependencies.network.isCandidate() || isDecider());
+    const bool wanted = !m_stopped && active && now >= m_candidateFrom && (m_dependencies.network.isCandidate() || isDecider());
     if (wanted == m_candidate) {
         return;
     }
@@ -236,6 +244,7 @@
 
 void RolloutCoordinator::acquired(std::uint32_t /*slot*/)
 {
+    m_lastReports = m_dependencies.timers.now();
     m_dependencies.listener.decidesRollouts(true);
 }
 
@@ -258,6 +267,10 @@
         return;
     }
     service.outcomes.add(m_options.node, reportOf(name, service), now);
+    resignIfCutOff(service);
+    if (!service.decider) {
+        return;
+    }
     const auto next = service.decider->next({.outcomes = service.outcomes,
                                              .liveNodes = m_dependencies.network.liveNodes(),
                                              .hasFreshTargets = service.serves(service.order->version)},
@@ -274,6 +287,18 @@
     }
 }
 
+void RolloutCoordinator::resignIfCutOff(const Service &service)
+{
+    const auto now = m_dependencies.timers.now();
+    if (service.outcomes.nodesSince(now - reportLifetime) * 2 >= m_dependencies.network.liveNodes()) {
+        m_lastReports = now;
+    } else if (now - m_lastReports >= longestDeafness) {
+        m_candidateFrom = now + resignation;
+        m_candidate = false;
+        m_election->stop();
+    }
+}
+
 void RolloutCoordinator::takeOver(const std::string &name)
 {
     serviceOf(name).storeBusy = true;
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -416,6 +416,16 @@
     CHECK(cluster.status() != "completed v2");
 }
 
+// Guards against a roll-out that waits until its deadline for a decider that only the store can reach.
+TEST(RolloutCoordinator, aDeciderThatIsCutOffLeavesTheDecisionToOthers)
+{
+    cluster.order("v2", 10);
+    cluster.pass(2s);
+    cluster.decider()->cut = true;
+    cluster.pass(13s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+}
+
 // Guards against a repeated or lost step when the response of the store does not arrive.
 TEST(RolloutCoordinator, completesAlthoughResponsesOfTheStoreAreLost)
 {
