Carry messages of other libraries in membership datagrams

Cause: the rate limits exchange small messages that may be lost. A connection for each pair of nodes would cost more than the messages.

Nodes that do not know it drop the datagram as invalid. The proxy gets the interface RequestLimiter, which it does not call yet.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -3,6 +3,7 @@
 #include "adminfacade.h"
 #include "crashreportforwarder.h"
 #include "logger.h"
+#include "ratelimits.h"
 #include "repositorysource.h"
 #include "requestlogger.h"
 #include "routingpublisher.h"
@@ -191,6 +192,7 @@
     std::unique_ptr<HttpStore> m_store;
     std::unique_ptr<UdpTransport> m_udpTransport;
     std::unique_ptr<FailureDetector> m_detector;
+    std::unique_ptr<RateLimits> m_rateLimits;
     std::unique_ptr<GrpcPeerClient> m_peerClient;
     std::unique_ptr<Disseminator> m_disseminator;
     std::unique_ptr<GrpcPeerServer> m_peerServer;
@@ -244,6 +246,11 @@
         return tl::unexpected(detector.error());
     }
     m_detector = std::move(*detector);
+    m_rateLimits = std::make_unique<RateLimits>(
+        RateLimitNodeOptions{.id = m_id, .zone = m_settings.node.zone},
+        RateLimitsDependencies{
+            .timers = m_timers, .detector = *m_detector, .members = m_members, .metrics = m_metrics});
+    m_rateLimits->setExpectedNodes(m_settings.peer.seeds.size());
     return true;
 }
 
@@ -284,7 +291,10 @@
             NodeDirectoryOptions{.address = m_settings.peer.advertise},
             *m_store,
             m_timers,
-            [this](const std::vector<Endpoint> &nodes) { m_detector->setSeeds(nodes); },
+            [this](const std::vector<Endpoint> &nodes) {
+                m_detector->setSeeds(nodes);
+                m_rateLimits->setExpectedNodes(nodes.size());
+            },
             [this](RegistrationReason reason) { registeredInDirectory(reason); });
         m_departures = std::make_unique<DepartureLog>(
             DepartureLogOptions{.address = m_settings.peer.advertise},
@@ -326,7 +336,11 @@
                                                                                 .targets = m_targets});
     auto proxy = ProxyServer::make(
         proxyOptions(m_settings, m_id),
-        {.claims = *m_claims, .crashes = *m_crashReportForwarder, .metrics = m_metrics, .log = &m_requestLog});
+        {.claims = *m_claims,
+         .crashes = *m_crashReportForwarder,
+         .metrics = m_metrics,
+         .log = &m_requestLog,
+         .limiter = m_rateLimits.get()});
     if (!proxy) {
         return tl::unexpected(proxy.error());
     }
@@ -386,7 +400,11 @@
 {
     m_configuration.subscribe([this](const SnapshotPtr &snapshot) { versionApplied(snapshot); });
     m_members.subscribe([this](const MemberPtr &before, const MemberPtr &after) { memberChanged(before, after); });
-    m_detector->subscribeHeartbeats([this](const Heartbeat &it) { m_disseminator->heartbeatReceived(it); });
+    m_detector->subscribeHeartbeats([this](const Heartbeat &it) {
+        m_rateLimits->memberHeard();
+        m_disseminator->heartbeatReceived(it);
+    });
+    m_detector->subscribePayloads([this](const Payload &it) { m_rateLimits->receive(it); });
     m_detector->subscribeRumors([this](const Rumor &it) { m_crashReportForwarder->rumorReceived(it); });
     m_detector->subscribeJoined([this] {
         m_disseminator->membershipJoined();
@@ -543,6 +561,9 @@
 void Node::Impl::memberChanged(const MemberPtr &before, const MemberPtr &after)
 {
     const bool stateChanged = !before || !after || before->state != after->state;
+    if (stateChanged) {
+        m_rateLimits->membersChanged();
+    }
     if (!stateChanged || !after || after->id == m_id) {
         return;
     }
--- a/libs/membership/include/hornbeam/membership/failuredetector.h
+++ b/libs/membership/include/hornbeam/membership/failuredetector.h
@@ -4,6 +4,7 @@
 #include <hornbeam/membership/failuredetectoroptions.h>
 #include <hornbeam/membership/heartbeat.h>
 #include <hornbeam/membership/membershiptable.h>
+#include <hornbeam/membership/payload.h>
 #include <hornbeam/membership/rumor.h>
 
 #include <functional>
@@ -35,6 +36,7 @@
     using HeartbeatListener = std::function<void(const Heartbeat &)>;
     using RumorListener = std::function<void(const Rumor &)>;
     using JoinListener = std::function<void()>;
+    using PayloadListener = std::function<void(const Payload &)>;
 
     /** InvalidArgument when an option is out of range. */
     static Result<std::unique_ptr<FailureDetector>> make(FailureDetectorOptions options,
@@ -75,6 +77,15 @@
     /** Returns the rumors that have not expired, with their remaining time to live. */
     std::vector<Rumor> rumors() const;
 
+    /**
+     * Sends a message of another library to @p member in a datagram. Does nothing if the member is not live, this node has
+     * left or @p content exceeds maxPayloadBytes.
+     */
+    void sendPayload(const std::string &member, PayloadKind kind, const std::string &content);
+
+    /** Calls @p listener for every payload received, of all kinds. */
+    void subscribePayloads(PayloadListener listener);
+
     /** Calls @p listener for every valid datagram received, with the state of the sender that it reports. */
     void subscribeHeartbeats(HeartbeatListener listener);
 
--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -152,9 +152,23 @@
         return m_rumors.active();
     }
 
+    void sendPayload(const std::string &id, PayloadKind kind, const std::string &content)
+    {
+        const auto member = m_table.find(memberHash(id));
+        if (!member || !isLive(member->state) || m_self.state == MemberState::Left
+            || content.size() > maxPayloadBytes) {
+            return;
+        }
+        auto datagram = m_channel.makeDatagram();
+        datagram.mutable_payload()->set_kind(static_cast<std::uint32_t>(kind));
+        datagram.mutable_payload()->set_content(content);
+        m_channel.sendWithoutPiggyback(member->peerAddress, datagram);
+    }
+
     std::vector<HeartbeatListener> heartbeatListeners;
     std::vector<RumorListener> rumorListeners;
     std::vector<JoinListener> joinListeners;
+    std::vector<PayloadListener> payloadListeners;
 
 private:
     void receive(std::string_view bytes)
@@ -206,6 +220,8 @@
             return m_sync.handleTableRequest(datagram);
         case Wire::Datagram::kTablePage:
             return m_sync.handleTablePage(datagram);
+        case Wire::Datagram::kPayload:
+            return notifyPayload(datagram);
         case Wire::Datagram::kGossip:
         case Wire::Datagram::BODY_NOT_SET:
             return;
@@ -488,6 +504,16 @@
         }
     }
 
+    void notifyPayload(const Wire::Datagram &datagram)
+    {
+        const Payload payload{.sender = datagram.sender_id(),
+                              .kind = static_cast<PayloadKind>(datagram.payload().kind()),
+                              .content = datagram.payload().content()};
+        for (const auto &listener : payloadListeners) {
+            listener(payload);
+        }
+    }
+
     void notifyRumor(const Rumor &rumor)
     {
         for (const auto &listener : rumorListeners) {
@@ -597,6 +623,16 @@
     return m_impl->rumors();
 }
 
+void FailureDetector::sendPayload(const std::string &member, PayloadKind kind, const std::string &content)
+{
+    m_impl->sendPayload(member, kind, content);
+}
+
+void FailureDetector::subscribePayloads(PayloadListener listener)
+{
+    m_impl->payloadListeners.push_back(std::move(listener));
+}
+
 void FailureDetector::subscribeHeartbeats(HeartbeatListener listener)
 {
     m_impl->heartbeatListeners.push_back(std::move(listener));
--- a/libs/membership/src/membershipcodec.cpp
+++ b/libs/membership/src/membershipcodec.cpp
@@ -76,6 +76,8 @@
         return isValidEndpoint(datagram.ping_request().target_address());
     case Wire::Datagram::kBucketDigests:
         return datagram.bucket_digests().buckets_size() == maxBuckets;
+    case Wire::Datagram::kPayload:
+        return datagram.payload().content().size() <= maxPayloadBytes;
     case Wire::Datagram::kTableRequest:
         return datagram.table_request().first() <= datagram.table_request().last();
     default:
--- a/libs/membership/src/membershipcodec.h
+++ b/libs/membership/src/membershipcodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeam/membership/member.h>
+#include <hornbeam/membership/payload.h>
 #include <hornbeam/membership/rumor.h>
 
 #include "membership.pb.h"
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -13,6 +13,7 @@
 
 class ClaimCoordinator;
 class MetricsRegistry;
+class RequestLimiter;
 class RequestLog;
 class Digest;
 
@@ -42,6 +43,7 @@
     CrashReporter &crashes;
     MetricsRegistry &metrics;
     RequestLog *log = nullptr; ///< Null for no request log.
+    RequestLimiter *limiter = nullptr; ///< Null for no rate limits of client accounts.
 };
 
 /**
@@ -53,6 +55,7 @@
  * | outcome     | status                  | meaning                                                               |
  * | ----------- | ----------------------- | --------------------------------------------------------------------- |
  * | not-run     | 400, 404, 408, 413, 431 | The request itself was refused.                                       |
+ * | not-run     | 429 with Retry-After    | The client account has reached its rate limit on all nodes together.  |
  * | not-run     | quarantineStatus        | Quarantined after crashes; see ProxyOptions::quarantineStatus.        |
  * | not-run     | 503                     | Not ready; no service, slot, target, claim or connection; a service   |
  * |             |                         | that the request calls is busy; or each target that was tried refused |
