--- a/daemons/hornbeamd/requestlogger.cpp
+++ b/daemons/hornbeamd/requestlogger.cpp
@@ -52,6 +52,7 @@
                                     {"reason", std::string(event.reason)},
                                     {"status", std::to_string(event.status)},
                                     {"version", std::to_string(event.configVersion)},
+                                    {"account", std::string(event.account)},
                                     {"rank", std::to_string(event.rank)},
                                     {"ageMs", milliseconds(event.age)},
                                     {"leftMs", milliseconds(event.timeLeft)},
--- a/libs/base/include/hornbeam/base/digest.h
+++ b/libs/base/include/hornbeam/base/digest.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
     /** Reads 32 raw bytes; any other length gives the all-zero digest, like the default constructor. */
     static Digest fromBytes(std::string_view bytes);
 
+    /** Reads the result of hex(); nothing for any other text. */
+    static std::optional<Digest> fromHex(std::string_view text);
+
     /** The 32 raw bytes. */
     std::string bytes() const;
 
--- a/libs/base/src/digest.cpp
+++ b/libs/base/src/digest.cpp
@@ -3,6 +3,7 @@
 #include <openssl/sha.h>
 
 #include <algorithm>
+#include <charconv>
 
 namespace Hornbeam {
 
@@ -22,6 +23,23 @@
     return digest;
 }
 
+std::optional<Digest> Digest::fromHex(std::string_view text)
+{
+    Digest digest;
+    if (text.size() != digest.m_bytes.size() * 2) {
+        return std::nullopt;
+    }
+    for (std::size_t i = 0; i < digest.m_bytes.size(); ++i) {
+        const auto *const first = text.data() + 2 * i;
+        const auto result = std::from_chars(first, first + 2, digest.m_bytes[i], 16);
+        if (result.ec != std::errc() || result.ptr != first + 2) {
+            return std::nullopt;
+        }
+    }
+    // from_chars also accepts upper-case digits.
+    return digest.hex() == text ? std::optional(digest) : std::nullopt;
+}
+
 std::string Digest::bytes() const
 {
     return {m_bytes.begin(), m_bytes.end()};
--- a/libs/config/include/hornbeam/config/configchange.h
+++ b/libs/config/include/hornbeam/config/configchange.h
@@ -10,7 +10,7 @@
 
 namespace Hornbeam {
 
-using Resource = std::variant<Service, Route, LeavingTarget>;
+using Resource = std::variant<Service, Route, LeavingTarget, ClientAccount>;
 
 /** One resource that differs between two configurations. */
 struct ConfigChange
@@ -23,7 +23,7 @@
 
     Kind kind = Kind::Added;
     ResourceKind resource = ResourceKind::Service;
-    std::string name; ///< Name of the service or route, or address of the target.
+    std::string name; ///< Name of the service, route or client account, or address of the target.
     std::optional<Resource> before; ///< Absent when added.
     std::optional<Resource> after; ///< Absent when removed.
 
@@ -31,8 +31,8 @@
 };
 
 /**
- * Returns the differences between two sorted contents: services, then routes, then leaving targets, each in key order.
- * Traffic limits are not compared.
+ * Returns the differences between two sorted contents: services, routes, leaving targets and client accounts, each in
+ * key order. Traffic limits are not compared.
  */
 std::vector<ConfigChange> changesBetween(const SnapshotContent &base, const SnapshotContent &target);
 
--- a/libs/config/include/hornbeam/config/delta.h
+++ b/libs/config/include/hornbeam/config/delta.h
@@ -55,6 +55,7 @@
     std::vector<std::string> m_removedServices;
     std::vector<std::string> m_removedRoutes;
     std::vector<LeavingTarget> m_removedLeavingTargets;
+    std::vector<std::string> m_removedAccounts;
 };
 
 } // namespace Hornbeam
--- a/libs/config/include/hornbeam/config/intent.h
+++ b/libs/config/include/hornbeam/config/intent.h
@@ -55,7 +55,23 @@
     friend bool operator==(const ClearLeaving &, const ClearLeaving &) = default;
 };
 
-using IntentOperation = std::variant<SetService, RemoveService, SetRoute, RemoveRoute, MarkLeaving, ClearLeaving>;
+/** Adds a client account or replaces the one of the same name. */
+struct SetAccount
+{
+    ClientAccount account;
+
+    friend bool operator==(const SetAccount &, const SetAccount &) = default;
+};
+
+struct RemoveAccount
+{
+    std::string name;
+
+    friend bool operator==(const RemoveAccount &, const RemoveAccount &) = default;
+};
+
+using IntentOperation = std::
+    variant<SetService, RemoveService, SetRoute, RemoveRoute, MarkLeaving, ClearLeaving, SetAccount, RemoveAccount>;
 
 /** The content that results from an intent, or the reasons why the intent is refused. */
 struct IntentEffect
--- a/libs/config/include/hornbeam/config/route.h
+++ b/libs/config/include/hornbeam/config/route.h
@@ -51,6 +51,7 @@
     bool onlyBelow = false; ///< Matches only paths below the prefix: for "/a", "/a/" and "/a/b" but not "/a".
     bool bulk = false; ///< Responses are large: targets in the caller's zone are preferred while they have capacity.
     std::chrono::milliseconds latencyObjective{0}; ///< Later responses are worth less to the caller; 0 for none.
+    bool anonymous = false; ///< Requests need no client account, and have none even if they carry a key.
 
     friend auto operator<=>(const Route &, const Route &) = default;
 };
--- a/libs/config/include/hornbeam/config/snapshot.h
+++ b/libs/config/include/hornbeam/config/snapshot.h
@@ -2,6 +2,7 @@
 
 #include <hornbeam/base/digest.h>
 #include <hornbeam/base/error.h>
+#include <hornbeam/config/clientaccount.h>
 #include <hornbeam/config/leavingtarget.h>
 #include <hornbeam/config/route.h>
 #include <hornbeam/config/service.h>
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Hornbeam {
@@ -25,6 +27,7 @@
     std::vector<Route> routes = {};
     std::vector<LeavingTarget> leavingTargets = {};
     TrafficLimits limits = {};
+    std::vector<ClientAccount> accounts = {}; ///< If there are none, requests need no account.
 
     friend bool operator==(const SnapshotContent &, const SnapshotContent &) = default;
 };
@@ -82,6 +85,12 @@
         return m_content.limits;
     }
 
+    /** Client accounts sorted by name. */
+    const std::vector<ClientAccount> &accounts() const
+    {
+        return m_content.accounts;
+    }
+
     const SnapshotContent &content() const
     {
         return m_content;
@@ -90,6 +99,12 @@
     /** Returns the service of that name, or null. */
     const Service *findService(std::string_view name) const;
 
+    /** Returns the account that holds the key with this digest, or null. */
+    const ClientAccount *findAccount(const Digest &key) const;
+
+    /** Returns the account of that name, or null. */
+    const ClientAccount *findAccountByName(std::string_view name) const;
+
     /**
      * Returns the most specific route for a request, or null. @p host has no port and is compared without regard to
      * case; @p path has no query. The longest prefix takes precedence; among equal prefixes, a route that requires a
@@ -106,6 +121,7 @@
     SnapshotContent m_content;
     Digest m_contentDigest;
     std::vector<std::uint32_t> m_routesBySpecificity; ///< Indexes into the routes, longest prefix first.
+    std::vector<std::pair<Digest, std::uint32_t>> m_accountsByKey; ///< Indexes into the accounts, sorted by digest.
 };
 
 } // namespace Hornbeam
--- a/libs/config/include/hornbeam/config/snapshotvalidator.h
+++ b/libs/config/include/hornbeam/config/snapshotvalidator.h
@@ -12,9 +12,10 @@
     Service,
     Route,
     LeavingTarget,
+    ClientAccount,
 };
 
-/** Returns "service", "route" or "leavingTarget". */
+/** Returns "service", "route", "leavingTarget" or "account". */
 const char *resourceKindName(ResourceKind kind);
 
 /** Whether @p text is a valid name of a service or a route: 1..128 characters of [a-z0-9-]. */
@@ -26,11 +27,14 @@
 /** Whether @p text is a valid label value: 0..128 printable ASCII characters without spaces. */
 bool isLabelValue(std::string_view text);
 
+/** Whether @p text is a valid name of a client account: 1..128 printable ASCII characters without spaces. */
+bool isAccountName(std::string_view text);
+
 /** A reason why a resource, or the content as a whole, is invalid. */
 struct ResourceProblem
 {
     ResourceKind kind = ResourceKind::Service;
-    std::string name; ///< Name of the service or route, or address of the target.
+    std::string name; ///< Name of the service, route or client account, or address of the target.
     std::string field; ///< JSON name of the field, for example "timeoutMs" or "methods[1]".
     std::string text; ///< Human-readable description.
 
@@ -54,10 +58,14 @@
 
     static std::vector<ResourceProblem> check(const LeavingTarget &target);
 
-    /** Checks sorted content as a whole: each resource, duplicates, ambiguous routes and missing services. */
+    /** Checks an account on its own; whether another one holds its keys is checked with the whole content. */
+    static std::vector<ResourceProblem> check(const ClientAccount &account);
+
+    /** Checks sorted content as a whole: each resource, duplicates, ambiguous routes, missing services and
+     * keys that two accounts hold. */
     static std::vector<ResourceProblem> check(const SnapshotContent &content);
 
-    /** Sorts resources, methods, labels and splits in the order that check() and the encoding require. */
+    /** Sorts resources, methods, labels, splits and key digests in the order that check() and the encoding require. */
     static void sort(SnapshotContent &content);
 };
 
--- a/libs/config/src/configchange.cpp
+++ b/libs/config/src/configchange.cpp
@@ -16,6 +16,11 @@
     return route.name;
 }
 
+std::string nameOf(const ClientAccount &account)
+{
+    return account.name;
+}
+
 std::string nameOf(const LeavingTarget &target)
 {
     return target.address.toString();
@@ -55,6 +60,7 @@
     appendChanges(ResourceKind::Service, base.services, target.services, changes);
     appendChanges(ResourceKind::Route, base.routes, target.routes, changes);
     appendChanges(ResourceKind::LeavingTarget, base.leavingTargets, target.leavingTargets, changes);
+    appendChanges(ResourceKind::ClientAccount, base.accounts, target.accounts, changes);
     return changes;
 }
 
--- a/libs/config/src/configjson.cpp
+++ b/libs/config/src/configjson.cpp
@@ -113,6 +113,8 @@
         return readService(*value, path, problems);
     case ResourceKind::Route:
         return readRoute(*value, path, problems);
+    case ResourceKind::ClientAccount:
+        return readAccount(*value, path, problems);
     case ResourceKind::LeavingTarget:
         break;
     }
@@ -127,6 +129,52 @@
     return std::visit([](const auto &value) { return toJson(value); }, resource);
 }
 
+/** The account without its keys. */
+json accountJson(const ClientAccount &account)
+{
+    json result = {{"name", account.name}, {"ratePerSecond", account.ratePerSecond}, {"burst", account.burst}};
+    if (account.priority) {
+        result["priority"] = priorityName(*account.priority);
+    }
+    return result;
+}
+
+/** The account for diagnostics: enough of each digest to compare two nodes, and too little to look a key up. */
+json accountSummary(const ClientAccount &account)
+{
+    constexpr std::size_t shownDigits = 8;
+    json result = accountJson(account);
+    result["keys"] = json::array();
+    for (const auto &digest : account.keyDigests) {
+        result["keys"].push_back(digest.hex().substr(0, shownDigits));
+    }
+    return result;
+}
+
+Priority readPriority(JsonReader &reader, const std::string &text)
+{
+    return readEnum<Priority>(
+        reader, "priority", text, {Priority::High, Priority::Normal, Priority::Low}, priorityName);
+}
+
+void readKeys(JsonReader &reader, ClientAccount &account)
+{
+    for (const auto &key : reader.optionalStrings("keys")) {
+        if (key.empty()) {
+            reader.report("keys", "must not contain an empty key");
+        }
+        account.keyDigests.push_back(Digest::of(key));
+    }
+    for (const auto &text : reader.optionalStrings("keyDigests")) {
+        const auto digest = Digest::fromHex(text);
+        if (!digest) {
+            reader.report("keyDigests", "must be 64 hexadecimal digits each");
+        }
+        account.keyDigests.push_back(digest.value_or(Digest()));
+    }
+    std::sort(account.keyDigests.begin(), account.keyDigests.end());
+}
+
 } // namespace
 
 json toJson(const Service &service)
@@ -162,7 +210,8 @@
             {"attempts", route.attempts},
             {"onlyBelow", route.onlyBelow},
             {"bulk", route.bulk},
-            {"latencyObjectiveMs", route.latencyObjective.count()}};
+            {"latencyObjectiveMs", route.latencyObjective.count()},
+            {"anonymous", route.anonymous}};
 }
 
 json toJson(const LeavingTarget &target)
@@ -170,6 +219,16 @@
     return {{"address", target.address.toString()}};
 }
 
+json toJson(const ClientAccount &account)
+{
+    json result = accountJson(account);
+    result["keyDigests"] = json::array();
+    for (const auto &digest : account.keyDigests) {
+        result["keyDigests"].push_back(digest.hex());
+    }
+    return result;
+}
+
 json toJson(const ConfigChange &change)
 {
     json result = {
@@ -213,6 +272,10 @@
     for (const auto &target : snapshot.leavingTargets()) {
         result["leavingTargets"].push_back(toJson(target));
     }
+    result["accounts"] = json::array();
+    for (const auto &account : snapshot.accounts()) {
+        result["accounts"].push_back(accountSummary(account));
+    }
     return result;
 }
 
@@ -259,8 +322,7 @@
             identityName);
     }
     if (const auto priority = reader.optionalString("priority")) {
-        route.priority = readEnum<Priority>(
-            reader, "priority", *priority, {Priority::High, Priority::Normal, Priority::Low}, priorityName);
+        route.priority = readPriority(reader, *priority);
     }
     route.timeout = readMilliseconds(reader, "timeoutMs", route.timeout);
     if (const auto *splits = reader.optionalArray("splits")) {
@@ -271,6 +333,7 @@
     route.onlyBelow = reader.optionalBool("onlyBelow").value_or(route.onlyBelow);
     route.bulk = reader.optionalBool("bulk").value_or(route.bulk);
     route.latencyObjective = readMilliseconds(reader, "latencyObjectiveMs", route.latencyObjective);
+    route.anonymous = reader.optionalBool("anonymous").value_or(route.anonymous);
     reader.finish();
     // See readService().
     if (problems.size() == problemsBefore) {
@@ -281,6 +344,27 @@
     return route;
 }
 
+ClientAccount readAccount(const json &value, const std::string &path, JsonProblems &problems)
+{
+    const auto problemsBefore = problems.size();
+    JsonReader reader(value, path, problems);
+    ClientAccount account;
+    account.name = reader.string("name");
+    readKeys(reader, account);
+    if (const auto priority = reader.optionalString("priority")) {
+        account.priority = readPriority(reader, *priority);
+    }
+    constexpr NumberRange range{.minimum = 0, .maximum = 1e9};
+    account.ratePerSecond = reader.optionalNumber("ratePerSecond", range).value_or(account.ratePerSecond);
+    account.burst = reader.optionalNumber("burst", range).value_or(account.burst);
+    reader.finish();
+    // See readService().
+    if (problems.size() == problemsBefore) {
+        reportProblems(SnapshotValidator::check(account), reader, problems);
+    }
+    return account;
+}
+
 Endpoint readEndpoint(const std::string &text, const std::string &path, JsonProblems &problems)
 {
     auto endpoint = Endpoint::parse(text);
@@ -298,11 +382,12 @@
     ConfigChange change;
     change.kind =
         readEnum<Kind>(reader, "kind", reader.string("kind"), {Kind::Added, Kind::Changed, Kind::Removed}, changeName);
-    change.resource = readEnum<ResourceKind>(reader,
-                                             "resource",
-                                             reader.string("resource"),
-                                             {ResourceKind::Service, ResourceKind::Route, ResourceKind::LeavingTarget},
-                                             resourceKindName);
+    change.resource = readEnum<ResourceKind>(
+        reader,
+        "resource",
+        reader.string("resource"),
+        {ResourceKind::Service, ResourceKind::Route, ResourceKind::LeavingTarget, ResourceKind::ClientAccount},
+        resourceKindName);
     change.name = reader.string("name");
     const auto *before = change.kind == Kind::Added ? nullptr : reader.object("before");
     const auto *after = change.kind == Kind::Removed ? nullptr : reader.object("after");
--- a/libs/config/src/contentdiff.h
+++ b/libs/config/src/contentdiff.h
@@ -16,6 +16,11 @@
     return route.name;
 }
 
+inline const std::string &keyOf(const ClientAccount &account)
+{
+    return account.name;
+}
+
 inline const Endpoint &keyOf(const LeavingTarget &target)
 {
     return target.address;
--- a/libs/config/src/delta.cpp
+++ b/libs/config/src/delta.cpp
@@ -51,7 +51,8 @@
         };
         return std::adjacent_find(resources.begin(), resources.end(), sameKey) != resources.end();
     };
-    return repeated(content.services) || repeated(content.routes) || repeated(content.leavingTargets);
+    return repeated(content.services) || repeated(content.routes) || repeated(content.leavingTargets)
+        || repeated(content.accounts);
 }
 
 std::vector<std::string> sortedStrings(const google::protobuf::RepeatedPtrField<std::string> &strings)
@@ -97,6 +98,13 @@
                 delta.m_removedLeavingTargets.push_back(*before);
             }
         });
+    compareSorted(base.accounts(), target.accounts(), [&](const ClientAccount *before, const ClientAccount *after) {
+        if (after != nullptr) {
+            delta.m_upserts.accounts.push_back(*after);
+        } else {
+            delta.m_removedAccounts.push_back(before->name);
+        }
+    });
     delta.m_upserts.limits = target.limits();
     return delta;
 }
@@ -133,6 +141,7 @@
     }
     delta.m_removedServices = sortedStrings(message.removed_services());
     delta.m_removedRoutes = sortedStrings(message.removed_routes());
+    delta.m_removedAccounts = sortedStrings(message.removed_accounts());
     for (const auto &text : message.removed_leaving_targets()) {
         auto address = Endpoint::parse(text);
         if (!address) {
@@ -154,6 +163,7 @@
     toWire(m_upserts, *message.mutable_upserts());
     message.mutable_removed_services()->Assign(m_removedServices.begin(), m_removedServices.end());
     message.mutable_removed_routes()->Assign(m_removedRoutes.begin(), m_removedRoutes.end());
+    message.mutable_removed_accounts()->Assign(m_removedAccounts.begin(), m_removedAccounts.end());
     for (const auto &target : m_removedLeavingTargets) {
         message.add_removed_leaving_targets(target.address.toString());
     }
@@ -175,13 +185,14 @@
         removedAddresses.push_back(target.address);
     }
     const bool removed = removeKeys(content.services, m_removedServices) && removeKeys(content.routes, m_removedRoutes)
-        && removeKeys(content.leavingTargets, removedAddresses);
+        && removeKeys(content.leavingTargets, removedAddresses) && removeKeys(content.accounts, m_removedAccounts);
     if (!removed) {
         return malformed("the delta removes a resource that its base does not have");
     }
     content.services = withUpserts(content.services, m_upserts.services);
     content.routes = withUpserts(content.routes, m_upserts.routes);
     content.leavingTargets = withUpserts(content.leavingTargets, m_upserts.leavingTargets);
+    content.accounts = withUpserts(content.accounts, m_upserts.accounts);
     content.limits = m_upserts.limits;
     auto target = Snapshot::make(m_targetVersion, std::move(content));
     if (target && (*target)->contentDigest() != m_targetDigest) {
@@ -193,7 +204,8 @@
 std::size_t Delta::changeCount() const
 {
     return m_upserts.services.size() + m_upserts.routes.size() + m_upserts.leavingTargets.size()
-        + m_removedServices.size() + m_removedRoutes.size() + m_removedLeavingTargets.size();
+        + m_upserts.accounts.size() + m_removedServices.size() + m_removedRoutes.size() + m_removedLeavingTargets.size()
+        + m_removedAccounts.size();
 }
 
 } // namespace Hornbeam
--- a/libs/config/src/intent.cpp
+++ b/libs/config/src/intent.cpp
@@ -48,6 +48,8 @@
             [](const ClearLeaving &clear) {
                 return ResourceId{.kind = Kind::LeavingTarget, .name = clear.target.toString()};
             },
+            [](const SetAccount &set) { return ResourceId{.kind = Kind::ClientAccount, .name = set.account.name}; },
+            [](const RemoveAccount &remove) { return ResourceId{.kind = Kind::ClientAccount, .name = remove.name}; },
         },
         operation);
 }
@@ -76,6 +78,13 @@
         }
     } else if (op == "removeRoute") {
         operation = RemoveRoute{.name = reader.string("name")};
+    } else if (op == "setAccount") {
+        const auto *account = reader.object("account");
+        if (account != nullptr) {
+            operation = SetAccount{.account = readAccount(*account, reader.pathOf("account"), problems)};
+        }
+    } else if (op == "removeAccount") {
+        operation = RemoveAccount{.name = reader.string("name")};
     } else if (op == "markLeaving" || op == "clearLeaving") {
         const auto target = readEndpoint(reader.string("target"), reader.pathOf("target"), problems);
         if (op == "markLeaving") {
@@ -85,7 +94,8 @@
         }
     } else {
         reader.report("op",
-                      "must be one of setService, removeService, setRoute, removeRoute, markLeaving, clearLeaving");
+                      "must be one of setService, removeService, setRoute, removeRoute, markLeaving, clearLeaving, "
+                      "setAccount, removeAccount");
         return operation;
     }
     reader.finish();
@@ -150,6 +160,7 @@
         : m_services(base.services)
         , m_routes(base.routes)
         , m_leavingTargets(base.leavingTargets)
+        , m_accounts(base.accounts)
         , m_limits(base.limits)
     {
     }
@@ -188,18 +199,31 @@
         return removed ? "" : "target " + clear.target.toString() + " is not marked as leaving";
     }
 
+    std::string operator()(const SetAccount &set)
+    {
+        m_accounts.set(set.account);
+        return {};
+    }
+
+    std::string operator()(const RemoveAccount &remove)
+    {
+        return m_accounts.remove(remove.name) ? "" : "there is no account \"" + remove.name + "\"";
+    }
+
     SnapshotContent take()
     {
         return {.services = m_services.take(),
                 .routes = m_routes.take(),
                 .leavingTargets = m_leavingTargets.take(),
-                .limits = m_limits};
+                .limits = m_limits,
+                .accounts = m_accounts.take()};
     }
 
 private:
     ResourceMap<Service> m_services;
     ResourceMap<Route> m_routes;
     ResourceMap<LeavingTarget> m_leavingTargets;
+    ResourceMap<ClientAccount> m_accounts;
     TrafficLimits m_limits;
 };
 
@@ -263,6 +287,12 @@
                            [](const ClearLeaving &clear) {
                                return json{{"op", "clearLeaving"}, {"target", clear.target.toString()}};
                            },
+                           [](const SetAccount &set) {
+                               return json{{"op", "setAccount"}, {"account", Hornbeam::toJson(set.account)}};
+                           },
+                           [](const RemoveAccount &remove) {
+                               return json{{"op", "removeAccount"}, {"name", remove.name}};
+                           },
                        },
                        operation));
     }
--- a/libs/config/src/plan.cpp
+++ b/libs/config/src/plan.cpp
@@ -14,31 +14,18 @@
 
 constexpr std::size_t planIdLength = 32;
 
-int hexValue(char c)
+bool isHexDigit(char c)
 {
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
 }
 
 Digest readDigest(JsonReader &reader, const char *key)
 {
-    const auto text = reader.string(key);
-    std::string bytes;
-    for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
-        const int high = hexValue(text[i]);
-        const int low = hexValue(text[i + 1]);
-        if (high < 0 || low < 0) {
-            break;
-        }
-        bytes.push_back(static_cast<char>(high << 4 | low));
-    }
-    const auto digest = Digest::fromBytes(bytes);
-    if (digest.hex() != text) {
+    const auto digest = Digest::fromHex(reader.string(key));
+    if (!digest) {
         reader.report(key, "must be 64 hexadecimal digits");
     }
-    return digest;
+    return digest.value_or(Digest());
 }
 
 JsonProblems readRefusals(const json &value, const std::string &path, JsonProblems &problems)
@@ -74,8 +61,7 @@
 
 bool isPlanId(std::string_view text)
 {
-    return text.size() == planIdLength
-        && std::all_of(text.begin(), text.end(), [](char c) { return hexValue(c) >= 0; });
+    return text.size() == planIdLength && std::all_of(text.begin(), text.end(), isHexDigit);
 }
 
 std::string Plan::toJson() const
--- a/libs/config/src/snapshot.cpp
+++ b/libs/config/src/snapshot.cpp
@@ -80,6 +80,12 @@
     std::sort(m_routesBySpecificity.begin(), m_routesBySpecificity.end(), [this](std::uint32_t a, std::uint32_t b) {
         return isMoreSpecific(m_content.routes[a], m_content.routes[b]);
     });
+    for (std::uint32_t i = 0; i < m_content.accounts.size(); ++i) {
+        for (const auto &digest : m_content.accounts[i].keyDigests) {
+            m_accountsByKey.emplace_back(digest, i);
+        }
+    }
+    std::sort(m_accountsByKey.begin(), m_accountsByKey.end());
 }
 
 Result<SnapshotPtr> Snapshot::make(ConfigVersion version, SnapshotContent content)
@@ -143,6 +149,21 @@
     return it != services.end() && it->name == name ? &*it : nullptr;
 }
 
+const ClientAccount *Snapshot::findAccount(const Digest &key) const
+{
+    const auto it = std::lower_bound(m_accountsByKey.begin(), m_accountsByKey.end(), std::pair(key, std::uint32_t{0}));
+    return it != m_accountsByKey.end() && it->first == key ? &m_content.accounts[it->second] : nullptr;
+}
+
+const ClientAccount *Snapshot::findAccountByName(std::string_view name) const
+{
+    const auto byName = [](const ClientAccount &account, std::string_view wanted) {
+        return account.name < wanted;
+    };
+    const auto it = std::lower_bound(m_content.accounts.begin(), m_content.accounts.end(), name, byName);
+    return it != m_content.accounts.end() && it->name == name ? &*it : nullptr;
+}
+
 const Route *Snapshot::matchRoute(std::string_view host, std::string_view method, std::string_view path) const
 {
     if (m_routesBySpecificity.empty() || path.empty() || path.front() != '/') {
--- a/libs/config/src/snapshotpieces.cpp
+++ b/libs/config/src/snapshotpieces.cpp
@@ -95,6 +95,11 @@
         toWire(target, message);
         builder.finishPieceIfComplete("target " + message.address(), message.ByteSizeLong());
     }
+    for (const auto &account : content.accounts) {
+        auto &message = *builder.current().add_accounts();
+        toWire(account, message);
+        builder.finishPieceIfComplete("account " + account.name, message.ByteSizeLong());
+    }
     if (content.limits != TrafficLimits()) {
         auto &message = *builder.current().mutable_limits();
         toWire(content.limits, message);
--- a/libs/config/src/snapshotvalidator.cpp
+++ b/libs/config/src/snapshotvalidator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 
 namespace Hornbeam {
 
@@ -24,6 +25,9 @@
 constexpr std::size_t maxSplits = 64;
 constexpr std::uint32_t maxWeight = 1000000;
 constexpr std::uint32_t maxTargetConnections = 1000000;
+constexpr std::size_t maxAccounts = 100000;
+constexpr std::size_t maxKeys = 1000; // Of one account; its encoding is then smaller than a piece of the configuration.
+constexpr double maxRate = 1e9; // Of ClientAccount::ratePerSecond and ClientAccount::burst.
 
 bool isLowerAlnum(char c)
 {
@@ -219,6 +223,28 @@
     }
 }
 
+void checkKeyHolders(const std::vector<ClientAccount> &accounts, std::vector<ResourceProblem> &problems)
+{
+    if (accounts.size() > maxAccounts) {
+        problems.push_back({.kind = ResourceKind::ClientAccount,
+                            .name = accounts.back().name,
+                            .field = {},
+                            .text = "there are more than 100000 accounts"});
+    }
+    std::map<Digest, const ClientAccount *> holders;
+    for (const auto &account : accounts) {
+        for (const auto &digest : account.keyDigests) {
+            const auto [it, added] = holders.emplace(digest, &account);
+            if (!added && it->second != &account) {
+                problems.push_back({.kind = ResourceKind::ClientAccount,
+                                    .name = account.name,
+                                    .field = "keyDigests",
+                                    .text = "has a key that account \"" + it->second->name + "\" has"});
+            }
+        }
+    }
+}
+
 void checkServicesPresent(const SnapshotContent &content, std::vector<ResourceProblem> &problems)
 {
     const auto byName = [](const Service &service, std::string_view name) {
@@ -248,6 +274,11 @@
     return !text.empty() && consistsOf(text, maxNameLength, [](char c) { return isLowerAlnum(c) || c == '-'; });
 }
 
+bool isAccountName(std::string_view text)
+{
+    return !text.empty() && consistsOf(text, maxNameLength, isGraphic);
+}
+
 bool isLabelName(std::string_view text)
 {
     const auto allowed = [](char c) {
@@ -270,6 +301,8 @@
         return "route";
     case ResourceKind::LeavingTarget:
         return "leavingTarget";
+    case ResourceKind::ClientAccount:
+        return "account";
     }
     return "service";
 }
@@ -327,6 +360,23 @@
     return collector.take();
 }
 
+std::vector<ResourceProblem> SnapshotValidator::check(const ClientAccount &account)
+{
+    // Negated comparisons would accept NaN.
+    const auto inRange = [](double value) {
+        return value >= 0 && value <= maxRate;
+    };
+    ProblemCollector collector(ResourceKind::ClientAccount, account.name);
+    collector.require(isAccountName(account.name), "name", "must be 1..128 printable characters without spaces");
+    collector.require(account.keyDigests.size() <= maxKeys, "keyDigests", "has more than 1000 elements");
+    collector.require(inRange(account.ratePerSecond), "ratePerSecond", "must be 0..1000000000");
+    collector.require(inRange(account.burst), "burst", "must be 0..1000000000");
+    const bool repeated =
+        std::adjacent_find(account.keyDigests.begin(), account.keyDigests.end()) != account.keyDigests.end();
+    collector.require(!repeated, "keyDigests", "has a duplicate");
+    return collector.take();
+}
+
 std::vector<ResourceProblem> SnapshotValidator::check(const SnapshotContent &content)
 {
     std::vector<ResourceProblem> problems;
@@ -339,6 +389,9 @@
     for (const auto &target : content.leavingTargets) {
         append(problems, check(target));
     }
+    for (const auto &account : content.accounts) {
+        append(problems, check(account));
+    }
     const auto nameOf = [](const auto &resource) {
         return resource.name;
     };
@@ -348,6 +401,8 @@
     checkDuplicates(content.services, ResourceKind::Service, nameOf, problems);
     checkDuplicates(content.routes, ResourceKind::Route, nameOf, problems);
     checkDuplicates(content.leavingTargets, ResourceKind::LeavingTarget, addressOf, problems);
+    checkDuplicates(content.accounts, ResourceKind::ClientAccount, nameOf, problems);
+    checkKeyHolders(content.accounts, problems);
     checkAmbiguity(content.routes, problems);
     checkServicesPresent(content, problems);
     return problems;
@@ -363,6 +418,10 @@
     std::sort(content.services.begin(), content.services.end());
     std::sort(content.routes.begin(), content.routes.end());
     std::sort(content.leavingTargets.begin(), content.leavingTargets.end());
+    for (auto &account : content.accounts) {
+        std::sort(account.keyDigests.begin(), account.keyDigests.end());
+    }
+    std::sort(content.accounts.begin(), content.accounts.end());
 }
 
 } // namespace Hornbeam
--- a/libs/config/src/wire.cpp
+++ b/libs/config/src/wire.cpp
@@ -94,7 +94,8 @@
                 .attempts = message.attempts() != 0 ? message.attempts() : Route().attempts,
                 .onlyBelow = message.only_below(),
                 .bulk = message.bulk(),
-                .latencyObjective = std::chrono::milliseconds(message.latency_objective_ms())};
+                .latencyObjective = std::chrono::milliseconds(message.latency_objective_ms()),
+                .anonymous = message.anonymous()};
     for (const auto &split : message.splits()) {
         route.splits.push_back({.service = split.service(), .weight = split.weight()});
     }
@@ -104,6 +105,30 @@
     return route;
 }
 
+Result<ClientAccount> fromWire(const Wire::ClientAccount &message)
+{
+    ClientAccount account{.name = message.name(),
+                          .keyDigests = {},
+                          .priority = std::nullopt,
+                          .ratePerSecond = message.rate_per_second(),
+                          .burst = message.burst()};
+    for (const auto &bytes : message.key_digests()) {
+        auto digest = Digest::fromBytes(bytes);
+        if (digest.bytes() != bytes) {
+            return makeError(ErrorCode::InvalidArgument, "a key digest of a client account is malformed");
+        }
+        account.keyDigests.push_back(digest);
+    }
+    if (message.has_priority()) {
+        const auto priority = fromWire(message.priority());
+        if (!priority) {
+            return tl::unexpected(priority.error());
+        }
+        account.priority = *priority;
+    }
+    return account;
+}
+
 } // namespace
 
 void toWire(const Service &service, Wire::Service &message)
@@ -142,6 +167,20 @@
     message.set_only_below(route.onlyBelow);
     message.set_bulk(route.bulk);
     message.set_latency_objective_ms(static_cast<std::uint32_t>(route.latencyObjective.count()));
+    message.set_anonymous(route.anonymous);
+}
+
+void toWire(const ClientAccount &account, Wire::ClientAccount &message)
+{
+    message.set_name(account.name);
+    for (const auto &digest : account.keyDigests) {
+        message.add_key_digests(digest.bytes());
+    }
+    if (account.priority) {
+        message.set_priority(toWire(*account.priority));
+    }
+    message.set_rate_per_second(account.ratePerSecond);
+    message.set_burst(account.burst);
 }
 
 void toWire(const TrafficLimits &limits, Wire::TrafficLimits &message)
@@ -168,6 +207,9 @@
     for (const auto &target : content.leavingTargets) {
         toWire(target, *message.add_leaving_targets());
     }
+    for (const auto &account : content.accounts) {
+        toWire(account, *message.add_accounts());
+    }
     if (content.limits != TrafficLimits()) {
         toWire(content.limits, *message.mutable_limits());
     }
@@ -192,6 +234,13 @@
         }
         content.leavingTargets.push_back(LeavingTarget{.address = *std::move(address)});
     }
+    for (const auto &encoded : message.accounts()) {
+        auto account = fromWire(encoded);
+        if (!account) {
+            return tl::unexpected(account.error());
+        }
+        content.accounts.push_back(*std::move(account));
+    }
     if (message.has_limits()) {
         const auto &limits = message.limits();
         content.limits = {.maxHeaderBytes = limits.max_header_bytes(),
--- a/libs/config/src/wire.h
+++ b/libs/config/src/wire.h
@@ -7,6 +7,7 @@
 namespace Hornbeam {
 
 namespace Wire {
+class ClientAccount;
 class Content;
 class LeavingTarget;
 class Route;
@@ -17,10 +18,12 @@
 void toWire(const Service &service, Wire::Service &message);
 void toWire(const Route &route, Wire::Route &message);
 void toWire(const LeavingTarget &target, Wire::LeavingTarget &message);
+void toWire(const ClientAccount &account, Wire::ClientAccount &message);
 void toWire(const TrafficLimits &limits, Wire::TrafficLimits &message);
 void toWire(const SnapshotContent &content, Wire::Content &message);
 
-/** Appends the resources of @p message to @p content. InvalidArgument for unknown enum values and bad addresses. */
+/** Appends the resources of @p message to @p content. InvalidArgument for unknown enum values, bad addresses and
+ * bad digests. */
 Result<void> appendFromWire(const Wire::Content &message, SnapshotContent &content);
 
 /** Encodes sorted content; equal content has equal bytes. */
--- a/libs/config/tests/intenttest.cpp
+++ b/libs/config/tests/intenttest.cpp
@@ -65,9 +65,10 @@
     check("$.operations must be an array", R"({"operations":{}})");
     check("$.operations must have 1..20000 elements", withOperation(""));
     check("$.extra is not a known key", R"({"operations":[{"op":"removeRoute","name":"a"}],"extra":1})");
-    check(
-        "$.operations[0].op must be one of setService, removeService, setRoute, removeRoute, markLeaving, clearLeaving",
-        withOperation(R"({"op":"set"})"));
+    check("$.operations[0].op must be one of setService, removeService, setRoute, removeRoute, markLeaving, "
+          "clearLeaving, "
+          "setAccount, removeAccount",
+          withOperation(R"({"op":"set"})"));
     check("$.operations[0].name is missing", withOperation(R"({"op":"removeRoute"})"));
     check("$.operations[0].service.slotsPerTarget must be an integer",
           withOperation(R"({"op":"setService","service":{"name":"a","slotsPerTarget":1.5}})"));
--- a/libs/proxy/include/hornbeam/proxy/headernames.h
+++ b/libs/proxy/include/hornbeam/proxy/headernames.h
@@ -16,6 +16,12 @@
     std::string expectedTarget{}; ///< Sent to a target: its name. A target with another name refuses the request.
     std::string originService{}; ///< Sent to a target: the service on the host of the caller.
     std::string notExecuted{}; ///< Set in the response of a target that did not run the request.
+    /**
+     * Carries the key of a client account. It is removed from a request. Without a name, requests have no account, and
+     * a configuration with accounts admits only requests of anonymous routes.
+     */
+    std::string accountKey = "X-Hornbeam-Key";
+    std::string account = "X-Hornbeam-Account"; ///< Sent to a target: the name of the request's client account.
     bool fractionalRetryAfter = false; ///< Callers accept fractions of a second in Retry-After.
 
     friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
--- a/libs/proxy/include/hornbeam/proxy/requestlog.h
+++ b/libs/proxy/include/hornbeam/proxy/requestlog.h
@@ -33,6 +33,7 @@
     std::string_view reason;
     int status = 0; ///< HTTP status of the response to the caller or of the target; 0 if there is none.
     std::uint64_t configVersion = 0; ///< Configuration version with which the request was routed.
+    std::string_view account; ///< Client account; empty if there is none.
     std::size_t rank = 0; ///< Admission order, see AdmissionRank.
     Duration age{0}; ///< Time since the request arrived.
     Duration timeLeft{0}; ///< Time left until its deadline.
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -81,13 +81,23 @@
     return value != nullptr ? RelaySender::parse(*value) : std::nullopt;
 }
 
+std::optional<CallAccount> accountOf(const HttpHead &relayed)
+{
+    const auto *value = relayed.find(accountHeaderName);
+    return value != nullptr ? parseRelayAccount(*value) : std::nullopt;
+}
+
 } // namespace
 
-CallContext::CallContext(CallEnvironment environment, const Route &matchedRoute, const Service &routeService)
+CallContext::CallContext(CallEnvironment environment,
+                         const Route &matchedRoute,
+                         const Service &routeService,
+                         std::optional<CallAccount> callAccount)
     : CallEnvironment(std::move(environment))
     , origin(CallOrigin::Caller)
     , route(matchedRoute)
     , service(routeService)
+    , account(std::move(callAccount))
     , body(caller.stream(), caller.head(), routeService.maxRequestBytes)
     , watch(caller.watch())
     , started(caller.received())
@@ -117,6 +127,7 @@
     , service(targetService)
     , relay(relayRequest)
     , sender(senderOf(caller.head()))
+    , account(accountOf(caller.head()))
     , body(caller.stream(), caller.head(), targetService.maxRequestBytes)
     , watch(caller.watch())
     , started(caller.received())
@@ -159,7 +170,7 @@
     if (nested) {
         return AdmissionRank::nested();
     }
-    const AdmissionRank inTime = route.priority;
+    const AdmissionRank inTime = account ? account->priority.value_or(route.priority) : route.priority;
     return late ? inTime.late() : inTime;
 }
 
@@ -225,7 +236,7 @@
 {
     const auto &names = core.options.headers;
     std::vector<std::string_view> replaced;
-    for (const auto *name : {&names.deadline, &names.expectedTarget}) {
+    for (const auto *name : {&names.deadline, &names.expectedTarget, &names.accountKey, &names.account}) {
         if (!name->empty()) {
             replaced.emplace_back(*name);
         }
@@ -283,6 +294,7 @@
             .reason = reason,
             .status = status,
             .configVersion = state->snapshot->version(),
+            .account = account ? std::string_view(account->name) : std::string_view(),
             .rank = rank().value(),
             .age = now - started,
             .timeLeft = deadline - now,
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -43,7 +43,10 @@
 struct CallContext : CallEnvironment
 {
     /** Creates the context of a caller's request. */
-    CallContext(CallEnvironment environment, const Route &matchedRoute, const Service &routeService);
+    CallContext(CallEnvironment environment,
+                const Route &matchedRoute,
+                const Service &routeService,
+                std::optional<CallAccount> callAccount);
 
     /** Creates the context of a request from another node. @p relayRoute: made from its relay header. */
     CallContext(CallEnvironment environment,
@@ -56,6 +59,7 @@
     const Service &service; ///< Service of the target; from the state's snapshot or made from the relay header.
     std::optional<RelayRequest> relay; ///< Set for a request from another node.
     std::optional<RelaySender> sender; ///< The node that has relayed the request, if it names itself.
+    std::optional<CallAccount> account; ///< The client account; nothing if the request has none.
     RequestBody body;
     CallerWatch &watch;
     TimePoint started;
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -35,6 +35,27 @@
  */
 constexpr std::size_t maxPipelinedRequests = 8;
 
+/** Retry-After of a nested call whose parent is not known. A later attempt of the parent makes new calls. */
+constexpr std::chrono::milliseconds unknownParentRetryAfter{1000};
+
+Refusal accountRefusal(AccountVerdict verdict)
+{
+    switch (verdict) {
+    case AccountVerdict::RepeatedKey:
+        return {.status = 401, .reason = "repeated account key"};
+    case AccountVerdict::EmptyKey:
+        return {.status = 401, .reason = "empty account key"};
+    case AccountVerdict::UnknownKey:
+        return {.status = 401, .reason = "unknown account key"};
+    case AccountVerdict::UnknownParent:
+        return {.status = 503, .reason = "unknown parent of a nested call", .retryAfter = unknownParentRetryAfter};
+    case AccountVerdict::NoKey:
+    case AccountVerdict::Accepted:
+        break;
+    }
+    return {.status = 401, .reason = "no account key"};
+}
+
 } // namespace
 
 /** Counts a request as in flight for as long as the guard exists. */
@@ -326,15 +347,38 @@
     return {.core = m_core, .pool = m_pool, .context = m_context, .caller = exchange, .state = state};
 }
 
+AccountDecision CallerConnection::resolveAccount(const RoutingState &state,
+                                                 const HttpHead &head,
+                                                 const Route &route) const
+{
+    const auto &names = m_core.options.headers;
+    const auto now = std::chrono::steady_clock::now();
+    AccountRequest request{.snapshot = *state.snapshot, .route = route};
+    if (!names.accountKey.empty()) {
+        request.keys = head.findAll(names.accountKey);
+    }
+    const auto *id = names.requestId.empty() ? nullptr : head.find(names.requestId);
+    if (id != nullptr) {
+        auto caller = m_core.running.callerOf(*id, now);
+        request.parent = caller.parent;
+        request.parentAccount = std::move(caller.account);
+    }
+    return m_core.accounts.resolve(request, now);
+}
+
 asio::awaitable<bool> CallerConnection::serveRoute(const RoutingStatePtr &state,
                                                    CallerExchange &exchange,
                                                    const Route &route)
 {
+    auto decision = resolveAccount(*state, exchange.head(), route);
+    if (decision.verdict != AccountVerdict::Accepted) {
+        co_return co_await refuse(exchange, accountRefusal(decision.verdict), state->snapshot->version());
+    }
     const auto *service = state->snapshot->findService(m_core.splits.choose(route));
     if (service == nullptr) {
         co_return co_await refuse(exchange, {.status = 503, .reason = "no service"}, state->snapshot->version());
     }
-    CallContext call(environment(state, exchange), route, *service);
+    CallContext call(environment(state, exchange), route, *service, std::move(decision.account));
     co_return co_await serveCall(call);
 }
 
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -51,6 +51,7 @@
     /** Ends the connection and cancels the pipelined requests in flight, whose responses cannot be delivered. */
     void abandon();
     CallEnvironment environment(const RoutingStatePtr &state, CallerExchange &exchange);
+    AccountDecision resolveAccount(const RoutingState &state, const HttpHead &head, const Route &route) const;
     asio::awaitable<bool> serveRoute(const RoutingStatePtr &state, CallerExchange &exchange, const Route &route);
     asio::awaitable<bool> serveRelayed(const RoutingStatePtr &state,
                                        CallerExchange &exchange,
--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -129,6 +129,17 @@
     return it == headers.end() ? nullptr : &it->value;
 }
 
+std::vector<std::string_view> HttpHead::findAll(std::string_view name) const
+{
+    std::vector<std::string_view> values;
+    for (const auto &header : headers) {
+        if (equalsIgnoringCase(header.name, name)) {
+            values.emplace_back(header.value);
+        }
+    }
+    return values;
+}
+
 std::size_t HttpHead::count(std::string_view name) const
 {
     return std::count_if(
--- a/libs/proxy/src/httphead.h
+++ b/libs/proxy/src/httphead.h
@@ -36,6 +36,9 @@
     /** Returns the value of the first header called @p name, or null. */
     const std::string *find(std::string_view name) const;
 
+    /** Returns the values of all headers called @p name. */
+    std::vector<std::string_view> findAll(std::string_view name) const;
+
     std::size_t count(std::string_view name) const;
 
     /** The request target without its query. */
--- a/libs/proxy/src/refusal.cpp
+++ b/libs/proxy/src/refusal.cpp
@@ -35,6 +35,8 @@
     switch (status) {
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
     case 404:
         return "Not Found";
     case 408:
@@ -45,6 +47,8 @@
         return "Content Too Large";
     case 422:
         return "Unprocessable Content";
+    case 429:
+        return "Too Many Requests";
     case 431:
         return "Request Header Fields Too Large";
     case 501:
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -107,6 +107,31 @@
                         .repeated = repeated == 1};
 }
 
+std::string formatRelayAccount(const CallAccount &account)
+{
+    const auto priority = account.priority ? std::to_string(static_cast<int>(*account.priority)) : std::string("-");
+    return priority + (account.inherited ? ";1;" : ";0;") + account.name;
+}
+
+std::optional<CallAccount> parseRelayAccount(std::string_view text)
+{
+    // The name comes last, because it may contain the separator.
+    constexpr std::size_t nameOffset = 4;
+    if (text.size() <= nameOffset || text[1] != ';' || text[3] != ';') {
+        return std::nullopt;
+    }
+    const auto priority = text.substr(0, 1) == "-" ? std::optional<std::uint64_t>() : number(text.substr(0, 1), 2);
+    const auto inherited = number(text.substr(2, 1), 1);
+    if (!inherited || (!priority && text.front() != '-')) {
+        return std::nullopt;
+    }
+    CallAccount account{.name = std::string(text.substr(nameOffset)), .inherited = *inherited == 1};
+    if (priority) {
+        account.priority = static_cast<Priority>(*priority);
+    }
+    return account;
+}
+
 std::uint32_t LoadReport::ahead(AdmissionRank rank) const
 {
     return std::accumulate(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(rank.value()) + 1, running);
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -2,6 +2,7 @@
 
 #include "admissionrank.h"
 
+#include <hornbeam/accounts/callaccount.h>
 #include <hornbeam/base/timerservice.h>
 
 #include <array>
@@ -18,6 +19,9 @@
 /** Header of requests between nodes; its value is a RelaySender. */
 inline constexpr std::string_view nodeHeaderName = "X-Hornbeam-Node";
 
+/** Header of requests between nodes; its value is formatRelayAccount(). */
+inline constexpr std::string_view accountHeaderName = "X-Hornbeam-Relay-Account";
+
 /** Header of responses between nodes; its value is a LoadReport. */
 inline constexpr std::string_view loadHeaderName = "X-Hornbeam-Load";
 
@@ -56,6 +60,12 @@
     friend bool operator==(const RelaySender &, const RelaySender &) = default;
 };
 
+/** Formats the client account of a request that a node relays. */
+std::string formatRelayAccount(const CallAccount &account);
+
+/** Parses the result of formatRelayAccount(); nothing for any other text. */
+std::optional<CallAccount> parseRelayAccount(std::string_view text);
+
 /** The load of a target as reported by the node on its host. */
 struct LoadReport
 {
--- a/libs/proxy/src/runningrequests.cpp
+++ b/libs/proxy/src/runningrequests.cpp
@@ -1,5 +1,7 @@
 #include "runningrequests.h"
 
+#include <algorithm>
+
 namespace Hornbeam {
 
 namespace {
@@ -16,6 +18,9 @@
 /** Limits the memory use. When there are more routes, the history of all routes is cleared. */
 constexpr std::size_t maxRoutes = 10000;
 
+/** Fewest remembered requests among which expired ones are searched. */
+constexpr std::size_t minPurgeSize = 64;
+
 /** The id of the request that makes the nested call @p id; empty if @p id has not the form of a nested call. */
 std::string parentId(std::string_view id)
 {
@@ -25,13 +30,13 @@
 
 } // namespace
 
-void RunningRequests::add(const std::string &id, const std::string &route, bool repeated)
+void RunningRequests::add(const std::string &id, RunningRequest request)
 {
     const std::lock_guard lock(m_mutex);
-    m_running.emplace(id, Running{.route = route, .calls = {}, .repeated = repeated});
+    m_running.emplace(id, Running{.request = std::move(request), .calls = {}});
 }
 
-bool RunningRequests::remove(const std::string &id)
+bool RunningRequests::remove(const std::string &id, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_running.find(id);
@@ -39,6 +44,9 @@
         return false;
     }
     updateHistory(it->second);
+    if (it->second.request.account) {
+        remember(id, it->second.request.deadline, now);
+    }
     const bool failed = it->second.callFailed;
     m_running.erase(it);
     return failed;
@@ -51,6 +59,22 @@
     return !parent.empty() && m_running.contains(parent);
 }
 
+CallerOfCall RunningRequests::callerOf(std::string_view id, TimePoint now) const
+{
+    const auto parent = parentId(id);
+    if (parent.empty()) {
+        return {};
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_running.find(parent);
+    if (it != m_running.end()) {
+        return {.parent = CallParent::Running, .account = it->second.request.account};
+    }
+    const auto ended = m_ended.find(parent);
+    const bool mayRun = ended != m_ended.end() && now < ended->second;
+    return {.parent = mayRun ? CallParent::Ended : CallParent::Unknown};
+}
+
 bool RunningRequests::callStarted(std::string_view id, const std::string &service)
 {
     const std::lock_guard lock(m_mutex);
@@ -59,7 +83,7 @@
         return false;
     }
     ++parent->calls[service];
-    return parent->repeated;
+    return parent->request.repeated;
 }
 
 void RunningRequests::callFailed(std::string_view id)
@@ -93,12 +117,22 @@
     return it == m_running.end() ? nullptr : &it->second;
 }
 
+void RunningRequests::remember(const std::string &id, TimePoint deadline, TimePoint now)
+{
+    if (m_ended.size() >= m_purgeSize) {
+        std::erase_if(m_ended, [now](const auto &entry) { return entry.second <= now; });
+        m_purgeSize = std::max(minPurgeSize, 2 * m_ended.size());
+    }
+    auto &end = m_ended[id];
+    end = std::max(end, deadline);
+}
+
 void RunningRequests::updateHistory(const Running &ended)
 {
     if (m_history.size() >= maxRoutes) {
         m_history.clear();
     }
-    auto &history = m_history[ended.route];
+    auto &history = m_history[ended.request.route];
     history.runs += 1;
     for (const auto &[service, calls] : ended.calls) {
         history.calls[service] += calls;
--- a/libs/proxy/src/runningrequests.h
+++ b/libs/proxy/src/runningrequests.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <hornbeam/accounts/accountresolver.h>
+
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -18,6 +20,22 @@
     double callsPerRun = 0;
 };
 
+/** A request that starts to run at a target of this host. */
+struct RunningRequest
+{
+    std::string route;
+    bool repeated = false; ///< It may have run before, so its nested calls may be repetitions as well.
+    std::optional<CallAccount> account{}; ///< Inherited by its nested calls.
+    TimePoint deadline{}; ///< End of the request at the target, also if its attempt ends earlier.
+};
+
+/** The request that makes a call. */
+struct CallerOfCall
+{
+    CallParent parent = CallParent::None;
+    std::optional<CallAccount> account{}; ///< For CallParent::Running.
+};
+
 /**
  * The requests that run at the targets of this host, by request id, and their nested calls. The id of a nested call is
  * the id of the request that makes it, a dot and a further part; a call is recognised as nested only while that request
@@ -26,11 +44,16 @@
 class RunningRequests
 {
 public:
-    /** @p repeated: the request may have run before, so its nested calls may be repetitions as well. */
-    void add(const std::string &id, const std::string &route, bool repeated = false);
+    void add(const std::string &id, RunningRequest request);
+
+    /**
+     * Removes a request whose attempt has ended. Returns whether one of its nested calls failed. Requests with an
+     * account are remembered until their deadlines, because a target may still run them.
+     */
+    bool remove(const std::string &id, TimePoint now = {});
 
-    /** Removes a request that has ended. Returns whether one of its nested calls failed. */
-    bool remove(const std::string &id);
+    /** How the request @p id relates to the requests that run or have run at the targets of this host. */
+    CallerOfCall callerOf(std::string_view id, TimePoint now) const;
 
     /** Whether @p id belongs to a nested call of a request that is running. */
     bool isNestedCall(std::string_view id) const;
@@ -47,9 +70,8 @@
 private:
     struct Running
     {
-        std::string route;
+        RunningRequest request;
         std::map<std::string, int> calls; ///< By service.
-        bool repeated = false;
         bool callFailed = false;
     };
 
@@ -62,11 +84,15 @@
     using RunningMap = std::unordered_multimap<std::string, Running>;
 
     Running *parentOf(std::string_view id);
+    void remember(const std::string &id, TimePoint deadline, TimePoint now);
     void updateHistory(const Running &ended);
 
     mutable std::mutex m_mutex;
     RunningMap m_running;
     std::map<std::string, RouteHistory, std::less<>> m_history; ///< By name of the route.
+    std::unordered_map<std::string, TimePoint>
+        m_ended; ///< Deadlines of ended requests by id; expired ones remain a while.
+    std::size_t m_purgeSize = 0; ///< Size of m_ended at which expired entries are removed next.
 };
 
 } // namespace Hornbeam
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -21,6 +21,7 @@
     , balancer(options, dependencies.metrics, linkPacer)
     , suspects(options.crashWindow)
     , metrics(dependencies.metrics)
+    , accounts(std::chrono::steady_clock::now())
 {
     auto initial = std::make_shared<RoutingState>();
     initial->snapshot = Snapshot::empty();
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -11,6 +11,7 @@
 #include "splitchooser.h"
 #include "stoppingpeers.h"
 
+#include <hornbeam/accounts/accountresolver.h>
 #include <hornbeam/proxy/proxyserver.h>
 
 #include <atomic>
@@ -38,6 +39,7 @@
     CallAgeEstimator callAges;
     SplitChooser splits;
     RunningRequests running;
+    const AccountResolver accounts;
     RouteTimes routeTimes;
     StoppingPeers stoppingPeers;
     std::atomic<std::size_t> requestsInFlight = 0;
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -88,7 +88,7 @@
 void UpstreamExchange::endTracking()
 {
     if (std::exchange(m_tracked, false)) {
-        m_dependencyFailed = m_call.core.running.remove(*m_call.requestId());
+        m_dependencyFailed = m_call.core.running.remove(*m_call.requestId(), now());
         const auto &reader = m_connection->stream.reader();
         const bool served = reader.state() != HttpMessageReader::State::Head && reader.head().status < 300;
         if (served) {
@@ -154,7 +154,11 @@
     }
     if (!m_lease.isRemote() && m_call.requestId() != nullptr) {
         m_tracked = true;
-        m_call.core.running.add(*m_call.requestId(), m_call.routeName(), m_call.repeated);
+        m_call.core.running.add(*m_call.requestId(),
+                                {.route = m_call.routeName(),
+                                 .repeated = m_call.repeated,
+                                 .account = m_call.account,
+                                 .deadline = m_call.deadline});
     }
     stream().reader().reset(m_call.head().method == "HEAD");
     m_acknowledgedBeforeSend = acknowledgedBytes(stream().socket().socket().native_handle());
@@ -210,9 +214,16 @@
             const RelaySender sender{.nodeId = options.nodeId, .stopTime = options.drainBound};
             out += std::string(nodeHeaderName) + ": " + sender.format() + "\r\n";
         }
+        if (m_call.account) {
+            out += std::string(accountHeaderName) + ": " + formatRelayAccount(*m_call.account) + "\r\n";
+        }
         return;
     }
     out += names.deadline + ": " + std::to_string(left.count()) + "\r\n";
+    // A nested call is the parent's work: its client has sent no key, so the target is told no account.
+    if (!names.account.empty() && m_call.account && !m_call.account->inherited) {
+        out += names.account + ": " + m_call.account->name + "\r\n";
+    }
     if (!names.expectedTarget.empty() && !target.name.empty()) {
         out += names.expectedTarget + ": " + target.name + "\r\n";
     }
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -15,6 +15,8 @@
                        .expectedTarget = "For-Target",
                        .originService = "From-Service",
                        .notExecuted = "Not-Run",
+                       .accountKey = "Client-Key",
+                       .account = "Client-Name",
                        .fractionalRetryAfter = true};
     options.hostService = nodeOptions.hostService;
     options.nodeId = nodeOptions.nodeId;
@@ -90,7 +92,12 @@
     download.name = "export";
     download.pathPrefix = "/export";
     download.bulk = true;
-    content.routes = {read, book, download};
+    auto open = read;
+    open.name = "open";
+    open.pathPrefix = "/open";
+    open.anonymous = true;
+    content.routes = {read, book, download, open};
+    content.accounts = accounts;
     auto state = std::make_shared<RoutingState>();
     state->snapshot = Snapshot::make(7, content).value();
     state->targets = targets;
--- a/libs/proxy/tests/relayfixture.h
+++ b/libs/proxy/tests/relayfixture.h
@@ -37,7 +37,7 @@
 
 /**
  * Nodes with relay listeners: callers connect to the front node, and each target is on the host of another one.
- * Requests are idempotent, except below /book; responses below /export are large.
+ * Requests are idempotent, except below /book; responses below /export are large; requests below /open need no account.
  */
 class RelayFixture
 {
@@ -47,6 +47,7 @@
     std::vector<Target> targets;
     RelayNodeOptions frontOptions{.hostService = "desk"};
     std::chrono::milliseconds timeout{3000};
+    std::vector<ClientAccount> accounts{};
     RelayNodeOptions targetOptions{.hostService = "rota"}; ///< Of the nodes that are added from now on.
     int nextId = 0; ///< Request ids of call() are "c1", "c2" and so on.
 
--- a/libs/proxy/tests/relayheadertest.cpp
+++ b/libs/proxy/tests/relayheadertest.cpp
@@ -30,6 +30,17 @@
     }
 }
 
+TEST(RelayHeader, parsesAFormattedAccount)
+{
+    for (const auto &account :
+         {CallAccount{.name = "north", .priority = Priority::Low}, CallAccount{.name = ";a;b;", .inherited = true}}) {
+        CHECK(parseRelayAccount(formatRelayAccount(account)) == account);
+    }
+    for (const char *text : {"", "north", "0;0;", "3;0;north", "0;2;north", "0;;north", "--;0;north", "-;0north"}) {
+        CHECK_FALSE(parseRelayAccount(text).has_value());
+    }
+}
+
 TEST(RelayHeader, parsesAFormattedReport)
 {
     const LoadReport report{.running = 9,
--- a/libs/proxy/tests/runningrequeststest.cpp
+++ b/libs/proxy/tests/runningrequeststest.cpp
@@ -13,7 +13,7 @@
 
     void runOnce(const std::string &id, int calls)
     {
-        running.add(id, "lookup");
+        running.add(id, {.route = "lookup"});
         for (int i = 0; i < calls; ++i) {
             running.callStarted(id + "." + std::to_string(i), "records");
         }
@@ -24,7 +24,7 @@
 // A caller must not get the better rank of nested calls by sending an id that merely looks like one.
 TEST(RunningRequests, recognisesNestedCallsOfRunningRequestsOnly)
 {
-    running.add("a1", "lookup");
+    running.add("a1", {.route = "lookup"});
     CHECK(running.isNestedCall("a1.x"));
     CHECK_FALSE(running.isNestedCall("a2.x"));
     CHECK_FALSE(running.isNestedCall("a1"));
@@ -32,6 +32,20 @@
     CHECK_FALSE(running.isNestedCall("a1.x"));
 }
 
+// Guards against refusing for good the nested calls of a request that a target still runs after its attempt has ended.
+TEST(RunningRequests, remembersAnEndedRequestUntilItsDeadline)
+{
+    const auto now = TimePoint() + 1h;
+    const CallAccount account{.name = "north"};
+    running.add("a1", {.route = "lookup", .account = account, .deadline = now + 2s});
+    CHECK(running.callerOf("a1.x", now).parent == CallParent::Running);
+    CHECK(running.callerOf("a1.x", now).account == account);
+    running.remove("a1", now);
+    CHECK(running.callerOf("a1.x", now + 1999ms).parent == CallParent::Ended);
+    CHECK(running.callerOf("a1.x", now + 2s).parent == CallParent::Unknown);
+    CHECK(running.callerOf("a1", now).parent == CallParent::None);
+}
+
 TEST(RunningRequests, derivesDependenciesFromNestedCalls)
 {
     for (int i = 0; i < 9; ++i) {
@@ -61,11 +75,11 @@
 // the same service.
 TEST(RunningRequests, reportsAFailedNestedCall)
 {
-    running.add("a1", "lookup");
+    running.add("a1", {.route = "lookup"});
     running.callFailed("a1.x");
     running.callFailed("unknown.x");
     CHECK(running.remove("a1"));
-    running.add("a1", "lookup");
+    running.add("a1", {.route = "lookup"});
     CHECK_FALSE(running.remove("a1"));
 }
 
@@ -73,8 +87,8 @@
 // budgets of those services.
 TEST(RunningRequests, reportsNestedCallsOfARepeatedRequest)
 {
-    running.add("a1", "lookup", true);
-    running.add("a2", "lookup", false);
+    running.add("a1", {.route = "lookup", .repeated = true});
+    running.add("a2", {.route = "lookup", .repeated = false});
     CHECK(running.callStarted("a1.x", "records"));
     CHECK_FALSE(running.callStarted("a2.x", "records"));
     CHECK_FALSE(running.callStarted("a3.x", "records"));
