--- a/daemons/hornbeamd/rolloutagent.cpp
+++ b/daemons/hornbeamd/rolloutagent.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/** Kind of the membership payloads of roll-outs. */
-constexpr std::uint32_t payloadKind = 2;
-
 /** Nodes that may decide roll-outs; more would only poll the lease. */
 constexpr std::size_t candidates = 3;
 
@@ -64,8 +61,10 @@
 void RolloutAgent::start(std::function<void()> changed)
 {
     m_changed = std::move(changed);
-    m_dependencies.detector.subscribePayloads(payloadKind, [this](const std::string &sender, std::string_view data) {
-        m_coordinator->receive(sender, data);
+    m_dependencies.detector.subscribePayloads([this](const Payload &payload) {
+        if (payload.kind == PayloadKind::Rollouts) {
+            m_coordinator->receive(payload.sender, payload.content);
+        }
     });
 }
 
@@ -138,7 +137,7 @@
 
 void RolloutAgent::send(const std::string &node, std::string_view message)
 {
-    m_dependencies.detector.sendPayload(node, payloadKind, message);
+    m_dependencies.detector.sendPayload(node, PayloadKind::Rollouts, std::string(message));
 }
 
 std::size_t RolloutAgent::liveNodes() const
--- a/libs/membership/include/hornbeam/membership/failuredetector.h
+++ b/libs/membership/include/hornbeam/membership/failuredetector.h
@@ -4,6 +4,7 @@
 #include <hornbeam/membership/failuredetectoroptions.h>
 #include <hornbeam/membership/heartbeat.h>
 #include <hornbeam/membership/membershiptable.h>
+#include <hornbeam/membership/payload.h>
 #include <hornbeam/membership/rumor.h>
 
 #include <functional>
@@ -37,7 +38,7 @@
     using HeartbeatListener = std::function<void(const Heartbeat &)>;
     using RumorListener = std::function<void(const Rumor &)>;
     using JoinListener = std::function<void()>;
-    using PayloadListener = std::function<void(const std::string &sender, std::string_view data)>;
+    using PayloadListener = std::function<void(const Payload &)>;
 
     /** InvalidArgument when an option is out of range. */
     static Result<std::unique_ptr<FailureDetector>> make(FailureDetectorOptions options,
@@ -79,13 +80,13 @@
     std::vector<Rumor> rumors() const;
 
     /**
-     * Sends @p data, at most 1000 bytes, to the live member with this id. Unreliable and unordered; ignored for an
-     * unknown member and after leave(). @p kind: names the component whose listeners receive the data.
+     * Sends a message of another library to @p member in a datagram. Does nothing if the member is not live, this node
+     * has left or @p content exceeds maxPayloadBytes.
      */
-    void sendPayload(const std::string &member, std::uint32_t kind, std::string_view data);
+    void sendPayload(const std::string &member, PayloadKind kind, const std::string &content);
 
-    /** Calls @p listener for each payload of that kind, with the id of its sender. */
-    void subscribePayloads(std::uint32_t kind, PayloadListener listener);
+    /** Calls @p listener for every payload received, of all kinds. */
+    void subscribePayloads(PayloadListener listener);
 
     /** Calls @p listener for every valid datagram received, with the state of the sender that it reports. */
     void subscribeHeartbeats(HeartbeatListener listener);
--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -31,7 +31,6 @@
 constexpr std::size_t leaveFanout = 8;
 constexpr auto leaveRepeatDelay = std::chrono::milliseconds(50);
 constexpr std::size_t maxIdBytes = 64;
-constexpr std::size_t maxPayloadBytes = 1000; // With the header of a datagram below its maximum size.
 
 bool isLive(MemberState state)
 {
@@ -153,22 +152,23 @@
         return m_rumors.active();
     }
 
-    void sendPayload(const std::string &member, std::uint32_t kind, std::string_view data)
+    void sendPayload(const std::string &id, PayloadKind kind, const std::string &content)
     {
-        const auto peer = m_table.find(memberHash(member));
-        if (!peer || !isLive(peer->state) || m_self.state == MemberState::Left || data.size() > maxPayloadBytes) {
+        const auto member = m_table.find(memberHash(id));
+        if (!member || !isLive(member->state) || m_self.state == MemberState::Left
+            || content.size() > maxPayloadBytes) {
             return;
         }
         auto datagram = m_channel.makeDatagram();
-        datagram.mutable_payload()->set_kind(kind);
-        datagram.mutable_payload()->set_data(data.data(), data.size());
-        m_channel.sendWithoutPiggyback(peer->peerAddress, datagram);
+        datagram.mutable_payload()->set_kind(static_cast<std::uint32_t>(kind));
+        datagram.mutable_payload()->set_content(content);
+        m_channel.sendWithoutPiggyback(member->peerAddress, datagram);
     }
 
-    std::multimap<std::uint32_t, PayloadListener> payloadListeners; ///< By kind.
     std::vector<HeartbeatListener> heartbeatListeners;
     std::vector<RumorListener> rumorListeners;
     std::vector<JoinListener> joinListeners;
+    std::vector<PayloadListener> payloadListeners;
 
 private:
     void receive(std::string_view bytes)
@@ -506,9 +506,11 @@
 
     void notifyPayload(const Wire::Datagram &datagram)
     {
-        const auto [first, last] = payloadListeners.equal_range(datagram.payload().kind());
-        for (auto it = first; it != last; ++it) {
-            it->second(datagram.sender_id(), datagram.payload().data());
+        const Payload payload{.sender = datagram.sender_id(),
+                              .kind = static_cast<PayloadKind>(datagram.payload().kind()),
+                              .content = datagram.payload().content()};
+        for (const auto &listener : payloadListeners) {
+            listener(payload);
         }
     }
 
@@ -621,14 +623,14 @@
     return m_impl->rumors();
 }
 
-void FailureDetector::sendPayload(const std::string &member, std::uint32_t kind, std::string_view data)
+void FailureDetector::sendPayload(const std::string &member, PayloadKind kind, const std::string &content)
 {
-    m_impl->sendPayload(member, kind, data);
+    m_impl->sendPayload(member, kind, content);
 }
 
-void FailureDetector::subscribePayloads(std::uint32_t kind, PayloadListener listener)
+void FailureDetector::subscribePayloads(PayloadListener listener)
 {
-    m_impl->payloadListeners.emplace(kind, std::move(listener));
+    m_impl->payloadListeners.push_back(std::move(listener));
 }
 
 void FailureDetector::subscribeHeartbeats(HeartbeatListener listener)
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -230,7 +230,8 @@
     const bool active = std::any_of(m_services.begin(), m_services.end(), [&](const auto &it) {
         return it.second.isOpen() || (isDecider() && it.second.finished > now - finalRepeats);
     });
-    const bool wanted = !m_stopped && active && now >= m_candidateFrom && (m_dependencies.network.isCandidate() || isDecider());
+    const bool wanted =
+        !m_stopped && active && now >= m_candidateFrom && (m_dependencies.network.isCandidate() || isDecider());
     if (wanted == m_candidate) {
         return;
     }
