--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -607,7 +607,11 @@
 
 void Node::Impl::targetsChanged(std::vector<Target> targets)
 {
-    m_log.info("targets on this host changed", {{"count", std::to_string(targets.size())}});
+    std::string versions;
+    for (const auto &target : targets) {
+        versions += (versions.empty() ? "" : ",") + target.service + ":" + target.version;
+    }
+    m_log.info("targets on this host changed", {{"count", std::to_string(targets.size())}, {"versions", versions}});
     m_publisher.setOwnTargets(targets);
     m_detector->setTargets(std::move(targets));
 }
--- a/libs/admin/tests/adminservertest.cpp
+++ b/libs/admin/tests/adminservertest.cpp
@@ -233,6 +233,7 @@
 
 TEST(AdminServer, servesConfigurationRolloutAndStatus)
 {
+    CHECK(json::parse(send("GET", "/v1/rollouts").body).at("steps").is_array());
     const auto config = json::parse(send("GET", "/v1/config").body);
     CHECK_EQUAL(4, config.at("version").get<int>());
     STRCMP_EQUAL("rota", config.at("services")[0].at("name").get<std::string>().c_str());
--- a/libs/rollouts/src/rolloutplan.cpp
+++ b/libs/rollouts/src/rolloutplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace Hornbeam {
 
@@ -46,7 +47,7 @@
     const auto part = Seconds(elapsed) / Seconds(m_duration);
     const auto *stage = std::find_if(stages.begin(), stages.end(), [&](const Stage &it) { return part < it.end; });
     return {.phase = RolloutPhase::Canary,
-            .sharePerMille = static_cast<std::uint32_t>(stage->share * m_canaryShare * 1000 + 0.5)};
+            .sharePerMille = static_cast<std::uint32_t>(std::lround(stage->share * m_canaryShare * 1000))};
 }
 
 } // namespace Hornbeam
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -447,6 +447,18 @@
     STRCMP_EQUAL("completed v2", cluster.status().c_str());
 }
 
+// Guards against a withdrawal that waits for the store.
+TEST(RolloutCoordinator, keepsTheExposureWithASlowOrLossyStore)
+{
+    cluster.setFaults({.loseAnswersPrefix = "hornbeamring/rollouts/", .answerDelay = 800ms});
+    cluster.order("v2", 10);
+    cluster.pass(5s);
+    cluster.bad = true;
+    cluster.pass(15s);
+    checkExposure();
+    CHECK(cluster.status() != "completed v2");
+}
+
 // Guards against a version that stays in use because its roll-back cannot be written.
 TEST(RolloutCoordinator, withdrawsABadVersionWhileTheStoreIsDown)
 {
