Check that a withdrawal does not wait for the store

Cause: with the withdrawal written to the store first, all tests passed, because nodes stop without new steps anyway.

--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -289,6 +289,7 @@
     cluster.order("v2", 10);
     cluster.pass(1s);
     STRCMP_EQUAL("running v2", cluster.status().c_str());
+    CHECK(cluster.nodes[7]->coordinator->rules().front().shareLimit <= 0.1);
     cluster.pass(14s);
     STRCMP_EQUAL("completed v2", cluster.status().c_str());
     cluster.fresh = 0;
@@ -466,7 +467,9 @@
     cluster.pass(4s);
     cluster.setFaults({.unavailable = true});
     cluster.bad = true;
-    cluster.pass(12s);
+    cluster.pass(1500ms);
+    CHECK(cluster.nodes[7]->coordinator->steps().front().phase == RolloutPhase::Withdrawing);
+    cluster.pass(10500ms);
     checkExposure();
     cluster.setFaults({});
     cluster.pass(5s);
