Compare the times of versions before the end of the warm-up

Cause: times were compared 6.5 s after the first result. At 5,000 requests a second, a slow version has given 50 bad responses after 1 s, so its withdrawal was due before.

--- a/libs/rollouts/src/rolloutdecider.cpp
+++ b/libs/rollouts/src/rolloutdecider.cpp
@@ -12,8 +12,15 @@
 /** Periods in which the versions are compared: the short ones find a version that turns bad after a good start. */
 constexpr std::array<Duration, 2> periods{2500ms, 7s};
 
-/** New targets are slow for some seconds after their start, so their times are compared only after that. */
+/**
+ * New targets are slow for some seconds after their start. Their first results do not count for the comparison of
+ * times, and until the end of the warm-up, only a larger factor counts. The first comparison cannot wait for that end:
+ * at 5,000 requests a second, the 50th bad response comes after 1 s, and the withdrawal is due 5 s later.
+ */
+constexpr Duration coldStart = 1500ms;
+constexpr Duration firstTimeComparison = 3s;
 constexpr Duration warmUp = 4s;
+constexpr double warmUpSlowFactor = 4;
 
 /** A node reports several times a second. */
 constexpr Duration reportLifetime = 2s;
@@ -117,10 +124,16 @@
     }
     for (const auto period : periods) {
         const auto since = now - period;
-        const auto stable = view.outcomes.outcomesSince(m_current.stableVersion, since);
-        const auto fresh = view.outcomes.outcomesSince(m_order.version, since);
-        const bool warm = since >= *m_firstResult + warmUp;
-        auto reason = warm ? findDegradation(stable, fresh) : findFailures(stable, fresh);
+        auto reason = findFailures(view.outcomes.outcomesSince(m_current.stableVersion, since),
+                                   view.outcomes.outcomesSince(m_order.version, since));
+        if (!reason && now >= *m_firstResult + firstTimeComparison) {
+            const auto from = std::max(since, *m_firstResult + coldStart);
+            VersionComparisonOptions options;
+            options.slowFactor = from >= *m_firstResult + warmUp ? options.slowFactor : warmUpSlowFactor;
+            reason = findDegradation(view.outcomes.outcomesSince(m_current.stableVersion, from),
+                                     view.outcomes.outcomesSince(m_order.version, from),
+                                     options);
+        }
         const auto spread = view.outcomes.spreadSince(m_order.version, since);
         // Failures of one target among several are a fault of that target.
         const bool oneOfSeveral = spread.failing == 1 && spread.nodes > 2;
--- a/libs/rollouts/tests/rolloutdecidertest.cpp
+++ b/libs/rollouts/tests/rolloutdecidertest.cpp
@@ -186,6 +186,25 @@
     CHECK(play.last < 9s);
 }
 
+// Guards against a comparison of times that begins too late for the limit on the withdrawal when there are many
+// requests.
+TEST(RolloutDecider, rollsBackASlowVersionOfABusyServiceInTime)
+{
+    play.slowness = 4.5;
+    play.requestsPerSecond = 5000;
+    play.run();
+    checkRolledBack();
+    CHECK(play.last < 5s);
+}
+
+// Guards against a roll-back of a good version because its targets have just started.
+TEST(RolloutDecider, acceptsTargetsThatWarmUp)
+{
+    play.slowness = 2.5;
+    play.run();
+    CHECK(play.phase == RolloutPhase::Completed);
+}
+
 // Guards against a roll-back of a good version while the service is overloaded.
 TEST(RolloutDecider, completesUnderGeneralOverload)
 {
