--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -117,7 +117,7 @@
 
     void order(const std::string &version, std::int64_t revision)
     {
-        ordered = time.now();
+        m_ordered = time.now();
         for (const auto &node : nodes) {
             node->order({.service = "menu", .version = version, .duration = 15s, .revision = revision});
         }
@@ -181,7 +181,7 @@
 
     Duration sinceOrder() const
     {
-        return time.now() - ordered;
+        return time.now() - m_ordered;
     }
 
     FakeTimerService time;
@@ -229,7 +229,7 @@
         }
     }
 
-    TimePoint ordered;
+    TimePoint m_ordered;
     int m_counter = 0;
 };
 
