Bound the rate of polls of the platform's store

Cause: each event ends the pending poll of each node, which starts the next one at once, so a series of versions costs a call for each version and node.

Ruled out for now: a longer wait, or a few nodes that poll for the others. A node that only the store reaches would miss versions longer than the bound when the store loses its poll.

Versions in between arrive together, and the pushes of other nodes bring them sooner. TransferLoop can run a command later.

--- a/libs/store/include/hornbeam/store/httpstore.h
+++ b/libs/store/include/hornbeam/store/httpstore.h
@@ -28,6 +28,11 @@
      * per timeout.
      */
     std::chrono::milliseconds watchIdleTimeout{6000};
+    /**
+     * Shortest time between the starts of two polls of a watch whose protocol polls. Changes that follow each other
+     * faster arrive together, so that a series of changes does not cost a call for each change and node.
+     */
+    std::chrono::milliseconds minPollInterval{0};
     std::uint32_t maxCallsInFlight = 64; ///< Further calls fail with Overloaded. Watches are not counted.
 };
 
--- a/libs/store/src/httpstore.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -43,6 +43,7 @@
     WatchListener *listener = nullptr; ///< Executor's thread only; null once the watch has ended.
     std::uint64_t transferId = 0; ///< The running transfer of the watch.
     bool stopped = false; ///< I/O thread only. When set, no further poll is started.
+    TimePoint pollStarted{}; ///< I/O thread only.
     std::optional<StoreGeneration> generation; ///< I/O thread only. Of the watched revisions, as soon as it is known.
 };
 
@@ -303,6 +304,7 @@
 
 void HttpStore::Impl::beginLongPoll(const WatchRequest &request, const WatchStatePtr &state)
 {
+    state->pollStarted = std::chrono::steady_clock::now();
     beginWatchCall(TransferKind::Poll, request, state, [this, request, state](const TransferResult &result) {
         longPollFinished(result, request, state);
     });
@@ -335,7 +337,7 @@
     next.startRevision = std::max(request.startRevision, revision + 1);
     // The next poll has the same transfer ID, by which the watch's handle cancels it. It is started by a command of its
     // own, because the finished transfer is destroyed only after this function has returned.
-    m_transfers.submit([this, next, state] {
+    m_transfers.submitAt(state->pollStarted + m_options.minPollInterval, [this, next, state] {
         if (!state->stopped) {
             beginLongPoll(next, state);
         }
--- a/libs/store/src/transferloop.cpp
+++ b/libs/store/src/transferloop.cpp
@@ -89,6 +89,11 @@
     curl_multi_wakeup(m_multi);
 }
 
+void TransferLoop::submitAt(TimePoint time, std::function<void()> command)
+{
+    m_delayed.emplace(time, std::move(command));
+}
+
 Transfer &TransferLoop::begin(std::uint64_t id, TransferKind kind, StoreCall storeCall, FinishedCallback finished)
 {
     Running running;
@@ -118,6 +123,7 @@
             }
         }
         runCommands();
+        runDelayedCommands();
         int stillRunning = 0;
         curl_multi_perform(m_multi, &stillRunning);
         finishCompleted();
@@ -125,7 +131,7 @@
         for (auto &[id, running] : m_running) {
             countBytes(running);
         }
-        curl_multi_poll(m_multi, nullptr, 0, pollMilliseconds, nullptr);
+        curl_multi_poll(m_multi, nullptr, 0, pollTimeout(), nullptr);
     }
 }
 
@@ -141,6 +147,25 @@
     }
 }
 
+void TransferLoop::runDelayedCommands()
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (!m_delayed.empty() && m_delayed.begin()->first <= now) {
+        const auto command = std::move(m_delayed.extract(m_delayed.begin()).mapped());
+        command();
+    }
+}
+
+int TransferLoop::pollTimeout() const
+{
+    if (m_delayed.empty()) {
+        return pollMilliseconds;
+    }
+    const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(m_delayed.begin()->first - std::chrono::steady_clock::now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, pollMilliseconds));
+}
+
 void TransferLoop::finishCompleted()
 {
     int queued = 0;
--- a/libs/store/src/transferloop.h
+++ b/libs/store/src/transferloop.h
@@ -49,6 +49,9 @@
     /** Runs @p command on the I/O thread. May be called from any thread. */
     void submit(std::function<void()> command);
 
+    /** Runs @p command on the I/O thread at @p time or later; dropped when the loop stops. I/O thread only. */
+    void submitAt(TimePoint time, std::function<void()> command);
+
     /** Starts a transfer. No running transfer may have the same @p id. I/O thread only. */
     Transfer &begin(std::uint64_t id, TransferKind kind, StoreCall storeCall, FinishedCallback finished);
 
@@ -67,6 +70,8 @@
 
     void run();
     void runCommands();
+    void runDelayedCommands();
+    int pollTimeout() const;
     void finishCompleted();
     void timeOutIdleWatches();
     void finish(std::uint64_t id, CURLcode code);
@@ -80,6 +85,7 @@
     Counter &m_bytesReceived;
     CURLM *m_multi;
     std::map<std::uint64_t, Running> m_running;
+    std::multimap<TimePoint, std::function<void()>> m_delayed; ///< Commands by their time.
     std::size_t m_endpoint = 0;
     TimePoint m_lastFailure;
 
