Bound what clients outside the limits can take

A head cost many times its bytes: two strings per header field, so that 300 connections with short lines took 368 MB. Bodies of up to 1 MB were kept on each connection, empty lines and white space were not counted, the time for a head was not that of the configuration and began anew with each byte behind a pipelined request, and connections without a request kept ordinary callers in the listen backlog for up to the idle timeout. Connections of other nodes shared the limit of callers, and nothing was left of the descriptors for targets and the store.

- An incomplete head is one text with two lengths per field.
Fields are bounded by a quarter of the byte limit, bytes on the wire by twice the limit; a higher maxHeaderBytes of the configuration applies to requests, also to relayed ones.
- headerTimeoutMs of the configuration, and a quarter more, runs from the first byte of the start line.
- All heads and bodies share maxBufferedBytes (new setting, 32 MB); the first 4 KB of a request are free, so that ordinary ones are not refused.
A request without room gets 503, and nothing of it has been sent.
- At the limit of connections, those that wait for a first request, then idle ones, are closed for new ones.
The limit follows from the descriptors too, and other nodes have their own.
- The admin listeners take 16 connections, on the platform bodies of 256 KB, 64 KB for readiness and metrics.
- hornbeam_proxy_client_limits_total counts by limit; the log has at most one line a second for each.

Ruled out: a fixed small number of fields, which a client within the byte limit could meet; see docs/design/client-limits.md.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -34,6 +34,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Hornbeam {
@@ -58,6 +59,11 @@
 // all at once.
 constexpr auto joinJitter = 100ms;
 
+// Bodies of requests to the admin listener on the platform, and to the listeners for readiness and metrics, which are
+// meant for requests without a body. Each of their connections may hold a body in memory.
+constexpr std::size_t platformBodyBytes = std::size_t{256} * 1024;
+constexpr std::size_t extraListenerBodyBytes = std::size_t{64} * 1024;
+
 ProxyOptions proxyOptions(const Settings &settings, const std::string &id)
 {
     const auto &traffic = settings.traffic;
@@ -76,6 +82,7 @@
     options.hostService = settings.node.targetService;
     options.retryBudgetRatio = traffic.retryBudgetRatio;
     options.retryBudgetReserve = traffic.retryBudgetReserve;
+    options.maxBufferedBytes = traffic.maxBufferedBytes;
     options.stopNotice = traffic.stopNotice;
     options.linkMegabitsPerSecond = traffic.linkMegabitsPerSecond;
     if (settings.environment == Environment::Platform) {
@@ -364,7 +371,12 @@
                                          .announcements = *m_adminFacade,
                                          .status = *m_adminFacade,
                                          .extension = m_adminExtension.get()};
-    auto server = AdminServer::make(m_control, {.listen = m_settings.admin.listen}, dependencies);
+    AdminServerOptions options{.listen = m_settings.admin.listen};
+    if (isOnPlatform()) {
+        // Operators do not call the node there, and an announcement has less than a kilobyte.
+        options.maxBodyBytes = platformBodyBytes;
+    }
+    auto server = AdminServer::make(m_control, options, dependencies);
     if (!server) {
         return tl::unexpected(server.error());
     }
@@ -373,7 +385,9 @@
         if (!listen) {
             continue;
         }
-        auto extra = AdminServer::make(m_control, {.listen = *listen}, dependencies);
+        options.listen = *listen;
+        options.maxBodyBytes = std::min(options.maxBodyBytes, extraListenerBodyBytes);
+        auto extra = AdminServer::make(m_control, options, dependencies);
         if (!extra) {
             return tl::unexpected(extra.error());
         }
--- a/libs/admin/include/hornbeam/admin/adminserver.h
+++ b/libs/admin/include/hornbeam/admin/adminserver.h
@@ -24,11 +24,12 @@
     Endpoint listen; ///< Port 0 lets the system choose.
     /**
      * Limit of a request body; 1..67108864. A larger body for a built-in resource is refused with status 413. For all
-     * resources, including those of an extension, a body that exceeds the limit by more than 1 MiB closes the
+     * resources, including those of an extension, a body that exceeds the limit by more than 64 KiB closes the
      * connection without a response.
      */
     std::size_t maxBodyBytes = 4U << 20;
-    std::size_t maxConnections = 32; ///< Further connections wait in the listen backlog. 1..10000.
+    /** Further connections wait in the listen backlog. Each may hold a body, so they bound the memory. 1..10000. */
+    std::size_t maxConnections = 16;
     std::chrono::milliseconds requestTimeout{60000}; ///< Closes a connection whose request is not answered by then.
 };
 
--- a/libs/admin/src/adminserver.cpp
+++ b/libs/admin/src/adminserver.cpp
@@ -20,7 +20,7 @@
 // RESTinio closes the connection without a response when a body exceeds its limit. That limit is this much above
 // AdminServerOptions::maxBodyBytes, so that AdminRouter can respond with status 413 to bodies in between. It does so
 // for the built-in resources only: an extension is asked before the size is checked.
-constexpr std::size_t bodyMargin = 1U << 20;
+constexpr std::size_t bodyMargin = 64U << 10;
 
 // Upper bounds of AdminServerOptions::maxBodyBytes and maxConnections.
 constexpr std::size_t maxBodyBytesBound = 64U << 20;
--- a/libs/admin/tests/adminservertest.cpp
+++ b/libs/admin/tests/adminservertest.cpp
@@ -279,7 +279,7 @@
 }
 
 // Guards against a large body that exhausts the node's memory. A body that exceeds the limit of 4 MiB by at most
-// bodyMargin (1 MiB, see adminserver.cpp) gets status 413. The body of 6 MiB exceeds that too, so that RESTinio closes
+// bodyMargin (64 KiB, see adminserver.cpp) gets status 413. The body of 6 MiB exceeds that too, so that RESTinio closes
 // the connection without a response.
 TEST(AdminServer, refusesBodiesAboveTheLimit)
 {
--- a/libs/proxy/include/hornbeam/proxy/proxyoptions.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyoptions.h
@@ -19,6 +19,7 @@
     std::uint32_t maxConnections = 1000; ///< Further connections wait in the listen backlog. 1..100000.
     std::uint32_t maxHeaderBytes = 32 * 1024; ///< Start line and headers of a request or response. 1024..1048576.
     std::uint32_t maxQueuedRequests = 256; ///< Requests queued for a slot, per service. 0..100000.
+    std::uint32_t maxBufferedBytes = 32 * 1024 * 1024; ///< Kept in memory for all requests. 65536..1073741824.
     std::chrono::milliseconds idleTimeout{60000}; ///< Time after which an idle caller connection is closed.
     std::chrono::milliseconds drainBound{30000}; ///< Time limit of a graceful shutdown.
     std::uint32_t retryBudgetPercent = 10; ///< Allowed retries, as a percentage of a service's requests. 0..100.
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -88,7 +88,7 @@
     , origin(CallOrigin::Caller)
     , route(matchedRoute)
     , service(routeService)
-    , body(caller.stream(), caller.head(), routeService.maxRequestBytes)
+    , body(caller.stream(), caller.head(), routeService.maxRequestBytes, core.requestBuffers)
     , watch(caller.watch())
     , started(caller.received())
     , deadline(started + timeoutOf(caller.head(), matchedRoute, core.options))
@@ -117,7 +117,7 @@
     , service(targetService)
     , relay(relayRequest)
     , sender(senderOf(caller.head()))
-    , body(caller.stream(), caller.head(), targetService.maxRequestBytes)
+    , body(caller.stream(), caller.head(), targetService.maxRequestBytes, core.requestBuffers)
     , watch(caller.watch())
     , started(caller.received())
     , deadline(started + relayRequest.timeLeft)
@@ -320,7 +320,7 @@
 /** False if many connections are open, because refused callers open further ones. */
 bool CallContext::canKeepAliveAfterRefusal() const
 {
-    return canKeepAlive() && core.connections.load(std::memory_order_relaxed) < core.options.maxConnections / 2;
+    return canKeepAlive() && core.connections.load(std::memory_order_relaxed) < core.maxCallerConnections / 2;
 }
 
 asio::awaitable<void> CallContext::refuse(Refusal refusal)
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/co_spawn.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace Hornbeam {
@@ -35,6 +36,13 @@
  */
 constexpr std::size_t maxPipelinedRequests = 8;
 
+/** Bytes of the headers that a node adds to a request that it relays. */
+constexpr std::size_t relayHeaderBytes = 4096;
+
+/** Refusal of a request while the requests of all connections take the memory for them. */
+constexpr Refusal noRoomRefusal{
+    .status = 503, .reason = "too many bytes buffered", .retryAfter = std::chrono::milliseconds(1000)};
+
 } // namespace
 
 /** Counts a request as in flight for as long as the guard exists. */
@@ -93,14 +101,14 @@
     , m_context(context)
     , m_stream(std::move(socket), HttpMessageReader::Kind::Request, core.options.maxHeaderBytes)
     , m_order(context->get_executor())
-    , m_channel{.stream = m_stream, .order = m_order}
+    , m_channel{.stream = m_stream, .order = m_order, .headShare = BufferPool::Share(core.requestBuffers)}
     , m_origin(origin)
 {
 }
 
 CallerConnection::~CallerConnection()
 {
-    --m_core.connections;
+    --(m_origin == CallOrigin::Peer ? m_core.peerConnections : m_core.connections);
 }
 
 asio::awaitable<void> CallerConnection::run()
@@ -129,8 +137,12 @@
         co_return false;
     }
     m_stream.reader().reset();
+    const auto limits = m_core.state()->snapshot->limits();
+    m_stream.reader().setMaxHeaderBytes(maxHeaderBytes(limits));
     m_reading = true;
-    const auto result = co_await m_stream.readHead(m_order.pending() == 0 ? idleDeadline() : TimePoint::max());
+    m_waitingSince = std::chrono::steady_clock::now();
+    const auto deadline = m_order.pending() == 0 ? idleDeadline() : TimePoint::max();
+    const auto result = co_await m_stream.readHead(deadline, headTime(limits), &m_channel.headShare);
     m_reading = false;
     if (m_channel.closing) {
         co_return false;
@@ -146,6 +158,7 @@
         co_return false;
     }
     m_channel.received = std::chrono::steady_clock::now();
+    m_hasServed = true;
     co_return true;
 }
 
@@ -211,7 +224,8 @@
     if (!keepOpen) {
         // Later responses cannot be delivered either.
         abandon();
-    } else if (m_order.pending() == 0) {
+    } else if (m_order.pending() == 0 && !m_stream.reader().headBegun()) {
+        m_waitingSince = std::chrono::steady_clock::now();
         m_stream.socket().setReadDeadline(idleDeadline());
     }
 }
@@ -234,6 +248,34 @@
     return std::chrono::steady_clock::now() + timeout;
 }
 
+Duration CallerConnection::headTime(const TrafficLimits &limits) const
+{
+    const auto limit = limits.headerTimeout;
+    // A quarter more than clients may take, because the network can delay the last bytes of a head more than the first.
+    return m_origin == CallOrigin::Caller && limit.count() > 0 ? Duration(limit) * 5 / 4 : m_core.options.idleTimeout;
+}
+
+std::size_t CallerConnection::maxHeaderBytes(const TrafficLimits &limits) const
+{
+    const auto own = m_origin == CallOrigin::Peer ? relayHeaderBytes : 0;
+    return std::clamp<std::size_t>(limits.maxHeaderBytes, m_core.options.maxHeaderBytes, largestHeaderBytes) + own;
+}
+
+ConnectionActivity CallerConnection::activity()
+{
+    const bool idle = m_reading && m_order.pending() == 0;
+    return {.waiting = (idle || m_readingBody) && !m_closedForRoom,
+            .served = m_readingBody || (m_hasServed && !m_stream.reader().headBegun()),
+            .since = m_waitingSince};
+}
+
+void CallerConnection::closeForRoom()
+{
+    m_closedForRoom = true;
+    m_channel.closing = true;
+    m_stream.socket().cancel();
+}
+
 void CallerConnection::closeIfIdle()
 {
     const bool idle = m_reading && m_order.pending() == 0 && !m_stream.reader().started();
@@ -262,20 +304,27 @@
 asio::awaitable<void> CallerConnection::refuseUnreadable(ReadResult result)
 {
     const auto version = m_core.state()->snapshot->version();
-    const bool started = m_stream.reader().started();
+    const bool begun = m_stream.reader().headBegun();
     CallerExchange exchange(m_channel, false);
     switch (result) {
     case ReadResult::Malformed:
         co_await refuse(exchange, {.status = 400, .reason = "malformed request"}, version);
         break;
     case ReadResult::HeadTooLarge:
+        m_core.limitReports.reached(ClientLimit::HeadBytes, 431, m_origin == CallOrigin::Peer);
         co_await refuse(exchange, {.status = 431, .reason = "header too large"}, version);
         break;
     case ReadResult::TimedOut:
-        if (started) {
+        if (begun) {
+            m_core.limitReports.reached(ClientLimit::HeadTime, 408, m_origin == CallOrigin::Peer);
             co_await refuse(exchange, {.status = 408, .reason = "incomplete request"}, version);
         }
         break;
+    case ReadResult::NoRoom:
+        m_core.limitReports.reached(ClientLimit::BufferedBytes, noRoomRefusal.status, m_origin == CallOrigin::Peer);
+        m_channel.closing = true;
+        co_await refuse(exchange, noRoomRefusal, version);
+        break;
     default:
         break;
     }
@@ -382,8 +431,11 @@
 asio::awaitable<bool> CallerConnection::prepare(CallContext &call)
 {
     const auto started = std::chrono::steady_clock::now();
+    m_waitingSince = started;
+    m_readingBody = !call.body.isComplete();
     const auto result =
         co_await call.body.buffer(call.route.idempotent ? maxReplayableBytes : maxIdentifiableBytes, call.deadline);
+    m_readingBody = false;
     call.waited += std::chrono::steady_clock::now() - started;
     const bool needsContent = !call.route.idempotent && call.route.identity == RequestIdentitySource::Content;
     if (result == RequestBody::Result::TooLarge
@@ -396,6 +448,12 @@
         co_await call.refuse(stoppingRefusal(call));
         co_return false;
     }
+    if (result == RequestBody::Result::NoRoom || m_closedForRoom) {
+        m_core.limitReports.reached(ClientLimit::BufferedBytes, noRoomRefusal.status, m_origin == CallOrigin::Peer);
+        m_channel.closing = true;
+        co_await call.refuse(noRoomRefusal);
+        co_return false;
+    }
     if (result != RequestBody::Result::Ok) {
         co_await call.refuse({.status = 400, .reason = "incomplete request body"});
         co_return false;
@@ -414,6 +472,10 @@
     if (!socket.socket().is_open()) {
         co_return;
     }
+    if (m_closedForRoom) {
+        socket.close();
+        co_return;
+    }
     socket.shutdownSend();
     // Closing a socket with unread bytes resets the connection, and the caller could lose the response.
     const auto &reader = m_stream.reader();
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callcontext.h"
+#include "connectionlimits.h"
 
 #include <memory>
 #include <vector>
@@ -31,6 +32,17 @@
     /** Closes the connection if it is waiting for a request and no byte of it has arrived. */
     void closeIfIdle();
 
+    /** What the connection waits for. */
+    ConnectionActivity activity();
+
+    /** Closes the connection, which waits for a request or for its body, for the sake of another one. */
+    void closeForRoom();
+
+    CallOrigin origin() const
+    {
+        return m_origin;
+    }
+
     /** Logs and counts the requests in progress, which the end of the process interrupts. */
     void reportInterrupted() const;
 
@@ -57,6 +69,8 @@
                                        const RelayRequest &relay);
     asio::awaitable<bool> serveCall(CallContext &call);
     TimePoint idleDeadline() const;
+    Duration headTime(const TrafficLimits &limits) const;
+    std::size_t maxHeaderBytes(const TrafficLimits &limits) const;
     asio::awaitable<bool> prepare(CallContext &call);
     asio::awaitable<bool> refuse(CallerExchange &exchange, Refusal refusal, std::uint64_t version);
     asio::awaitable<void> refuseUnreadable(ReadResult result);
@@ -72,6 +86,10 @@
     std::vector<CallContext *> m_calls; ///< The requests in progress that match a route.
     const CallOrigin m_origin;
     bool m_reading = false; ///< Waiting for the head of a request.
+    bool m_readingBody = false; ///< Waiting for the body of a request that is not sent to a target yet.
+    bool m_hasServed = false; ///< A request has been accepted.
+    bool m_closedForRoom = false;
+    TimePoint m_waitingSince; ///< Of m_reading or m_readingBody.
     bool m_hasPipelined = false; ///< The caller has sent a request before the one before it was answered.
 };
 
--- a/libs/proxy/src/callerexchange.cpp
+++ b/libs/proxy/src/callerexchange.cpp
@@ -17,6 +17,7 @@
     , m_position(channel.order.append())
     , m_received(channel.received)
     , m_head(channel.stream.reader().takeHead())
+    , m_headShare(channel.headShare.take())
     , m_watch(channel.stream.socket())
 {
 }
--- a/libs/proxy/src/callerexchange.h
+++ b/libs/proxy/src/callerexchange.h
@@ -11,6 +11,7 @@
 {
     HttpStream &stream;
     ResponseOrder &order;
+    BufferPool::Share headShare; ///< Of the head that is being read.
     TimePoint received{}; ///< When the head of the last request was complete.
     bool closing = false; ///< A response has announced the end of the connection, so no further request is accepted.
 };
@@ -80,6 +81,7 @@
     const std::uint64_t m_position;
     const TimePoint m_received;
     HttpHead m_head;
+    BufferPool::Share m_headShare;
     CallerWatch m_watch;
     TimePoint m_minDeadline = TimePoint::min(); ///< Of the writes, if the response had to wait for earlier ones.
 };
--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -4,6 +4,13 @@
 
 namespace Hornbeam {
 
+namespace {
+
+/** Bytes of the shortest line of a header field: a name of one byte, a colon and the line end. */
+constexpr std::size_t minFieldBytes = 4;
+
+} // namespace
+
 /** Callbacks of http_parser. A non-zero result is an error, except for 1 from onHeadersComplete(). */
 struct HttpMessageReader::Callbacks
 {
@@ -12,6 +19,12 @@
         return *static_cast<HttpMessageReader *>(parser->data);
     }
 
+    static int onMessageBegin(http_parser *parser)
+    {
+        reader(parser).m_headBegun = true;
+        return 0;
+    }
+
     static int onUrl(http_parser *parser, const char *at, std::size_t n)
     {
         reader(parser).m_head.requestTarget.append(at, n);
@@ -28,11 +41,12 @@
     {
         auto &self = reader(parser);
         if (self.m_state == State::Head) {
-            if (self.m_lastWasValue || self.m_head.headers.empty()) {
-                self.m_head.headers.emplace_back();
+            if (self.m_lastWasValue || self.m_fields.empty()) {
+                self.m_fields.emplace_back();
             }
             self.m_lastWasValue = false;
-            self.m_head.headers.back().name.append(at, n);
+            self.m_fields.back().name += static_cast<std::uint32_t>(n);
+            self.m_fieldText.append(at, n);
         }
         return self.countHeaderBytes(n) ? 0 : 1;
     }
@@ -42,7 +56,8 @@
         auto &self = reader(parser);
         if (self.m_state == State::Head) {
             self.m_lastWasValue = true;
-            self.m_head.headers.back().value.append(at, n);
+            self.m_fields.back().value += static_cast<std::uint32_t>(n);
+            self.m_fieldText.append(at, n);
         }
         return self.countHeaderBytes(n) ? 0 : 1;
     }
@@ -78,6 +93,7 @@
         static const http_parser_settings callbacks = [] {
             http_parser_settings it;
             http_parser_settings_init(&it);
+            it.on_message_begin = onMessageBegin;
             it.on_url = onUrl;
             it.on_status = onStatus;
             it.on_header_field = onHeaderField;
@@ -105,7 +121,12 @@
     m_state = State::Head;
     m_head = HttpHead();
     m_body.clear();
+    m_fieldText = {};
+    m_fields = {};
+    m_fieldMemory = 0;
     m_headerBytes = 0;
+    m_headWireBytes = 0;
+    m_headBegun = false;
     m_headRequested = headRequested;
     m_started = false;
     m_lastWasValue = false;
@@ -118,6 +139,7 @@
         return 0;
     }
     m_started = true;
+    const bool inHead = m_state == State::Head;
     http_parser_pause(&m_parser, 0);
     const auto used = http_parser_execute(&m_parser, &Callbacks::settings(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
@@ -126,6 +148,10 @@
     } else if (error != HPE_OK && error != HPE_PAUSED && m_state != State::HeadTooLarge) {
         m_state = State::Malformed;
     }
+    if (inHead) {
+        m_headWireBytes += used;
+        limitHead();
+    }
     return used;
 }
 
@@ -141,15 +167,52 @@
 bool HttpMessageReader::countHeaderBytes(std::size_t n)
 {
     m_headerBytes += n;
-    if (m_headerBytes <= m_maxHeaderBytes) {
+    if (m_headerBytes <= m_maxHeaderBytes && m_fields.size() <= m_maxHeaderBytes / minFieldBytes) {
         return true;
     }
     m_state = State::HeadTooLarge;
     return false;
 }
 
+void HttpMessageReader::limitHead()
+{
+    // Separators, white space before a value and empty lines before the start line are not passed to a callback.
+    if (m_state == State::Head && m_headWireBytes > 2 * m_maxHeaderBytes) {
+        m_state = State::HeadTooLarge;
+    }
+}
+
+std::size_t HttpMessageReader::headMemory() const
+{
+    return m_fieldText.capacity() + m_fields.capacity() * sizeof(FieldLengths) + m_head.requestTarget.capacity()
+        + m_fieldMemory;
+}
+
+void HttpMessageReader::dropFields()
+{
+    m_head.headers = {};
+    m_fieldText = {};
+    m_fields = {};
+    m_fieldMemory = 0;
+}
+
+void HttpMessageReader::makeFields()
+{
+    const auto fields = std::exchange(m_fields, {});
+    const auto text = std::exchange(m_fieldText, {});
+    std::string_view rest = text;
+    m_head.headers.reserve(fields.size());
+    for (const auto &it : fields) {
+        m_head.headers.push_back(
+            {.name = std::string(rest.substr(0, it.name)), .value = std::string(rest.substr(it.name, it.value))});
+        rest.remove_prefix(it.name + it.value);
+    }
+    m_fieldMemory = fields.size() * sizeof(HttpHeader) + text.size();
+}
+
 void HttpMessageReader::finishHead()
 {
+    makeFields();
     // The proxy supports no protocol upgrades, so a request with an Upgrade header is handled like any other.
     m_parser.upgrade = 0;
     m_head.method = m_kind == Kind::Request ? http_method_str(static_cast<http_method>(m_parser.method)) : "";
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -7,9 +7,13 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace Hornbeam {
 
+/** Upper bound of the limit of a head. The limit of http_parser itself must not be lower. */
+constexpr std::uint32_t largestHeaderBytes = 1024 * 1024;
+
 /** Incremental HTTP/1.x parser for the consecutive messages of a connection; its owner reads the bytes. */
 class HttpMessageReader
 {
@@ -27,6 +31,11 @@
         HeadTooLarge,
     };
 
+    /**
+     * @p maxHeaderBytes: limit of the start line, names and values together. The head has also at most a quarter as
+     * many fields, because the shortest line of a field has four bytes, and with separators and empty lines before it
+     * at most twice as many bytes.
+     */
     HttpMessageReader(Kind kind, std::size_t maxHeaderBytes);
     HttpMessageReader(const HttpMessageReader &) = delete;
     HttpMessageReader &operator=(const HttpMessageReader &) = delete;
@@ -71,6 +80,24 @@
         return m_started;
     }
 
+    /** Whether the start line of the current message has begun; empty lines may precede it. */
+    bool headBegun() const
+    {
+        return m_headBegun;
+    }
+
+    /** Changes the limit of the heads that are read from now on. */
+    void setMaxHeaderBytes(std::size_t maxHeaderBytes)
+    {
+        m_maxHeaderBytes = maxHeaderBytes;
+    }
+
+    /** Memory that the head takes, also while it is incomplete. */
+    std::size_t headMemory() const;
+
+    /** Frees the header fields of a head that will not be used. */
+    void dropFields();
+
     /** Whether only the end of the connection marks the end of the body. */
     bool isCloseDelimited() const
     {
@@ -80,7 +107,16 @@
 private:
     struct Callbacks;
 
+    /** Lengths of a header field in m_fieldText. */
+    struct FieldLengths
+    {
+        std::uint32_t name = 0;
+        std::uint32_t value = 0;
+    };
+
     void finishHead();
+    void makeFields();
+    void limitHead();
     bool countHeaderBytes(std::size_t n);
 
     http_parser m_parser;
@@ -89,9 +125,14 @@
     State m_state = State::Head;
     HttpHead m_head;
     std::string m_body;
+    std::string m_fieldText; ///< Names and values of the fields of an incomplete head, without separators.
+    std::vector<FieldLengths> m_fields; ///< Of an incomplete head.
+    std::size_t m_fieldMemory = 0; ///< Memory of the fields of a complete head.
     std::size_t m_headerBytes = 0;
+    std::size_t m_headWireBytes = 0; ///< Bytes up to the end of the head, with separators and empty lines.
     bool m_headRequested = false;
     bool m_started = false;
+    bool m_headBegun = false;
     bool m_lastWasValue = false;
     bool m_closeDelimited = false;
 };
--- a/libs/proxy/src/httpstream.cpp
+++ b/libs/proxy/src/httpstream.cpp
@@ -38,13 +38,22 @@
 {
 }
 
-asio::awaitable<ReadResult> HttpStream::readHead(TimePoint deadline)
+asio::awaitable<ReadResult> HttpStream::readHead(TimePoint deadline, Duration headTime, BufferPool::Share *share)
 {
+    bool limited = headTime == Duration::max();
     while (m_reader.state() == HttpMessageReader::State::Head) {
         const auto result = co_await readUntilProgress(deadline, true);
         if (result != ReadResult::Ok) {
             co_return result;
         }
+        if (!limited && m_reader.headBegun()) {
+            limited = true;
+            deadline = std::chrono::steady_clock::now() + headTime;
+        }
+        if (share != nullptr && !share->resize(m_reader.headMemory())) {
+            m_reader.dropFields();
+            co_return ReadResult::NoRoom;
+        }
     }
     // Lets a message without a body complete together with its head.
     parseUnparsed();
--- a/libs/proxy/src/httpstream.h
+++ b/libs/proxy/src/httpstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bufferpool.h"
 #include "httpmessagereader.h"
 #include "timedsocket.h"
 
@@ -17,6 +18,7 @@
     Cancelled,
     Malformed,
     HeadTooLarge,
+    NoRoom, ///< The BufferPool has no room for the head.
 };
 
 /** A connection to a caller, node or target with its HTTP parser. Idle connections hold no receive buffer. */
@@ -35,8 +37,14 @@
         return m_reader;
     }
 
-    /** Reads until the head of the current message is complete. */
-    asio::awaitable<ReadResult> readHead(TimePoint deadline);
+    /**
+     * Reads until the head of the current message is complete. @p deadline: for its first byte, and for the rest if
+     * @p headTime after the first byte of its start line is later. @p share: counts the memory of the head; may be
+     * null.
+     */
+    asio::awaitable<ReadResult> readHead(TimePoint deadline,
+                                         Duration headTime = Duration::max(),
+                                         BufferPool::Share *share = nullptr);
 
     /** Reads until reader().body() is not empty or the message is complete. */
     asio::awaitable<ReadResult> readBody(TimePoint deadline);
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -12,15 +12,13 @@
 
 constexpr auto drainCheckPeriod = std::chrono::milliseconds(10);
 
-/** Upper bound of ProxyOptions::maxHeaderBytes. The limit of http_parser itself must not be lower. */
-constexpr std::uint32_t largestHeaderBytes = 1024 * 1024;
-
 bool isValid(const ProxyOptions &options)
 {
     return options.threads >= 1 && options.threads <= 64 && options.maxConnections >= 1
         && options.maxConnections <= 100000 && options.maxHeaderBytes >= 1024
         && options.maxHeaderBytes <= largestHeaderBytes && options.maxQueuedRequests <= 100000
-        && options.retryBudgetPercent <= 100;
+        && options.retryBudgetPercent <= 100 && options.maxBufferedBytes >= 65536
+        && options.maxBufferedBytes <= 1024 * 1024 * 1024;
 }
 
 /**
@@ -45,7 +43,7 @@
 void raiseParserLimit()
 {
     static std::once_flag once;
-    std::call_once(once, [] { http_parser_set_max_header_size(2 * largestHeaderBytes); });
+    std::call_once(once, [] { http_parser_set_max_header_size(4 * largestHeaderBytes); });
 }
 
 } // namespace
@@ -152,7 +150,8 @@
 void ProxyServerImpl::checkDrained(TimePoint bound, const std::function<void()> &drained)
 {
     m_threads.front()->runAfter(drainCheckPeriod, [this, bound, drained] {
-        if (m_core.listeningThreads == 0 && m_core.requestsInFlight == 0 && m_core.connections == 0) {
+        if (m_core.listeningThreads == 0 && m_core.requestsInFlight == 0 && m_core.connections == 0
+            && m_core.peerConnections == 0) {
             drained();
         } else if (std::chrono::steady_clock::now() >= bound) {
             interrupt(drained);
@@ -189,6 +188,9 @@
         {"draining", m_core.draining.load()},
         {"requestsInFlight", m_core.requestsInFlight.load()},
         {"connections", m_core.connections.load()},
+        {"peerConnections", m_core.peerConnections.load()},
+        {"requestBufferBytes", m_core.requestBuffers.used()},
+        {"responseBufferBytes", m_core.responseBuffers.used()},
         {"quarantined", state->quarantined.size()},
         {"services", nlohmann::json::parse(m_core.balancer.dumpJson(now))},
     };
--- a/libs/proxy/src/requestbody.cpp
+++ b/libs/proxy/src/requestbody.cpp
@@ -4,10 +4,11 @@
 
 namespace Hornbeam {
 
-RequestBody::RequestBody(HttpStream &caller, const HttpHead &head, std::uint64_t maxBytes)
+RequestBody::RequestBody(HttpStream &caller, const HttpHead &head, std::uint64_t maxBytes, BufferPool &pool)
     : m_caller(caller)
     , m_head(head)
     , m_maxBytes(maxBytes)
+    , m_share(pool)
 {
     updateComplete();
 }
@@ -26,6 +27,10 @@
             co_return result;
         }
         auto &body = m_caller.reader().body();
+        if (!m_share.resize(m_buffered.size() + body.size())) {
+            m_buffered = {};
+            co_return Result::NoRoom;
+        }
         m_buffered += body;
         body.clear();
         updateComplete();
--- a/libs/proxy/src/requestbody.h
+++ b/libs/proxy/src/requestbody.h
@@ -14,11 +14,15 @@
     enum class Result {
         Ok,
         TooLarge, ///< The body is larger than the service allows.
+        NoRoom, ///< The BufferPool has no room for the body.
         Failed, ///< The caller disconnected, stopped sending or sent malformed chunks.
     };
 
-    /** @p head: of the request, must outlive the body. @p maxBytes: limit of the size of the whole body. */
-    RequestBody(HttpStream &caller, const HttpHead &head, std::uint64_t maxBytes);
+    /**
+     * @p head: of the request, must outlive the body. @p maxBytes: limit of the size of the whole body. @p pool: for
+     * the buffered part.
+     */
+    RequestBody(HttpStream &caller, const HttpHead &head, std::uint64_t maxBytes, BufferPool &pool);
 
     /** Reads until at least @p limit bytes are buffered or the body is complete. */
     asio::awaitable<Result> buffer(std::size_t limit, TimePoint deadline);
@@ -60,6 +64,7 @@
     std::uint64_t m_maxBytes;
     std::uint64_t m_received = 0;
     std::string m_buffered;
+    BufferPool::Share m_share; ///< Of m_buffered.
     bool m_complete = false; ///< Remains valid when the connection reads its next request.
     bool m_streamed = false;
     bool m_continueSent = false;
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -1,5 +1,9 @@
 #include "servercore.h"
 
+#include "connectionlimits.h"
+
+#include <sys/resource.h>
+
 #include <utility>
 
 namespace Hornbeam {
@@ -12,6 +16,13 @@
  */
 constexpr std::chrono::seconds unpacedTime{1};
 
+/** The descriptors that the process may open. */
+std::uint64_t descriptorLimit()
+{
+    struct rlimit limit = {};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : RLIM_INFINITY;
+}
+
 } // namespace
 
 ServerCore::ServerCore(ProxyOptions serverOptions, ProxyDependencies serverDependencies)
@@ -21,6 +32,11 @@
     , balancer(options, dependencies.metrics, linkPacer)
     , suspects(options.crashWindow)
     , metrics(dependencies.metrics)
+    , requestBuffers(options.maxBufferedBytes)
+    , responseBuffers(options.maxBufferedBytes)
+    , limitReports(dependencies.metrics, dependencies.log)
+    , maxCallerConnections(ConnectionLimits::callerConnections(options.maxConnections, descriptorLimit()))
+    , maxPeerConnections(ConnectionLimits::peerConnections(options.maxConnections, descriptorLimit()))
 {
     auto initial = std::make_shared<RoutingState>();
     initial->snapshot = Snapshot::empty();
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "bufferpool.h"
 #include "callageestimator.h"
 #include "crashsuspects.h"
+#include "limitreports.h"
 #include "linkpacer.h"
 #include "linkqueue.h"
 #include "loadbalancer.h"
@@ -41,7 +43,13 @@
     RouteTimes routeTimes;
     StoppingPeers stoppingPeers;
     std::atomic<std::size_t> requestsInFlight = 0;
-    std::atomic<std::size_t> connections = 0;
+    BufferPool requestBuffers; ///< For heads and bodies of requests.
+    BufferPool responseBuffers; ///< For responses that are kept until they are complete, except large ones.
+    LimitReports limitReports;
+    const std::size_t maxCallerConnections;
+    const std::size_t maxPeerConnections;
+    std::atomic<std::size_t> connections = 0; ///< Of callers.
+    std::atomic<std::size_t> peerConnections = 0; ///< Of other nodes.
     std::atomic<std::size_t> listeningThreads = 0; ///< Traffic threads that still accept connections.
     std::atomic<bool> draining = false;
     std::atomic<TimePoint> stopEnd = TimePoint::max(); ///< When a graceful shutdown interrupts the remaining requests.
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -121,20 +121,44 @@
 
 bool TrafficThread::acceptOne(Listener &listener)
 {
-    if (m_core.connections.fetch_add(1) >= m_core.options.maxConnections) {
-        --m_core.connections;
+    const bool peer = listener.origin == CallOrigin::Peer;
+    auto &count = peer ? m_core.peerConnections : m_core.connections;
+    if (count.fetch_add(1) >= (peer ? m_core.maxPeerConnections : m_core.maxCallerConnections)) {
+        --count;
+        makeRoom(listener.origin);
         return false;
     }
     std::error_code ec;
     auto socket = listener.acceptor.accept(ec);
     if (ec) {
-        --m_core.connections;
+        --count;
+        if (ec == asio::error::no_descriptors || ec == std::errc::too_many_files_open_in_system) {
+            makeRoom(listener.origin);
+        }
         return ec == asio::error::would_block || ec == asio::error::connection_aborted;
     }
     serve(std::move(socket), listener.origin);
     return true;
 }
 
+void TrafficThread::makeRoom(CallOrigin origin)
+{
+    std::vector<CallerConnection *> connections;
+    std::vector<ConnectionActivity> activities;
+    for (const auto &connection : m_connections) {
+        if (connection->origin() == origin) {
+            connections.push_back(connection.get());
+            activities.push_back(connection->activity());
+        }
+    }
+    const bool peer = origin == CallOrigin::Peer;
+    const auto limit = peer ? m_core.maxPeerConnections : m_core.maxCallerConnections;
+    for (const auto i : ConnectionLimits::toClose(activities, limit, std::chrono::steady_clock::now())) {
+        m_core.limitReports.reached(ClientLimit::Connections, 0, peer);
+        connections[i]->closeForRoom();
+    }
+}
+
 void TrafficThread::serve(asio::ip::tcp::socket socket, CallOrigin origin)
 {
     std::error_code ignored;
@@ -171,7 +195,7 @@
     while (!ec) {
         auto socket = listener.acceptor.accept(ec);
         if (!ec) {
-            ++m_core.connections;
+            ++(listener.origin == CallOrigin::Peer ? m_core.peerConnections : m_core.connections);
             serve(std::move(socket), listener.origin);
         }
     }
--- a/libs/proxy/src/trafficthread.h
+++ b/libs/proxy/src/trafficthread.h
@@ -61,6 +61,8 @@
     asio::awaitable<void> accept(Listener &listener);
     asio::awaitable<void> sleep(Duration duration);
     bool acceptOne(Listener &listener);
+    /** Closes connections of @p origin that wait for a request, so that new ones can be accepted. */
+    void makeRoom(CallOrigin origin);
     void serve(asio::ip::tcp::socket socket, CallOrigin origin);
     void stopListening();
     void acceptPending(Listener &listener);
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -72,6 +72,7 @@
 UpstreamExchange::UpstreamExchange(CallContext &call, SlotLease lease)
     : m_call(call)
     , m_lease(std::move(lease))
+    , m_responseShare(call.core.responseBuffers)
 {
 }
 
@@ -462,7 +463,9 @@
         || reader.head().contentLength.value_or(0) > limit) {
         co_return AttemptStatus::Response;
     }
-    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit) {
+    // Large responses have a limit of their own, see LinkPacer::canBufferLargeResponse().
+    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit
+           && (m_call.route.bulk || m_responseShare.resize(reader.body().size()))) {
         const auto result = co_await stream().readMore(attemptDeadline());
         if (result == ReadResult::TimedOut) {
             co_return handleTimeout();
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -133,6 +133,7 @@
     TimePoint m_sendStarted;
     std::uint64_t m_acknowledgedBeforeSend = 0;
     std::uint64_t m_sentBytes = 0;
+    BufferPool::Share m_responseShare; ///< Of a response that is kept until it is complete.
     bool m_bodySent = false;
     bool m_connectionRefused = false;
     bool m_tracked = false; ///< The request is in ServerCore::running.
--- a/libs/proxy/tests/proxyfixture.cpp
+++ b/libs/proxy/tests/proxyfixture.cpp
@@ -75,6 +75,7 @@
 {
     SnapshotContent content;
     content.services = {service};
+    content.limits = limits;
     Route read;
     read.name = "read";
     read.service = "rota";
--- a/libs/proxy/tests/proxyfixture.h
+++ b/libs/proxy/tests/proxyfixture.h
@@ -51,6 +51,7 @@
     FakeCrashReporter crashes;
     MetricsRegistry metrics;
     RequestLog *log = nullptr;
+    TrafficLimits limits;
     std::chrono::milliseconds timeout{5000}; ///< Timeout of all routes.
     std::unique_ptr<ProxyServer> server;
 
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -33,6 +33,7 @@
     std::uint32_t maxConnections = 1000; ///< 1..100000.
     std::uint32_t maxHeaderBytes = 32 * 1024; ///< 1024..1048576.
     std::uint32_t maxQueuedRequests = 256; ///< Per service. 0..100000.
+    std::uint32_t maxBufferedBytes = 32 * 1024 * 1024; ///< 65536..1073741824.
     std::chrono::milliseconds idleTimeout{60000}; ///< 100..3600000.
     std::chrono::milliseconds drainBound{30000}; ///< Maximum duration of a graceful shutdown. 0..3600000.
     std::uint32_t retryBudgetPercent = 10; ///< Retries allowed per 100 requests. 0..100.
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -143,6 +143,7 @@
     traffic.maxConnections = section.count("maxConnections", traffic.maxConnections, {1, 100000});
     traffic.maxHeaderBytes = section.count("maxHeaderBytes", traffic.maxHeaderBytes, {1024, 1048576});
     traffic.maxQueuedRequests = section.count("maxQueuedRequests", traffic.maxQueuedRequests, {0, 100000});
+    traffic.maxBufferedBytes = section.count("maxBufferedBytes", traffic.maxBufferedBytes, {65536, 1073741824});
     traffic.idleTimeout = section.duration("idleTimeoutMs", traffic.idleTimeout, {100, 3600000});
     traffic.drainBound = readDrainBound(section, traffic.drainBound);
     traffic.retryBudgetPercent = section.count("retryBudgetPercent", traffic.retryBudgetPercent, {0, 100});
--- a/tests/integration/tests/clientlimitsintegrationtest.cpp
+++ b/tests/integration/tests/clientlimitsintegrationtest.cpp
@@ -392,6 +392,21 @@
     checkServes();
 }
 
+// Guards against the same with bodies that no limit of the API refuses.
+TEST(ClientLimits, allowedBodiesKeptOpenOnTheAdminListener)
+{
+    start();
+    CHECK_EQUAL(crowdSize, crowd.connect(mesh->admin(0), crowdSize));
+    sendAll(mesh->admin(0),
+            {.head = "POST /v1/plans HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n",
+             .piece = std::string(1000, 'x'),
+             .pieces = 3900});
+    checkMemory();
+    crowd.close();
+    CHECK(waitUntil(waitTimeout, [&] { return servesAdmin(); }));
+    checkServes();
+}
+
 // Guards against heads without end on the operator API.
 TEST(ClientLimits, headersWithoutEndOnTheAdminListener)
 {
