Treat an odd status as a failure of its target at once

A status below 200 other than 101 was taken for an interim response, so a target that answered with 000, 099, one or two digits, or with 100 and a length, kept the caller waiting until its deadline (504). 600 and 999 were passed on as they were, and 0200, whose digits http_parser does not count, as 200.

RFC 9110, section 15 allows three digits and the classes 1 to 5; 101 only after Upgrade, which the proxy does not send; an interim response has no Content-Length (section 8.6). Everything else is now handled as a malformed response: it counts against the target, an idempotent request is repeated on another target within the budget, otherwise the caller gets 502, or 504 for a claimed request, with outcome unknown.

--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -206,6 +206,16 @@
     return {text.data(), static_cast<std::size_t>(length)};
 }
 
+bool hasValidStatus(const HttpHead &response)
+{
+    constexpr int switchingProtocols = 101;
+    const bool interim = response.status >= 100 && response.status < 200;
+    if (interim) {
+        return response.status != switchingProtocols && !response.contentLength && !response.chunked;
+    }
+    return response.status >= 200 && response.status < 600;
+}
+
 bool statusHasNoBody(int status)
 {
     return status == 204 || status == 304 || (status >= 100 && status < 200);
--- a/libs/proxy/src/httphead.h
+++ b/libs/proxy/src/httphead.h
@@ -70,6 +70,12 @@
 /** Status with which a target refuses a request that was meant for another target at its address. */
 constexpr int misdirectedStatus = 421;
 
+/**
+ * Whether a target may send a response with this head, RFC 9110, section 15: the classes are 1 to 5, 101 needs a
+ * request with Upgrade, which the proxy does not send, and an interim response has neither a length nor a body.
+ */
+bool hasValidStatus(const HttpHead &response);
+
 /** Whether a response with this status has no body, regardless of its headers. */
 bool statusHasNoBody(int status);
 
--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -1,5 +1,6 @@
 #include "httpmessagereader.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace Hornbeam {
@@ -9,6 +10,9 @@
 /** Bytes of the shortest line of a header field: a name of one byte, a colon and the line end. */
 constexpr std::size_t minFieldBytes = 4;
 
+/** RFC 9112, section 4: a status code has three digits. */
+constexpr int statusDigits = 3;
+
 } // namespace
 
 /** Callbacks of http_parser. A non-zero result is an error, except for 1 from onHeadersComplete(). */
@@ -69,6 +73,9 @@
             return -1;
         }
         auto &self = reader(parser);
+        if (self.m_kind == Kind::Response && self.m_statusDigits != statusDigits) {
+            return -1;
+        }
         self.finishHead();
         http_parser_pause(parser, 1);
         // The result 1 tells http_parser that the message has no body.
@@ -127,6 +134,8 @@
     m_headerBytes = 0;
     m_headWireBytes = 0;
     m_headBegun = false;
+    m_statusLine = StatusLine::Version;
+    m_statusDigits = 0;
     m_headRequested = headRequested;
     m_started = false;
     m_lastWasValue = false;
@@ -140,6 +149,9 @@
     }
     m_started = true;
     const bool inHead = m_state == State::Head;
+    if (inHead && m_kind == Kind::Response) {
+        countStatusDigits(bytes);
+    }
     http_parser_pause(&m_parser, 0);
     const auto used = http_parser_execute(&m_parser, &Callbacks::settings(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
@@ -174,6 +186,23 @@
     return false;
 }
 
+void HttpMessageReader::countStatusDigits(std::string_view bytes)
+{
+    for (const char c : bytes) {
+        if (m_statusLine == StatusLine::Counted) {
+            return;
+        }
+        const bool digit = c >= '0' && c <= '9';
+        if (m_statusLine == StatusLine::Version) {
+            m_statusLine = c == ' ' ? StatusLine::Digits : StatusLine::Version;
+        } else if (digit) {
+            m_statusDigits = std::min(m_statusDigits + 1, statusDigits + 1);
+        } else if (c != ' ' || m_statusDigits > 0) {
+            m_statusLine = StatusLine::Counted;
+        }
+    }
+}
+
 void HttpMessageReader::limitHead()
 {
     // Separators, white space before a value and empty lines before the start line are not passed to a callback.
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -114,6 +114,14 @@
         std::uint32_t value = 0;
     };
 
+    /** Where the bytes of the status line are; http_parser accepts any number of digits. */
+    enum class StatusLine {
+        Version,
+        Digits,
+        Counted,
+    };
+
+    void countStatusDigits(std::string_view bytes);
     void finishHead();
     void makeFields();
     void limitHead();
@@ -131,6 +139,8 @@
     std::size_t m_headerBytes = 0;
     std::size_t m_headWireBytes = 0; ///< Bytes up to the end of the head, with separators and empty lines.
     bool m_headRequested = false;
+    StatusLine m_statusLine = StatusLine::Version;
+    int m_statusDigits = 0;
     bool m_started = false;
     bool m_headBegun = false;
     bool m_lastWasValue = false;
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -91,7 +91,8 @@
     if (std::exchange(m_tracked, false)) {
         m_dependencyFailed = m_call.core.running.remove(*m_call.requestId());
         const auto &reader = m_connection->stream.reader();
-        const bool served = reader.state() != HttpMessageReader::State::Head && reader.head().status < 300;
+        const auto status = reader.head().status;
+        const bool served = reader.state() != HttpMessageReader::State::Head && status >= 200 && status < 300;
         if (served) {
             m_call.core.routeTimes.note(m_call.routeName(), now() - m_sendStarted);
         }
@@ -301,8 +302,11 @@
         if (result != ReadResult::Ok) {
             co_return result == ReadResult::TimedOut ? handleTimeout() : statusOf(result);
         }
-        const auto status = reader.head().status;
-        if (status < 200 && status != 101) {
+        if (!hasValidStatus(reader.head())) {
+            // The target has answered, so nothing else is to be waited for.
+            co_return AttemptStatus::BadResponse;
+        }
+        if (reader.head().status < 200) {
             if (++interim > maxInterimResponses) {
                 co_return AttemptStatus::BadResponse;
             }
@@ -324,7 +328,7 @@
         recordLoadReport();
         const bool framed = !reader.isCloseDelimited() || m_call.core.options.acceptUnframedResponses;
         const bool authentic = isAuthentic(reader.head());
-        const bool valid = status != 101 && framed && authentic && !promisesTooMuch(reader.head());
+        const bool valid = framed && authentic && !promisesTooMuch(reader.head());
         co_return valid ? AttemptStatus::Response : AttemptStatus::BadResponse;
     }
     co_return AttemptStatus::BadResponse;
