Name the limit that ended a request without a body

A request whose body had not arrived when its connection was closed for another one was refused with "too many bytes buffered" and counted at that limit as well. It is now refused with "too many connections"; the limit is counted where the connection is chosen. ClientLimits and ProxyServer in proxytests pass, and missingBodiesBeyondTheLimit.

--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -448,7 +448,11 @@
         co_await call.refuse(stoppingRefusal(call));
         co_return false;
     }
-    if (result == RequestBody::Result::NoRoom || m_closedForRoom) {
+    if (m_closedForRoom) {
+        co_await call.refuse({.status = 503, .reason = "too many connections", .retryAfter = noRoomRefusal.retryAfter});
+        co_return false;
+    }
+    if (result == RequestBody::Result::NoRoom) {
         m_core.limitReports.reached(ClientLimit::BufferedBytes, noRoomRefusal.status, m_origin == CallOrigin::Peer);
         m_channel.closing = true;
         co_await call.refuse(noRoomRefusal);
