--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -72,6 +72,7 @@
 UpstreamExchange::UpstreamExchange(CallContext &call, SlotLease lease)
     : m_call(call)
     , m_lease(std::move(lease))
+    , m_responseShare(call.core.responseBuffers)
 {
 }
 
@@ -90,7 +91,8 @@
     if (std::exchange(m_tracked, false)) {
         m_dependencyFailed = m_call.core.running.remove(*m_call.requestId(), now());
         const auto &reader = m_connection->stream.reader();
-        const bool served = reader.state() != HttpMessageReader::State::Head && reader.head().status < 300;
+        const auto status = reader.head().status;
+        const bool served = reader.state() != HttpMessageReader::State::Head && status >= 200 && status < 300;
         if (served) {
             m_call.core.routeTimes.note(m_call.routeName(), now() - m_sendStarted);
         }
@@ -311,8 +313,11 @@
         if (result != ReadResult::Ok) {
             co_return result == ReadResult::TimedOut ? handleTimeout() : statusOf(result);
         }
-        const auto status = reader.head().status;
-        if (status < 200 && status != 101) {
+        if (!hasValidStatus(reader.head())) {
+            // The target has answered, so nothing else is to be waited for.
+            co_return AttemptStatus::BadResponse;
+        }
+        if (reader.head().status < 200) {
             if (++interim > maxInterimResponses) {
                 co_return AttemptStatus::BadResponse;
             }
@@ -334,7 +339,7 @@
         recordLoadReport();
         const bool framed = !reader.isCloseDelimited() || m_call.core.options.acceptUnframedResponses;
         const bool authentic = isAuthentic(reader.head());
-        const bool valid = status != 101 && framed && authentic && !promisesTooMuch(reader.head());
+        const bool valid = framed && authentic && !promisesTooMuch(reader.head());
         co_return valid ? AttemptStatus::Response : AttemptStatus::BadResponse;
     }
     co_return AttemptStatus::BadResponse;
@@ -473,7 +478,9 @@
         || reader.head().contentLength.value_or(0) > limit) {
         co_return AttemptStatus::Response;
     }
-    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit) {
+    // Large responses have a limit of their own, see LinkPacer::canBufferLargeResponse().
+    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit
+           && (m_call.route.bulk || m_responseShare.resize(reader.body().size()))) {
         const auto result = co_await stream().readMore(attemptDeadline());
         if (result == ReadResult::TimedOut) {
             co_return handleTimeout();
