Limit the requests of accounts in the proxy

Cause: the decisions about rate limits were not used.

Change: the caller's node takes a token before it chooses a target and refuses with 429 and Retry-After beyond the limit. A request that is refused later and has not run gives its token back. Nested calls and requests without an account take none. The limits follow the configuration in effect.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -556,6 +556,11 @@
         .set(static_cast<std::int64_t>(snapshot->version()));
     m_log.info("configuration applied", {{"version", std::to_string(snapshot->version())}});
     m_detector->setConfig(snapshot->version(), snapshot->contentDigest().prefix());
+    std::vector<AccountLimit> limits;
+    for (const auto &account : snapshot->accounts()) {
+        limits.push_back({.name = account.name, .ratePerSecond = account.ratePerSecond, .burst = account.burst});
+    }
+    m_rateLimits->setLimits(std::move(limits));
 }
 
 void Node::Impl::memberChanged(const MemberPtr &before, const MemberPtr &after)
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -2,9 +2,12 @@
 
 #include "linkturn.h"
 
+#include <hornbeam/proxy/requestlimiter.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace Hornbeam {
 
@@ -335,11 +338,36 @@
     return canKeepAlive() && core.connections.load(std::memory_order_relaxed) < core.options.maxConnections / 2;
 }
 
+std::optional<Refusal> CallContext::takeToken()
+{
+    auto *limiter = core.dependencies.limiter;
+    if (limiter == nullptr || origin == CallOrigin::Peer || !account || account->inherited || nested) {
+        return std::nullopt;
+    }
+    const auto decision = limiter->admit(account->name, std::chrono::steady_clock::now());
+    if (decision.admitted) {
+        takenToken = true;
+        return std::nullopt;
+    }
+    return Refusal{
+        .status = 429, .reason = "the account has reached its rate limit", .retryAfter = decision.retryAfter};
+}
+
+void CallContext::giveTokenBack()
+{
+    if (std::exchange(takenToken, false)) {
+        core.dependencies.limiter->giveBack(account->name, std::chrono::steady_clock::now());
+    }
+}
+
 asio::awaitable<void> CallContext::refuse(Refusal refusal)
 {
     if (sentToTarget && refusal.outcome == RefusalOutcome::NotRun) {
         refusal.outcome = RefusalOutcome::Unknown;
     }
+    if (refusal.outcome == RefusalOutcome::NotRun) {
+        giveTokenBack();
+    }
     watch.stop();
     core.metrics.countResponse(route.name, refusal.status);
     log(refusal.outcome == RefusalOutcome::Unknown ? "failed" : "refused", refusal.reason, refusal.status);
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -82,6 +82,7 @@
     std::uint64_t sentBytes = 0; ///< Bytes of the response body that were passed to the caller's connection.
     TimePoint firstSend; ///< Time at which the first attempt started to send.
     bool sentToTarget = false; ///< A target may have received part of the request.
+    bool takenToken = false; ///< A token of the account's rate limit was taken and not given back.
     bool keepOpen = false; ///< The caller got a complete response and its connection can be reused.
 
     const HttpHead &head() const
@@ -148,10 +149,17 @@
     /** Also writes what the request has waited for, for one whose response is incomplete. */
     void logIncomplete(std::string_view decision, std::string_view reason, int status) const;
 
+    /**
+     * Takes a token of the account's rate limit; nothing if the request may run. A nested call belongs to the request that
+     * makes it, and requests without an account have no limit.
+     */
+    std::optional<Refusal> takeToken();
+
     /** Sends a refusal and counts it. Its outcome NotRun becomes Unknown if a target may have received the request. */
     asio::awaitable<void> refuse(Refusal refusal);
 
 private:
+    void giveTokenBack();
     RequestEvent eventOf(std::string_view decision, std::string_view reason, int status, TimePoint now) const;
     bool canKeepAlive() const;
     bool canKeepAliveAfterRefusal() const;
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -449,6 +449,11 @@
         co_await call.refuse({.status = status, .reason = "quarantined after crashes"});
         co_return false;
     }
+    const auto overLimit = call.takeToken();
+    if (overLimit) {
+        co_await call.refuse(*overLimit);
+        co_return false;
+    }
     co_return true;
 }
 
