--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -334,13 +334,12 @@
                                                                                 .detector = *m_detector,
                                                                                 .publisher = m_publisher,
                                                                                 .targets = m_targets});
-    auto proxy = ProxyServer::make(
-        proxyOptions(m_settings, m_id),
-        {.claims = *m_claims,
-         .crashes = *m_crashReportForwarder,
-         .metrics = m_metrics,
-         .log = &m_requestLog,
-         .limiter = m_rateLimits.get()});
+    auto proxy = ProxyServer::make(proxyOptions(m_settings, m_id),
+                                   {.claims = *m_claims,
+                                    .crashes = *m_crashReportForwarder,
+                                    .metrics = m_metrics,
+                                    .log = &m_requestLog,
+                                    .limiter = m_rateLimits.get()});
     if (!proxy) {
         return tl::unexpected(proxy.error());
     }
--- a/libs/membership/include/hornbeam/membership/failuredetector.h
+++ b/libs/membership/include/hornbeam/membership/failuredetector.h
@@ -78,8 +78,8 @@
     std::vector<Rumor> rumors() const;
 
     /**
-     * Sends a message of another library to @p member in a datagram. Does nothing if the member is not live, this node has
-     * left or @p content exceeds maxPayloadBytes.
+     * Sends a message of another library to @p member in a datagram. Does nothing if the member is not live, this node
+     * has left or @p content exceeds maxPayloadBytes.
      */
     void sendPayload(const std::string &member, PayloadKind kind, const std::string &content);
 
--- a/libs/membership/tests/failuredetectortest.cpp
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -375,6 +375,23 @@
     }
 }
 
+TEST(FailureDetector, deliversPayloads)
+{
+    network.makeCluster(3);
+    std::vector<Payload> received;
+    node(1).detector->subscribePayloads([&received](const Payload &it) { received.push_back(it); });
+    node(0).detector->sendPayload(node(1).id, PayloadKind::RateLimits, "content");
+    node(0).detector->sendPayload(node(1).id, PayloadKind::RateLimits, std::string(maxPayloadBytes, 'x'));
+    node(0).detector->sendPayload(node(1).id, PayloadKind::RateLimits, std::string(maxPayloadBytes + 1, 'x'));
+    node(0).detector->sendPayload("unknown", PayloadKind::RateLimits, "content");
+    network.time.advance(100ms);
+    CHECK_EQUAL(2U, received.size());
+    STRCMP_EQUAL(node(0).id.c_str(), received.front().sender.c_str());
+    STRCMP_EQUAL("content", received.front().content.c_str());
+    CHECK(received.front().kind == PayloadKind::RateLimits);
+    CHECK(node(0).transport.largestDatagram <= 1200);
+}
+
 TEST(FailureDetector, rejectsInvalidOptions)
 {
     SimulatedTransport transport(network, Endpoint("127.0.0.1", 1));
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -150,8 +150,8 @@
     void logIncomplete(std::string_view decision, std::string_view reason, int status) const;
 
     /**
-     * Takes a token of the account's rate limit; nothing if the request may run. A nested call belongs to the request that
-     * makes it, and requests without an account have no limit.
+     * Takes a token of the account's rate limit; nothing if the request may run. A nested call belongs to the request
+     * that makes it, and requests without an account have no limit.
      */
     std::optional<Refusal> takeToken();
 
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -28,7 +28,9 @@
     options.retryBudgetReserve = 20;
     options.stopNotice = nodeOptions.stopNotice;
     options.drainBound = nodeOptions.drainBound;
-    server = std::move(*ProxyServer::make(options, {.claims = claims, .crashes = crashes, .metrics = metrics}));
+    server = std::move(*ProxyServer::make(
+        options,
+        {.claims = claims, .crashes = crashes, .metrics = metrics, .log = nullptr, .limiter = nodeOptions.limiter}));
 }
 
 std::string signedResponse(const TestMessage &request, const std::string &body)
--- a/libs/proxy/tests/relayfixture.h
+++ b/libs/proxy/tests/relayfixture.h
@@ -16,6 +16,7 @@
     double linkMegabits = 0; ///< Capacity of the host's link; 0 for no pacing.
     std::chrono::milliseconds stopNotice{500};
     std::chrono::milliseconds drainBound{30000};
+    RequestLimiter *limiter = nullptr;
 };
 
 /** A node with a relay listener. */
