--- a/libs/membership/include/hornbeam/membership/failuredetector.h
+++ b/libs/membership/include/hornbeam/membership/failuredetector.h
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hornbeam {
--- a/libs/membership/include/hornbeam/membership/payload.h
+++ b/libs/membership/include/hornbeam/membership/payload.h
@@ -11,6 +11,7 @@
 /** Identifies the library to which a payload belongs. */
 enum class PayloadKind {
     RateLimits = 1,
+    Rollouts = 2,
 };
 
 /** A message of another library from one member to another; unreliable and unordered. */
--- a/libs/membership/src/failuredetector.cpp
+++ b/libs/membership/src/failuredetector.cpp
@@ -274,7 +274,7 @@
         }
         // The ack to a ping carries the recorded state already. If gossip were answered, two members that suspect each
         // other would exchange datagrams without end.
-        if (!datagram.has_ping() && !datagram.has_gossip()) {
+        if (!datagram.has_ping() && !datagram.has_gossip() && !datagram.has_payload()) {
             m_channel.sendRecordedState(sender);
         }
     }
--- a/libs/membership/tests/failuredetectortest.cpp
+++ b/libs/membership/tests/failuredetectortest.cpp
@@ -361,6 +361,25 @@
 }
 
 // Guards against datagrams that are fragmented, and against more than 1 KB/s of traffic per idle node.
+// Guards against a payload for another member, or one that makes a datagram too large to be decoded.
+TEST(FailureDetector, deliversPayloadsWithTheirKindAndSender)
+{
+    network.makeCluster(3);
+    std::vector<std::string> received;
+    node(1).detector->subscribePayloads([&received](const Payload &payload) {
+        received.push_back(std::to_string(static_cast<int>(payload.kind)) + payload.sender
+                           + payload.content.substr(0, 4));
+    });
+    const auto sender = node(0).id;
+    node(0).detector->sendPayload(node(1).id, PayloadKind::Rollouts, "step");
+    node(0).detector->sendPayload(node(2).id, PayloadKind::Rollouts, "other member");
+    node(0).detector->sendPayload("unknown", PayloadKind::Rollouts, "nobody");
+    node(0).detector->sendPayload(node(1).id, PayloadKind::RateLimits, std::string(maxPayloadBytes, 'x'));
+    node(0).detector->sendPayload(node(1).id, PayloadKind::RateLimits, std::string(maxPayloadBytes + 1, 'y'));
+    network.time.advance(100ms);
+    CHECK((received == std::vector<std::string>{"2" + sender + "step", "1" + sender + "xxxx"}));
+}
+
 TEST(FailureDetector, keepsDatagramsAndIdleTrafficSmall)
 {
     network.makeCluster(size);
--- a/libs/proxy/include/hornbeam/proxy/proxyserver.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyserver.h
@@ -13,6 +13,7 @@
 
 class ClaimCoordinator;
 class MetricsRegistry;
+class OutcomeLedger;
 class RequestLimiter;
 class RequestLog;
 class Digest;
@@ -44,6 +45,7 @@
     MetricsRegistry &metrics;
     RequestLog *log = nullptr; ///< Null for no request log.
     RequestLimiter *limiter = nullptr; ///< Null for no rate limits of client accounts.
+    OutcomeLedger *outcomes = nullptr; ///< Counts the results of the targets on this host; null for none.
 };
 
 /**
