Place requests by the slowdown that targets state

Cause: a target's host is slowed down by other work for some tenths of a second at a time, which its moving service time shows too late. The targets state their load and this slowdown in a header of their responses, which no node read.

Change: the node on the target's host reads the header (HeaderNames::targetLoad, StatedLoad). Its report to other nodes carries the slowdown relative to the mean; PlacementPolicy scales the service time by it, with a decay of 600 ms. Requests at the target that this node has not sent, for example of its former process, lower the number that it may have outstanding there (TargetLoad::concurrencyLimit).

--- a/libs/proxy/include/hornbeam/proxy/headernames.h
+++ b/libs/proxy/include/hornbeam/proxy/headernames.h
@@ -16,6 +16,7 @@
     std::string expectedTarget{}; ///< Sent to a target: its name. A target with another name refuses the request.
     std::string originService{}; ///< Sent to a target: the service on the host of the caller.
     std::string notExecuted{}; ///< Set in the response of a target that did not run the request.
+    std::string targetLoad{}; ///< Set in responses of a target that states its load, see StatedLoad.
     bool fractionalRetryAfter = false; ///< Callers accept fractions of a second in Retry-After.
 
     friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -24,6 +24,9 @@
 constexpr int serviceTimeDivisor = 16;
 constexpr double failureWeight = 1.0 / 16;
 
+/** Largest value of LoadReport::timePercent. */
+constexpr double maxTimePercent = 10000;
+
 /** Part of the common retry budget that the nodes use; the margin covers retries that they do not see of each other. */
 constexpr double fleetBudgetShare = 0.7;
 
@@ -315,6 +318,12 @@
     lease.m_load->applyReport(report, now);
 }
 
+void LoadBalancer::recordStatedLoad(const SlotLease &lease, const StatedLoad &stated, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    lease.m_load->applyStated(stated, now);
+}
+
 LoadReport LoadBalancer::reportOf(const SlotLease &lease) const
 {
     const std::lock_guard lock(m_mutex);
@@ -343,6 +352,7 @@
             .waiting = service.admission.queuedByRank(),
             .slots = load.slots,
             .serviceTime = std::chrono::duration_cast<std::chrono::milliseconds>(load.serviceTime),
+            .timePercent = static_cast<std::uint32_t>(std::clamp(load.slowdown * percent, 1.0, maxTimePercent)),
             .failuresPerMille = static_cast<std::uint32_t>(load.failureRate * perMille),
             .largeWait = std::chrono::duration_cast<std::chrono::milliseconds>(m_link.largeResponseWait())};
 }
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -70,6 +70,9 @@
     /** Updates the load of a remote target from the report that its node sent with a response. */
     void recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now);
 
+    /** Takes over the load that a target on this host states in a response. */
+    void recordStatedLoad(const SlotLease &lease, const StatedLoad &stated, TimePoint now);
+
     /** The load of a target on this host, for other nodes. Excludes the request that @p lease belongs to. */
     LoadReport reportOf(const SlotLease &lease) const;
 
--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -172,7 +172,21 @@
     return linkWaitAfter(serviceTimeOf(load, now), load.largeResponseWait);
 }
 
+double PlacementPolicy::slowdownOf(const TargetLoad &load, Duration constant, TimePoint now)
+{
+    if (load.slowdownAt == TimePoint::min()) {
+        return 1;
+    }
+    return 1 + (load.slowdown - 1) * std::exp(-milliseconds(now - load.slowdownAt) / milliseconds(constant));
+}
+
 Duration PlacementPolicy::serviceTimeOf(const TargetLoad &load, TimePoint now) const
+{
+    const Milliseconds usual = usualTimeOf(load, now);
+    return std::chrono::duration_cast<Duration>(usual * slowdownOf(load, m_options.slowdownTimeConstant, now));
+}
+
+Duration PlacementPolicy::usualTimeOf(const TargetLoad &load, TimePoint now) const
 {
     if (!load.isRemote()) {
         return load.serviceTime > Duration::zero() ? load.serviceTime : m_meanServiceTime;
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -25,6 +25,7 @@
         30}; ///< Largest random cost; makes nodes with equal data choose different targets.
     std::chrono::milliseconds reportTimeConstant{800}; ///< Of the exponential decay of a load report's weight.
     std::chrono::milliseconds serviceTimeConstant{5000}; ///< The same for the service time in the report.
+    std::chrono::milliseconds slowdownTimeConstant{600}; ///< The same for the slowdown of the target's host.
     std::chrono::milliseconds warmUpTime{5000}; ///< For which a new target may be slower than later.
     std::chrono::milliseconds warmUpTimeConstant{2000}; ///< Of the service time in a report from the warm-up.
     std::uint64_t seed = 0; ///< Seed of the jitter; 0 takes one from the operating system.
@@ -91,7 +92,9 @@
     double costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now);
     void updateMeans(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now);
     Duration linkWaitOf(const TargetLoad &load, TimePoint now) const;
+    static double slowdownOf(const TargetLoad &load, Duration constant, TimePoint now);
     Duration serviceTimeOf(const TargetLoad &load, TimePoint now) const;
+    Duration usualTimeOf(const TargetLoad &load, TimePoint now) const;
 
     PlacementOptions m_options;
     std::mt19937_64 m_random;
--- a/libs/proxy/src/relayheader.cpp
+++ b/libs/proxy/src/relayheader.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t maxMilliseconds = 3600000;
 constexpr std::uint64_t maxCount = 1000000;
 constexpr std::uint64_t maxSlots = 10000;
+constexpr std::uint64_t maxPercent = 10000;
 
 std::vector<std::string_view> split(std::string_view text, char separator)
 {
@@ -120,7 +121,7 @@
     }
     return text + ',' + std::to_string(slots) + ',' + milliseconds(serviceTime) + ',' + std::to_string(failuresPerMille)
         + ',' + (refusedByTarget ? '1' : '0') + ',' + (dependencyFailed ? '1' : '0') + ',' + milliseconds(largeWait)
-        + ',' + milliseconds(routeTime);
+        + ',' + milliseconds(routeTime) + ',' + std::to_string(timePercent);
 }
 
 std::optional<LoadReport> LoadReport::parse(std::string_view text)
@@ -135,7 +136,18 @@
     maxima[ranks + 5] = 1;
     maxima[ranks + 6] = maxMilliseconds;
     maxima[ranks + 7] = maxMilliseconds;
-    const auto values = numbers<ranks + 8>(split(text, ','), 0, maxima);
+    auto texts = split(text, ',');
+    // Nodes of an earlier version leave the last number out.
+    std::uint64_t timePercent = 100;
+    if (texts.size() == ranks + 9) {
+        const auto last = number(texts.back(), maxPercent);
+        if (!last || *last == 0) {
+            return std::nullopt;
+        }
+        timePercent = *last;
+        texts.pop_back();
+    }
+    const auto values = numbers<ranks + 8>(texts, 0, maxima);
     if (!values || (*values)[ranks + 1] == 0) {
         return std::nullopt;
     }
@@ -151,6 +163,7 @@
     report.dependencyFailed = (*values)[ranks + 5] == 1;
     report.largeWait = std::chrono::milliseconds((*values)[ranks + 6]);
     report.routeTime = std::chrono::milliseconds((*values)[ranks + 7]);
+    report.timePercent = static_cast<std::uint32_t>(timePercent);
     return report;
 }
 
--- a/libs/proxy/src/relayheader.h
+++ b/libs/proxy/src/relayheader.h
@@ -63,6 +63,7 @@
     std::array<std::uint32_t, AdmissionRank::count> waiting{}; ///< Requests that wait for a slot, by rank.
     std::uint32_t slots = 1; ///< Requests that the target runs concurrently. 1..10000.
     std::chrono::milliseconds serviceTime{0}; ///< Mean time of recent requests at the target; 0 without any.
+    std::uint32_t timePercent = 100; ///< Expected time of the next requests, relative to the mean. 1..10000.
     std::uint32_t failuresPerMille = 0; ///< Failure rate of recent requests at the target. 0..1000.
     std::chrono::milliseconds routeTime{0}; ///< Mean time of recent requests of the same route; 0 without any.
     std::chrono::milliseconds largeWait{0}; ///< Wait of a large response for the link of the target's host.
--- a/libs/proxy/src/targetload.h
+++ b/libs/proxy/src/targetload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relayheader.h"
+#include "statedload.h"
 
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/membership/target.h>
@@ -13,6 +14,9 @@
 /** Denominator of LoadReport::failuresPerMille. */
 inline constexpr double perMille = 1000;
 
+/** Denominator of LoadReport::timePercent. */
+inline constexpr double percent = 100;
+
 /** The load of one instance of a target as this node knows it. Guarded by the load balancer's mutex. */
 struct TargetLoad
 {
@@ -32,6 +36,10 @@
     TimePoint reportedAt = TimePoint::min();
     std::uint32_t outstandingAtReport = 0; ///< Requests of this node that the report counts.
     TimePoint lastUsed = TimePoint::min();
+    double slowdown = 1; ///< Expected time of the next requests, relative to serviceTime.
+    TimePoint slowdownAt = TimePoint::min(); ///< When the target or its node stated the slowdown.
+    double statedPercent = 100; ///< Moving average of StatedLoad::timePercent; for a target on this host.
+    std::uint32_t unaccounted = 0; ///< Requests at a target on this host that this node has not sent, as stated.
 
     bool isEjected(TimePoint now) const
     {
@@ -43,6 +51,8 @@
     {
         report = received;
         reportedAt = now;
+        slowdown = received.timePercent / percent;
+        slowdownAt = now;
         // The report excludes the request whose response carries it, which still counts as outstanding here.
         outstandingAtReport = outstanding > 0 ? outstanding - 1 : 0;
         slots = received.slots;
@@ -51,9 +61,18 @@
         largeResponseWait = received.largeWait;
     }
 
+    /** Takes over the load that a target on this host states with the response to one of the outstanding requests. */
+    void applyStated(const StatedLoad &stated, TimePoint now);
+
+    /** Requests that this node may have outstanding at a target on this host. At least 1. */
+    std::uint32_t concurrencyLimit() const
+    {
+        return slots > unaccounted ? slots - unaccounted : 1;
+    }
+
     bool hasFreeSlot() const
     {
-        return outstanding < slots && !withdrawn;
+        return outstanding < concurrencyLimit() && !withdrawn;
     }
 
     /** Whether the target is reached only through another node, which queues and admits its requests. */
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -394,6 +394,12 @@
 void UpstreamExchange::recordLoadReport()
 {
     if (!m_lease.isRemote()) {
+        const auto &name = m_call.core.options.headers.targetLoad;
+        const auto *text = name.empty() ? nullptr : stream().reader().head().find(name);
+        const auto stated = text != nullptr ? StatedLoad::parse(*text) : std::nullopt;
+        if (stated && m_lease) {
+            m_call.core.balancer.recordStatedLoad(m_lease, *stated, now());
+        }
         return;
     }
     const auto *value = stream().reader().head().find(loadHeaderName);
--- a/libs/proxy/tests/placementpolicytest.cpp
+++ b/libs/proxy/tests/placementpolicytest.cpp
@@ -52,6 +52,20 @@
     CHECK_EQUAL(1, portOf({makeBusy(1, "turku", 5), makeBusy(2, "helsinki", 5)}));
 }
 
+// Guards against sending to a host that is slow at the moment, and against avoiding it long after the report.
+TEST(PlacementPolicy, avoidsAHostThatIsSlowAtTheMoment)
+{
+    const auto slow = makeBusy(1, "turku", 2);
+    const auto busier = makeBusy(2, "turku", 5);
+    slow->slowdown = 2.5;
+    slow->slowdownAt = now;
+    CHECK_EQUAL(2, portOf({slow, busier}));
+    slow->slowdownAt = now - 5s;
+    slow->report.running = 0;
+    busier->report.running = 9;
+    CHECK_EQUAL(1, portOf({slow, busier}));
+}
+
 // Requests must not queue in the local zone while another zone has free slots.
 TEST(PlacementPolicy, leavesTheLocalZoneWhenItIsFull)
 {
--- a/libs/proxy/tests/placementsimulation.cpp
+++ b/libs/proxy/tests/placementsimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace Hornbeam {
 
@@ -32,6 +33,7 @@
     double speed = 1;
     TimePoint warm; ///< End of the cold start.
     std::uint32_t running = 0;
+    std::uint32_t coming = 0; ///< Requests on their way to the target.
     Duration serviceTime = Duration::zero();
     std::deque<std::pair<CallPtr, TimePoint>> queue; ///< With the end of each wait.
 };
@@ -61,7 +63,10 @@
     for (std::uint32_t i = 0; i < m_options.nodes; ++i) {
         auto node = std::make_unique<Node>();
         node->zone = "zone-" + std::to_string(i % m_options.zones);
-        node->policy = std::make_unique<PlacementPolicy>(PlacementOptions{.zone = node->zone, .seed = m_random()});
+        auto placement = m_options.placement;
+        placement.zone = node->zone;
+        placement.seed = m_random();
+        node->policy = std::make_unique<PlacementPolicy>(std::move(placement));
         m_nodes.push_back(std::move(node));
     }
     m_servers.resize(m_options.targets);
@@ -128,13 +133,18 @@
 
 void PlacementSimulation::arrive(std::uint32_t node)
 {
-    const auto gap = std::exponential_distribution<double>(m_options.requestsPerSecond / m_options.nodes)(m_random);
+    const auto highest = m_options.requestsPerSecond / m_options.nodes * (1 + m_options.swing);
+    const auto gap = std::exponential_distribution<double>(highest)(m_random);
     const auto next = m_now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
     if (next >= m_begin + m_options.length) {
         return;
     }
     at(next, [this, node] {
         arrive(node);
+        if (m_options.swing > 0
+            && std::uniform_real_distribution<double>(0, 1 + m_options.swing)(m_random) > demandOf(node, m_now)) {
+            return;
+        }
         const auto call = std::make_shared<Call>();
         call->node = node;
         call->sent = m_now;
@@ -159,6 +169,9 @@
     for (const auto &load : node.loads) {
         localQueued += load->local ? m_servers[call->node]->queue.size() : 0;
     }
+    if (m_options.oracle) {
+        lookAtAllQueues(node);
+    }
     auto placement = node.policy->choose(node.loads, query, localQueued, m_now);
     if (!placement.target) {
         finish(call, false);
@@ -172,11 +185,14 @@
     call->load->lastUsed = m_now;
     call->offeredFullWait = placement.expectedWait > Duration::zero() || maxWait <= minOfferedWait;
     const auto offered = call->offeredFullWait ? maxWait : minOfferedWait;
-    at(m_now + delayTo(*call, *server), [this, call, server, offered] { offer(call, server, offered); });
+    const auto delay = delayTo(*call, *server);
+    ++server->coming;
+    at(m_now + delay, [this, call, server, offered] { offer(call, server, offered); });
 }
 
 void PlacementSimulation::offer(const CallPtr &call, const ServerPtr &server, Duration maxWait)
 {
+    --server->coming;
     const auto ahead = server->queue.size() + 1;
     const auto wait = scaled(server->serviceTime, static_cast<double>(ahead) / m_options.slots);
     if (server->running >= m_options.slots && wait > maxWait) {
@@ -255,6 +271,11 @@
     report.waiting[AdmissionRank(Priority::Normal).value()] = static_cast<std::uint32_t>(server.queue.size());
     report.slots = m_options.slots;
     report.serviceTime = std::chrono::duration_cast<std::chrono::milliseconds>(server.serviceTime);
+    if (m_options.loadFactor) {
+        const auto stated = isSlowed(server, m_now) ? m_options.noiseFactor : 1;
+        const auto mean = 1 + m_options.noiseShare * (m_options.noiseFactor - 1);
+        report.timePercent = static_cast<std::uint32_t>(percent * stated / mean);
+    }
     return report;
 }
 
@@ -267,7 +288,41 @@
 {
     const auto factor = std::lognormal_distribution<double>(-workSpread * workSpread / 2, workSpread)(m_random);
     const auto cold = m_now < server.warm ? coldFactor : 1;
-    return scaled(m_options.work, server.speed * cold * factor) + m_options.nested;
+    const auto slowed = isSlowed(server, m_now) ? m_options.noiseFactor : 1;
+    const bool tail = std::bernoulli_distribution(m_options.tailShare)(m_random);
+    const auto length = slowed * (tail ? m_options.tailFactor : 1);
+    return scaled(m_options.work, server.speed * cold * factor * length) + m_options.nested;
+}
+
+double PlacementSimulation::demandOf(std::uint32_t node, TimePoint time) const
+{
+    constexpr double shift = 0.08; // of the period, between two zones
+    const auto zone = static_cast<double>(node % m_options.zones);
+    const std::chrono::duration<double> period = m_options.wavePeriod;
+    const auto phase = std::chrono::duration<double>(time - m_begin) / period + shift * zone;
+    return 1 + m_options.swing * std::sin(2 * std::numbers::pi * phase);
+}
+
+bool PlacementSimulation::isSlowed(const Server &server, TimePoint time) const
+{
+    // The generator of the class would make the result depend on the order of the calls.
+    const auto turn = static_cast<std::uint64_t>((time - m_begin) / m_options.noisePeriod);
+    std::minstd_rand random(
+        static_cast<std::uint32_t>(m_options.seed * 7919 + turn * 104729 + server.target.address.port() * 1299709ULL));
+    random.discard(4);
+    return m_options.noiseShare > 0 && std::bernoulli_distribution(m_options.noiseShare)(random);
+}
+
+void PlacementSimulation::lookAtAllQueues(Node &node)
+{
+    for (const auto &load : node.loads) {
+        const auto &server = *m_servers[load->target.gateway.port() - 1U];
+        auto report = reportOf(server);
+        report.running += server.coming;
+        load->applyReport(report, m_now);
+        load->outstandingAtReport = load->outstanding;
+        load->lastUsed = m_now;
+    }
 }
 
 SimulationResult PlacementSimulation::between(std::chrono::milliseconds from, std::chrono::milliseconds to) const
--- a/libs/proxy/tests/placementsimulation.h
+++ b/libs/proxy/tests/placementsimulation.h
@@ -30,6 +30,16 @@
     std::uint32_t released = 14; ///< Targets that are replaced, two at a time.
     std::chrono::milliseconds releasePeriod{800}; ///< Between two steps of the release.
     std::chrono::milliseconds length{25000};
+    double swing = 0; ///< Share by which the demand of a zone rises and falls, one zone after the other. 0..1.
+    std::chrono::milliseconds wavePeriod{17000};
+    double noiseShare = 0; ///< Share of the targets that are slowed down by other work on their host. 0..1.
+    double noiseFactor = 2.5; ///< On the work of these targets.
+    std::chrono::milliseconds noisePeriod{600}; ///< After which other targets are slowed down.
+    double tailShare = 0; ///< Share of the requests that take much longer. 0..1.
+    double tailFactor = 7;
+    bool loadFactor = false; ///< Reports tell whether the target is slowed down.
+    bool oracle = false; ///< Placement knows all queues at each moment.
+    PlacementOptions placement{};
     std::uint64_t seed = 1;
 };
 
@@ -93,6 +103,9 @@
     LoadReport reportOf(const Server &server) const;
     Duration delayTo(const Call &call, const Server &server) const;
     Duration workTime(const Server &server);
+    double demandOf(std::uint32_t node, TimePoint time) const;
+    bool isSlowed(const Server &server, TimePoint time) const;
+    void lookAtAllQueues(Node &node);
 
     SimulationOptions m_options;
     std::mt19937_64 m_random;
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -15,6 +15,7 @@
                        .expectedTarget = "For-Target",
                        .originService = "From-Service",
                        .notExecuted = "Not-Run",
+                       .targetLoad = "Load",
                        .fractionalRetryAfter = true};
     options.hostService = nodeOptions.hostService;
     options.nodeId = nodeOptions.nodeId;
--- a/libs/proxy/tests/relayheadertest.cpp
+++ b/libs/proxy/tests/relayheadertest.cpp
@@ -36,6 +36,7 @@
                             .waiting = {1, 0, 3, 0, 2},
                             .slots = 10,
                             .serviceTime = 120ms,
+                            .timePercent = 240,
                             .failuresPerMille = 250,
                             .routeTime = 64ms,
                             .largeWait = 70ms,
@@ -65,7 +66,10 @@
                              "1,0,0,0,0,0,0,5,0,0,0,0,0",
                              "1,0,0,0,0,0,9,5,1001,0,0,0,0",
                              "1,0,0,0,0,0,9,5,1,2,0,0,0",
-                             "1,0,0,0,0,0,9,5,1,1,0"}) {
+                             "1,0,0,0,0,0,9,5,1,1,0",
+                             "1,0,0,0,0,0,9,5,1,1,0,0,0,0",
+                             "1,0,0,0,0,0,9,5,1,1,0,0,0,10001",
+                             "1,0,0,0,0,0,9,5,1,1,0,0,0,100,1"}) {
         CHECK_FALSE(LoadReport::parse(text).has_value());
     }
 }
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -1,4 +1,5 @@
 #include "relayfixture.h"
+#include "relayheader.h"
 
 #include <thread>
 
@@ -373,6 +374,23 @@
     CHECK(peak <= 2);
 }
 
+// Guards against losing the load that a target states on its way to the nodes of the callers.
+TEST(Relay, reportsHowSlowTheHostOfATargetIs)
+{
+    TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        const auto id = "Signed-By: t\r\nCall-Id: " + request.header("call-id") + "\r\n";
+        return connection.send(TestTarget::response("200 OK", "ok", id + "Load: 1,0,10,300\r\n"));
+    });
+    addTarget(target, "i-1");
+    start();
+    auto socket = TestSocket::connectTo(nodes[0]->server->relayEndpoint());
+    socket.send("GET / HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c1\r\nX-Hornbeam-Relay: "
+                "i-1;rota;rota;1000;100;1;1;0;0\r\n\r\n");
+    const auto report = LoadReport::parse(socket.read().value().header("x-hornbeam-load"));
+    CHECK(report.has_value());
+    CHECK(report->timePercent > 250);
+}
+
 // Guards against serving processes that connect to the relay listener but are not nodes.
 TEST(Relay, refusesARequestWithoutARelayHeader)
 {
