--- a/libs/proxy/include/hornbeam/proxy/headernames.h
+++ b/libs/proxy/include/hornbeam/proxy/headernames.h
@@ -22,6 +22,7 @@
      */
     std::string accountKey = "X-Hornbeam-Key";
     std::string account = "X-Hornbeam-Account"; ///< Sent to a target: the name of the request's client account.
+    std::string targetLoad{}; ///< Set in responses of a target that states its load, see StatedLoad.
     bool fractionalRetryAfter = false; ///< Callers accept fractions of a second in Retry-After.
 
     friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -17,6 +17,7 @@
                        .notExecuted = "Not-Run",
                        .accountKey = "Client-Key",
                        .account = "Client-Name",
+                       .targetLoad = "Load",
                        .fractionalRetryAfter = true};
     options.hostService = nodeOptions.hostService;
     options.nodeId = nodeOptions.nodeId;
