--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -17,6 +17,7 @@
                        .notExecuted = "Not-Run",
                        .accountKey = "Client-Key",
                        .account = "Client-Name",
+                       .targetLoad = "Load",
                        .fractionalRetryAfter = true};
     options.hostService = nodeOptions.hostService;
     options.nodeId = nodeOptions.nodeId;
@@ -28,7 +29,9 @@
     options.retryBudgetReserve = 20;
     options.stopNotice = nodeOptions.stopNotice;
     options.drainBound = nodeOptions.drainBound;
-    server = std::move(*ProxyServer::make(options, {.claims = claims, .crashes = crashes, .metrics = metrics}));
+    server = std::move(*ProxyServer::make(
+        options,
+        {.claims = claims, .crashes = crashes, .metrics = metrics, .log = nullptr, .limiter = nodeOptions.limiter}));
 }
 
 std::string signedResponse(const TestMessage &request, const std::string &body)
