Forget the buckets of a coordinator that was cut off

Cause: a coordinator that received nothing for some seconds kept its buckets, counted at once what the others had spent and refused all requests of accounts below their limit. Own shares of accounts that are not limited followed the requests of one second, which are few for one node.

Change: a node that may not coordinate drops this state. The own share of an account that is not limited follows the mean of five seconds.

--- a/libs/ratelimits/include/hornbeam/ratelimits/accountlimiter.h
+++ b/libs/ratelimits/include/hornbeam/ratelimits/accountlimiter.h
@@ -83,6 +83,7 @@
         double ownTokens = 0;
         double ownCapacity = 1;
         double demand = 0; ///< Requests a second that callers have sent here, averaged over about a second.
+        double usualDemand = 0; ///< The same, averaged over about five seconds.
         TimePoint demandUpdated;
         double agreedRate = 0; ///< Requests a second that were admitted when the coordinator last answered.
         TimePoint promised; ///< Time of the last token that was announced in a Retry-After.
@@ -96,6 +97,7 @@
 
     static void acknowledge(Account &account, std::uint32_t sequence);
     static double currentDemand(const Account &account, TimePoint now);
+    static double usualDemand(const Account &account, TimePoint now);
     void refill(Account &account, TimePoint now) const;
     bool take(Account &account);
     std::chrono::milliseconds retryAfter(Account &account, TimePoint now);
--- a/libs/ratelimits/include/hornbeam/ratelimits/limitcoordinator.h
+++ b/libs/ratelimits/include/hornbeam/ratelimits/limitcoordinator.h
@@ -51,6 +51,9 @@
     /** Counts what another coordinator reports. */
     void receiveSync(const std::string &coordinator, const LimitSync &sync, TimePoint now);
 
+    /** Ends the activity of a node that is cut off: what it knows is outdated when nodes report again. */
+    void deactivate();
+
     /** Whether nodes have reported recently. */
     bool isActive(TimePoint now) const;
 
--- a/libs/ratelimits/src/accountlimiter.cpp
+++ b/libs/ratelimits/src/accountlimiter.cpp
@@ -10,8 +10,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** Time over which the demand of an account on this node is averaged. */
+/** Times over which the demand of an account on this node is averaged. */
 constexpr double demandSeconds = 1;
+constexpr double usualDemandSeconds = 5; ///< For accounts that are not limited, which may have few requests here.
 
 /** Initial tokens, in seconds of the rate: a node that starts brings a token for its first requests, but no burst. */
 constexpr double initialSeconds = 0.2;
@@ -107,6 +108,7 @@
         return {};
     }
     auto &account = it->second;
+    account.usualDemand = usualDemand(account, now) + 1 / usualDemandSeconds;
     account.demand = currentDemand(account, now) + 1 / demandSeconds;
     account.demandUpdated = now;
     ++account.counts.asked;
@@ -194,7 +196,8 @@
         if (!agreed) {
             continue;
         }
-        account.agreedRate = std::min(account.share * currentDemand(account, now), account.limit.ratePerSecond);
+        const double rate = account.share < 1 ? account.share * currentDemand(account, now) : usualDemand(account, now);
+        account.agreedRate = std::min(rate, account.limit.ratePerSecond);
     }
     return true;
 }
@@ -279,6 +282,12 @@
     return account.demand * std::exp(-std::max(0.0, passed) / demandSeconds);
 }
 
+double AccountLimiter::usualDemand(const Account &account, TimePoint now)
+{
+    const double passed = Seconds(now - account.demandUpdated).count();
+    return account.usualDemand * std::exp(-std::max(0.0, passed) / usualDemandSeconds);
+}
+
 void AccountLimiter::refill(Account &account, TimePoint now) const
 {
     const double passed = Seconds(now - account.refilled).count();
--- a/libs/ratelimits/src/limitcoordinator.cpp
+++ b/libs/ratelimits/src/limitcoordinator.cpp
@@ -109,6 +109,7 @@
     LimitStatus notice(TimePoint now);
     std::optional<TimePoint> lastReport(const std::string &node) const;
     void receiveSync(const std::string &coordinator, const LimitSync &sync, TimePoint now);
+    void deactivate();
     bool isActive(TimePoint now) const;
     std::vector<LimitSync> makeSyncs(TimePoint now);
     std::vector<std::string> activePeers(TimePoint now) const;
@@ -402,6 +403,11 @@
     }
 }
 
+void LimitCoordinator::Impl::deactivate()
+{
+    m_activeSince.reset();
+}
+
 bool LimitCoordinator::Impl::isActive(TimePoint now) const
 {
     return m_activeSince && now - m_lastReport < activeTimeout;
@@ -686,6 +692,11 @@
     m_impl->receiveSync(coordinator, sync, now);
 }
 
+void LimitCoordinator::deactivate()
+{
+    m_impl->deactivate();
+}
+
 bool LimitCoordinator::isActive(TimePoint now) const
 {
     return m_impl->isActive(now);
--- a/libs/ratelimits/src/ratelimitnode.cpp
+++ b/libs/ratelimits/src/ratelimitnode.cpp
@@ -100,6 +100,9 @@
         return;
     }
     std::erase_if(m_avoided, [now](const auto &it) { return it.second <= now; });
+    if (!mayCoordinate(now)) {
+        m_coordinator.deactivate();
+    }
     chooseCoordinator(now, false);
     if (m_limiter.hasReport()) {
         report(now);
