--- a/libs/ratelimits/src/demandwindow.cpp
+++ b/libs/ratelimits/src/demandwindow.cpp
@@ -20,7 +20,7 @@
 
 void DemandWindow::moveTo(TimePoint now)
 {
-    const std::int64_t current = now.time_since_epoch() / binLength;
+    const auto current = static_cast<std::int64_t>(now.time_since_epoch() / binLength);
     if (current - m_newest >= static_cast<std::int64_t>(binCount)) {
         m_bins.fill(0);
         m_newest = current;
--- a/libs/ratelimits/tests/limitcoordinatortest.cpp
+++ b/libs/ratelimits/tests/limitcoordinatortest.cpp
@@ -110,7 +110,7 @@
     LimitSync sync{.active = true, .complete = true, .ageMilliseconds = 3600000, .zone = "south", .entries = {}};
     for (int i = 0; i < 100; ++i) {
         sync.sequence = static_cast<std::uint32_t>(i + 1);
-        sync.entries = {{.account = accountKey(limit.name), .spent = i * 10, .demand = 50, .level = 100}};
+        sync.entries = {{.account = accountKey(limit.name), .spent = std::int64_t{10} * i, .demand = 50, .level = 100}};
         coordinator.receiveSync("other", sync, now);
         report("a", 10);
         now += 200ms;
