Let a target queue a request for as long as it can wait

Cause: a target that was expected to have a free slot might queue a request for 40 ms only.

Change: the node of the target gets the whole time for which the request can wait. It refuses at once what would wait longer. A target that refused is not tried again for the same request.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -16,9 +16,6 @@
 /** Upper bound of a caller's deadline, the same as that of a route's timeout. */
 constexpr std::int64_t maxDeadlineMs = 3600000;
 
-/** Queueing time offered to a target that should have a free slot, so that small estimation errors cost no retry. */
-constexpr std::chrono::milliseconds minOfferedWait{40};
-
 /**
  * A request that makes nested calls is refused while requests of its rank would wait longer than this at a service that
  * it calls. Its nested calls have the best rank there, so they would displace requests that are equally urgent.
@@ -211,14 +208,11 @@
     latestStart = late ? std::clamp(deadline - typical, now, now + maxLateWait) : inTime;
 }
 
-Duration CallContext::maxRemoteWait(TimePoint now)
+Duration CallContext::maxRemoteWait(TimePoint now) const
 {
-    const auto latest = std::min(latestStart, deadline);
-    const auto whole = std::max(latest - now, Duration::zero());
-    // A target that should have a free slot may queue the request only briefly. If its queue turns out to be longer,
-    // another target is tried first.
-    offeredFullWait = expectedWait > Duration::zero() || whole <= minOfferedWait;
-    return offeredFullWait ? whole : Duration(minOfferedWait);
+    // The node of the target knows its queue and refuses the request at once if it would wait longer than this. A
+    // shorter limit makes targets with a short queue refuse requests that they would serve in time.
+    return std::max(std::min(latestStart, deadline) - now, Duration::zero());
 }
 
 std::vector<std::string_view> CallContext::headersToReplace() const
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -70,7 +70,6 @@
     bool late = false; ///< The request is expected to miss its latency objective.
     bool dependencyFailed = false; ///< Refused because of a busy dependency; reported to the sending node.
     bool arrivedAtTarget = false; ///< A target refused the request; reported to the sending node.
-    bool offeredFullWait = false; ///< The last remote target was allowed to queue the request until its latest start.
     Duration waited = Duration::zero(); ///< For slots, claims and the caller's body; not counted as proxy latency.
     CallStages stages; ///< What the request has waited for.
     std::string targetName; ///< Target of the last attempt.
@@ -123,8 +122,8 @@
     /** Computes the end of the wait for a slot from the latency objective and the typical service time. */
     void updateLatestStart();
 
-    /** Longest time for which a remote target may queue the request if it is sent at @p now. Sets offeredFullWait. */
-    Duration maxRemoteWait(TimePoint now);
+    /** Longest time for which a remote target may queue the request if it is sent at @p now. */
+    Duration maxRemoteWait(TimePoint now) const;
 
     /** Names of request headers that the proxy replaces by its own. */
     std::vector<std::string_view> headersToReplace() const;
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -180,10 +180,7 @@
         m_needsNewConnection = true;
         return;
     }
-    const bool arrived = status == AttemptStatus::Response && exchange.reachedTarget();
-    if (status != AttemptStatus::Response || arrived || m_call.offeredFullWait || exchange.peerCloses()) {
-        m_excluded.push_back(exchange.lease().address());
-    }
+    m_excluded.push_back(exchange.lease().address());
 }
 
 bool RetryableCall::mayTryAgain(const UpstreamExchange &exchange, AttemptStatus status, Outcome outcome)
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -451,11 +451,6 @@
     return !m_lease.isRemote() || m_reachedTarget;
 }
 
-bool UpstreamExchange::peerCloses() const
-{
-    return m_lease.isRemote() && m_connection && !m_connection->stream.reader().head().keepAlive;
-}
-
 bool UpstreamExchange::isFailureOfPeer() const
 {
     return m_lease.isRemote() && m_connection->stream.reader().head().find("x-hornbeam-outcome") != nullptr;
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -89,9 +89,6 @@
         return m_dependencyFailed;
     }
 
-    /** Whether the node of the target closes the connection after its response, as it does while it stops. */
-    bool peerCloses() const;
-
     /** Whether the target's node generated the response itself instead of relaying one from the target. */
     bool isFailureOfPeer() const;
 
--- a/libs/proxy/tests/placementsimulation.cpp
+++ b/libs/proxy/tests/placementsimulation.cpp
@@ -10,11 +10,10 @@
 
 using namespace std::chrono_literals;
 
-/** As in the call: limits of sends, the factor on the typical time, and the wait at a target that should be free. */
+/** As in the call: limit of sends, the factor on the typical time, and the wait of a late request. */
 constexpr int maxSends = 6;
 constexpr double serviceTimeMargin = 1.25;
-constexpr Duration minOfferedWait = 40ms;
-constexpr Duration maxLateWait = 100ms;
+constexpr Duration maxLateWait = 0ms;
 constexpr int serviceTimeDivisor = 16;
 
 constexpr double workSpread = 0.3; ///< Standard deviation of the logarithm of the work.
@@ -53,7 +52,7 @@
     TargetLoadPtr load; ///< Of the target to which the request was sent last.
     std::vector<Endpoint> excluded;
     int sends = 0;
-    bool offeredFullWait = false;
+    int tries = 0;
 };
 
 PlacementSimulation::PlacementSimulation(SimulationOptions options)
@@ -183,11 +182,9 @@
     ++call->sends;
     ++call->load->outstanding;
     call->load->lastUsed = m_now;
-    call->offeredFullWait = placement.expectedWait > Duration::zero() || maxWait <= minOfferedWait;
-    const auto offered = call->offeredFullWait ? maxWait : minOfferedWait;
     const auto delay = delayTo(*call, *server);
     ++server->coming;
-    at(m_now + delay, [this, call, server, offered] { offer(call, server, offered); });
+    at(m_now + delay, [this, call, server, maxWait] { offer(call, server, maxWait); });
 }
 
 void PlacementSimulation::offer(const CallPtr &call, const ServerPtr &server, Duration maxWait)
@@ -247,9 +244,7 @@
     at(m_now + delayTo(*call, *server), [this, call, report = reportOf(*server)] {
         call->load->applyReport(report, m_now);
         --call->load->outstanding;
-        if (call->offeredFullWait) {
-            call->excluded.push_back(call->load->target.address);
-        }
+        call->excluded.push_back(call->load->target.address);
         if (call->sends >= maxSends) {
             finish(call, false);
         } else {
@@ -260,8 +255,22 @@
 
 void PlacementSimulation::finish(const CallPtr &call, bool answered)
 {
-    m_samples.push_back(
-        {.sent = call->sent, .inTime = answered && m_now - call->sent <= m_options.objective, .refused = !answered});
+    if (!answered && call->tries < m_options.retries) {
+        const auto spread =
+            std::uniform_int_distribution<int>(0, static_cast<int>(m_options.retryJitter.count()))(m_random);
+        const auto wait = m_options.retryAfter + std::chrono::milliseconds(spread);
+        const auto most = (call->sent + m_options.deadline - m_now) / 3;
+        const auto back = std::make_shared<Call>();
+        back->node = call->node;
+        back->sent = call->sent;
+        back->tries = call->tries + 1;
+        at(m_now + std::min<Duration>(wait, most), [this, back] { place(back); });
+        return;
+    }
+    m_samples.push_back({.sent = call->sent,
+                         .inTime = answered && m_now - call->sent <= m_options.objective,
+                         .refused = !answered,
+                         .again = !answered && call->tries > 0});
 }
 
 LoadReport PlacementSimulation::reportOf(const Server &server) const
@@ -288,10 +297,27 @@
 {
     const auto factor = std::lognormal_distribution<double>(-workSpread * workSpread / 2, workSpread)(m_random);
     const auto cold = m_now < server.warm ? coldFactor : 1;
-    const auto slowed = isSlowed(server, m_now) ? m_options.noiseFactor : 1;
     const bool tail = std::bernoulli_distribution(m_options.tailShare)(m_random);
-    const auto length = slowed * (tail ? m_options.tailFactor : 1);
-    return scaled(m_options.work, server.speed * cold * factor * length) + m_options.nested;
+    const auto length = tail ? m_options.tailFactor : 1;
+    return slowedTime(server, scaled(m_options.work, server.speed * cold * factor * length)) + m_options.nested;
+}
+
+Duration PlacementSimulation::slowedTime(const Server &server, Duration work) const
+{
+    if (m_options.noiseShare == 0) {
+        return work;
+    }
+    const Duration period = m_options.noisePeriod;
+    for (auto time = m_now;;) {
+        const auto end = time + period - (time - m_begin) % period;
+        const auto factor = isSlowed(server, time) ? m_options.noiseFactor : 1;
+        const auto done = scaled(end - time, 1 / factor);
+        if (done >= work) {
+            return time + scaled(work, factor) - m_now;
+        }
+        work -= done;
+        time = end;
+    }
 }
 
 double PlacementSimulation::demandOf(std::uint32_t node, TimePoint time) const
@@ -305,12 +331,16 @@
 
 bool PlacementSimulation::isSlowed(const Server &server, TimePoint time) const
 {
-    // The generator of the class would make the result depend on the order of the calls.
+    // A hash (splitmix64), because the generator of the class would make the result depend on the order of the calls.
     const auto turn = static_cast<std::uint64_t>((time - m_begin) / m_options.noisePeriod);
-    std::minstd_rand random(
-        static_cast<std::uint32_t>(m_options.seed * 7919 + turn * 104729 + server.target.address.port() * 1299709ULL));
-    random.discard(4);
-    return m_options.noiseShare > 0 && std::bernoulli_distribution(m_options.noiseShare)(random);
+    auto hash = (m_options.seed << 40U) + (turn << 20U) + server.target.address.port();
+    for (int i = 0; i < 2; ++i) {
+        hash += 0x9e3779b97f4a7c15U;
+        hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9U;
+        hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebU;
+        hash ^= hash >> 31U;
+    }
+    return static_cast<double>(hash >> 11U) < m_options.noiseShare * static_cast<double>(std::uint64_t{1} << 53U);
 }
 
 void PlacementSimulation::lookAtAllQueues(Node &node)
@@ -332,6 +362,7 @@
         if (it.sent >= m_begin + from && it.sent < m_begin + to) {
             ++result.requests;
             result.inTime += it.inTime ? 1 : 0;
+            result.refusedAgain += it.again ? 1 : 0;
             result.refused += it.refused ? 1 : 0;
         }
     }
--- a/libs/proxy/tests/placementsimulation.h
+++ b/libs/proxy/tests/placementsimulation.h
@@ -37,6 +37,10 @@
     std::chrono::milliseconds noisePeriod{600}; ///< After which other targets are slowed down.
     double tailShare = 0; ///< Share of the requests that take much longer. 0..1.
     double tailFactor = 7;
+    int retries = 0; ///< How often a refused caller comes back.
+    std::chrono::milliseconds deadline{1500}; ///< Of a caller, since its first attempt.
+    std::chrono::milliseconds retryAfter{150}; ///< Least time after which a refused caller comes back.
+    std::chrono::milliseconds retryJitter{300};
     bool loadFactor = false; ///< Reports tell whether the target is slowed down.
     bool oracle = false; ///< Placement knows all queues at each moment.
     PlacementOptions placement{};
@@ -49,6 +53,7 @@
     std::uint32_t requests = 0;
     std::uint32_t inTime = 0; ///< Answered within the latency objective.
     std::uint32_t refused = 0;
+    std::uint32_t refusedAgain = 0; ///< Came back after a refusal.
 
     double inTimeShare() const
     {
@@ -87,6 +92,7 @@
         TimePoint sent;
         bool inTime = false;
         bool refused = false;
+        bool again = false;
     };
 
     void at(TimePoint time, std::function<void()> action);
@@ -103,6 +109,7 @@
     LoadReport reportOf(const Server &server) const;
     Duration delayTo(const Call &call, const Server &server) const;
     Duration workTime(const Server &server);
+    Duration slowedTime(const Server &server, Duration work) const;
     double demandOf(std::uint32_t node, TimePoint time) const;
     bool isSlowed(const Server &server, TimePoint time) const;
     void lookAtAllQueues(Node &node);
