Do not queue requests that will be late

Cause: a request that would miss its latency objective waited up to 100 ms, often to be refused then, and its place in the queue made others wait or be refused.

Change: it takes a slot that is free and that nobody of its rank or a better one waits for, or is refused at once.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -22,9 +22,6 @@
  */
 constexpr std::chrono::milliseconds maxDependencyWait{60};
 
-/** Longest wait of a request that will miss its latency objective. */
-constexpr std::chrono::milliseconds maxLateWait{100};
-
 /** Time limit for writing a refusal, which may be sent after the request's deadline. */
 constexpr auto refusalWriteTimeout = std::chrono::seconds(1);
 
@@ -204,8 +201,9 @@
     const auto now = std::chrono::steady_clock::now();
     const auto inTime = std::min(objective, deadline) - typical;
     late = inTime < now;
-    // Under overload, all requests become late. A late request only waits for a slot that becomes free soon.
-    latestStart = late ? std::clamp(deadline - typical, now, now + maxLateWait) : inTime;
+    // Under overload, all requests become late. A late request takes only a slot that nobody waits for: waiting, it
+    // would be refused late and displace requests that can be in time.
+    latestStart = late ? now : inTime;
 }
 
 Duration CallContext::maxRemoteWait(TimePoint now) const
