Let load reports count for longer

Cause: with a time constant of 800 ms, the weight of a load report decays before the next one arrives: a node sends to one target less than once a second, so mostly the mean of all targets was used, and full targets got further requests.

Change: the time constant is 2,000 ms.

--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -23,7 +23,7 @@
     std::chrono::milliseconds defaultServiceTime{100}; ///< Service time of a target without samples.
     std::chrono::milliseconds jitter{
         30}; ///< Largest random cost; makes nodes with equal data choose different targets.
-    std::chrono::milliseconds reportTimeConstant{800}; ///< Of the exponential decay of a load report's weight.
+    std::chrono::milliseconds reportTimeConstant{2000}; ///< Of the exponential decay of a load report's weight.
     std::chrono::milliseconds serviceTimeConstant{5000}; ///< The same for the service time in the report.
     std::chrono::milliseconds slowdownTimeConstant{600}; ///< The same for the slowdown of the target's host.
     std::chrono::milliseconds warmUpTime{5000}; ///< For which a new target may be slower than later.
