--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -19,18 +19,12 @@
 /** Upper bound of a caller's deadline, the same as that of a route's timeout. */
 constexpr std::int64_t maxDeadlineMs = 3600000;
 
-/** Queueing time offered to a target that should have a free slot, so that small estimation errors cost no retry. */
-constexpr std::chrono::milliseconds minOfferedWait{40};
-
 /**
  * A request that makes nested calls is refused while requests of its rank would wait longer than this at a service that
  * it calls. Its nested calls have the best rank there, so they would displace requests that are equally urgent.
  */
 constexpr std::chrono::milliseconds maxDependencyWait{60};
 
-/** Longest wait of a request that will miss its latency objective. */
-constexpr std::chrono::milliseconds maxLateWait{100};
-
 /** Time limit for writing a refusal, which may be sent after the request's deadline. */
 constexpr auto refusalWriteTimeout = std::chrono::seconds(1);
 
@@ -221,18 +215,16 @@
     const auto now = std::chrono::steady_clock::now();
     const auto inTime = std::min(objective, deadline) - typical;
     late = inTime < now;
-    // Under overload, all requests become late. A late request only waits for a slot that becomes free soon.
-    latestStart = late ? std::clamp(deadline - typical, now, now + maxLateWait) : inTime;
+    // Under overload, all requests become late. A late request takes only a slot that nobody waits for: waiting, it
+    // would be refused late and displace requests that can be in time.
+    latestStart = late ? now : inTime;
 }
 
-Duration CallContext::maxRemoteWait(TimePoint now)
+Duration CallContext::maxRemoteWait(TimePoint now) const
 {
-    const auto latest = std::min(latestStart, deadline);
-    const auto whole = std::max(latest - now, Duration::zero());
-    // A target that should have a free slot may queue the request only briefly. If its queue turns out to be longer,
-    // another target is tried first.
-    offeredFullWait = expectedWait > Duration::zero() || whole <= minOfferedWait;
-    return offeredFullWait ? whole : Duration(minOfferedWait);
+    // The node of the target knows its queue and refuses the request at once if it would wait longer than this. A
+    // shorter limit makes targets with a short queue refuse requests that they would serve in time.
+    return std::max(std::min(latestStart, deadline) - now, Duration::zero());
 }
 
 std::vector<std::string_view> CallContext::headersToReplace() const
