Pace the targets of a host that start or recover

Cause: a node gives a target that has just started all of its slots before it has answered once, and offers each request to a target that refuses everything.

Change: the node on the target's host limits its requests by TargetPace, tells it how each request was answered, refuses at once what would wait too long with the expected time of a limited target, and reports the slots that it does not use as taken. Setting traffic.targetPace, off by default; metric hornbeam_proxy_target_recoveries_total.

Not measured on the users' deployments yet.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -88,6 +88,7 @@
     options.maxBufferedBytes = traffic.maxBufferedBytes;
     options.stopNotice = traffic.stopNotice;
     options.linkMegabitsPerSecond = traffic.linkMegabitsPerSecond;
+    options.targetPace = traffic.targetPace;
     if (settings.environment == Environment::Platform) {
         options.headers = Platform::headerNames();
         options.routeTimeoutCapsDeadline = true;
--- a/libs/proxy/include/hornbeam/proxy/proxyoptions.h
+++ b/libs/proxy/include/hornbeam/proxy/proxyoptions.h
@@ -32,6 +32,7 @@
     bool routeTimeoutCapsDeadline = false; ///< A route's timeout also limits a longer deadline of a caller.
     bool acceptUnframedResponses = false; ///< Accepts responses that are delimited by the end of the connection.
     double linkMegabitsPerSecond = 0; ///< Bandwidth of the host's link in each direction; 0 for no pacing.
+    bool targetPace = false; ///< Whether the targets on this host are paced when they start or recover.
     int quarantineStatus = 422; ///< HTTP status of the refusal of a quarantined request.
     std::string hostService{}; ///< Service of the target on this host, sent to targets as the origin service.
     double retryBudgetRatio = 0; ///< Retries of all nodes per request of a service, 0..1; 0 uses retryBudgetPercent.
--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -71,6 +71,24 @@
     call.core.dependencies.crashes.targetCrashed(call.crashDigest(), target);
 }
 
+/** Tells the pace of the target how it has answered; failed nested calls say nothing about it. */
+void reportPace(CallContext &call, UpstreamExchange &exchange, AttemptStatus status, TimePoint now)
+{
+    if (exchange.lease().isRemote() || exchange.dependencyFailed()) {
+        return;
+    }
+    PaceOutcome outcome = PaceOutcome::Failed;
+    if (status == AttemptStatus::Response) {
+        const bool failed = isFailureStatus(exchange.stream().reader().head().status);
+        outcome = exchange.statesNotRun() ? PaceOutcome::Refused : failed ? PaceOutcome::Failed : PaceOutcome::Success;
+    } else if (status != AttemptStatus::Broken && status != AttemptStatus::Silent
+               && status != AttemptStatus::BadResponse) {
+        return;
+    }
+    const auto typical = call.core.routeTimes.of(call.routeName(), Duration::zero());
+    call.core.balancer.recordPace(exchange.lease(), outcome, typical, now);
+}
+
 } // namespace
 
 void reportAttempt(CallContext &call, UpstreamExchange &exchange, AttemptStatus status)
@@ -83,6 +101,7 @@
         balancer.recordUnreachable(exchange.lease(), now);
         return;
     }
+    reportPace(call, exchange, status, now);
     switch (status) {
     case AttemptStatus::Response:
         if (exchange.lease().isRemote() || exchange.dependencyFailed()) {
--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -62,6 +62,8 @@
     : m_options(options)
     , m_link(link)
     , m_ejections(metrics.counter("hornbeam_proxy_ejections_total", "Targets ejected for consecutive failures."))
+    , m_recoveries(metrics.counter("hornbeam_proxy_target_recoveries_total",
+                                   "Times that a target on this host was paced because it started or recovered."))
     , m_selector({.zone = options.zone, .slowStart = options.slowStart})
     , m_placement({.zone = options.zone})
     , m_outliers({})
@@ -99,8 +101,12 @@
         load->slots = service != nullptr && service->slotsPerTarget != 0 ? service->slotsPerTarget : target.slots;
         load->target = target;
         load->track = m_versions.trackOf(target.service, target.version);
-        load->local = local;
         load->withdrawn = false;
+        if (local && !load->local && m_options.targetPace) {
+            load->pace.start(load->slots);
+            updatePace(*load, now);
+        }
+        load->local = local;
         targets[target.service].push_back(std::move(load));
     }
     for (auto &[name, service] : m_services) {
@@ -189,7 +195,15 @@
         return applyDecision(AdmissionController::Decision::TooLate, *request);
     }
     request->m_pinned = load;
+    updatePace(*load, now);
     request->m_expectedWait = service.admission.estimatedWait(request->rank(), load->slots);
+    if (load->pace.isLimiting()) {
+        const auto wait = pacedWait(*load, request->m_options.service, service.admission.queuedAhead(request->rank()));
+        request->m_expectedWait = std::max(request->m_expectedWait, wait);
+        if (load->isPaused() || now + wait > request->latestStart()) {
+            return applyDecision(AdmissionController::Decision::TooLate, *request);
+        }
+    }
     return applyDecision(service.admission.admit(request, load->slots, now), *request);
 }
 
@@ -340,6 +354,42 @@
     load.failureRate += ((failed ? 1.0 : 0.0) - load.failureRate) * failureWeight;
 }
 
+void LoadBalancer::recordPace(const SlotLease &lease, PaceOutcome outcome, Duration typical, TimePoint now)
+{
+    if (!m_options.targetPace || lease.isRemote()) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    auto &load = *lease.m_load;
+    load.pace.record(outcome, now - lease.started(), typical, load.slots, now);
+    updatePace(load, now);
+}
+
+void LoadBalancer::updatePace(TargetLoad &load, TimePoint now)
+{
+    if (!m_options.targetPace) {
+        return;
+    }
+    const bool limited = load.paceLimit < load.slots;
+    load.paceLimit =
+        load.pace.isLimiting() ? load.pace.limit(load.slots, now) : std::numeric_limits<std::uint32_t>::max();
+    if (load.pace.isLimiting() && !limited) {
+        m_recoveries.add();
+    }
+}
+
+Duration LoadBalancer::pacedWait(const TargetLoad &load, const std::string &service, std::size_t queuedAhead) const
+{
+    const auto limit = std::max(load.concurrencyLimit(), 1U);
+    const auto ahead = load.outstanding + queuedAhead;
+    if (ahead < limit) {
+        return Duration::zero();
+    }
+    const auto known = m_services.find(service);
+    const auto typical = known == m_services.end() ? Duration::zero() : typicalTime(known->second);
+    return load.pace.expectedTime(typical) * static_cast<Duration::rep>(ahead + 1 - limit) / limit;
+}
+
 void LoadBalancer::recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
@@ -376,7 +426,9 @@
 
 LoadReport LoadBalancer::makeReport(const TargetLoad &load, const ServiceState &service) const
 {
-    return {.running = load.outstanding,
+    // Slots that the target cannot use now count as taken, so that this loses its weight with the age of the report.
+    const auto unusable = load.slots - std::min(load.slots, load.concurrencyLimit());
+    return {.running = load.outstanding + unusable,
             .waiting = service.admission.queuedByRank(),
             .slots = load.slots,
             .serviceTime = std::chrono::duration_cast<std::chrono::milliseconds>(load.serviceTime),
@@ -400,18 +452,20 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_services.find(service);
-    if (it == m_services.end()) {
-        return Duration::zero();
-    }
+    return it == m_services.end() ? Duration::zero() : typicalTime(it->second);
+}
+
+Duration LoadBalancer::typicalTime(const ServiceState &service) const
+{
     Duration sum = Duration::zero();
     int n = 0;
-    for (const auto &load : it->second.targets) {
+    for (const auto &load : service.targets) {
         if (load->serviceTime > Duration::zero()) {
             sum += load->serviceTime;
             ++n;
         }
     }
-    return n > 0 ? sum / n : it->second.admission.averageDuration();
+    return n > 0 ? sum / n : service.admission.averageDuration();
 }
 
 std::chrono::milliseconds LoadBalancer::retryAfter(Duration expectedWait)
--- a/libs/proxy/src/loadbalancer.h
+++ b/libs/proxy/src/loadbalancer.h
@@ -71,6 +71,12 @@
     /** Records a response for the comparison of the versions during a roll-out. */
     void recordVersionResult(const SlotLease &lease, bool failed);
 
+    /**
+     * Tells the pace of a target on this host how it has answered. @p typical: mean time of requests of the same route;
+     * zero if it is not known.
+     */
+    void recordPace(const SlotLease &lease, PaceOutcome outcome, Duration typical, TimePoint now);
+
     /** Updates the load of a remote target from the report that its node sent with a response. */
     void recordReport(const SlotLease &lease, const LoadReport &report, TimePoint now);
 
@@ -123,6 +129,9 @@
     bool placeRequest(const SlotRequestPtr &request, ServiceState &service, TimePoint now);
     bool applyDecision(AdmissionController::Decision decision, SlotRequest &request);
     void recordOutcome(TargetLoad &load, bool failed);
+    void updatePace(TargetLoad &load, TimePoint now);
+    Duration pacedWait(const TargetLoad &load, const std::string &service, std::size_t queuedAhead) const;
+    Duration typicalTime(const ServiceState &service) const;
     LoadReport makeReport(const TargetLoad &load, const ServiceState &service) const;
     ServiceState &serviceState(const std::string &name);
     TargetLoadPtr findOrCreateLoad(const Target &target, const std::vector<TargetLoadPtr> &known, TimePoint now) const;
@@ -133,6 +142,7 @@
     const ProxyOptions m_options;
     const LinkPacer &m_link;
     Counter &m_ejections;
+    Counter &m_recoveries;
     mutable std::mutex m_mutex;
     TargetSelector m_selector;
     PlacementPolicy m_placement;
--- a/libs/proxy/src/slotrequest.cpp
+++ b/libs/proxy/src/slotrequest.cpp
@@ -38,7 +38,7 @@
 
 bool SlotRequest::isObsolete() const
 {
-    return m_pinned && m_pinned->withdrawn;
+    return m_pinned && (m_pinned->withdrawn || m_pinned->isPaused());
 }
 
 void SlotRequest::rejected()
--- a/libs/proxy/src/targetload.h
+++ b/libs/proxy/src/targetload.h
@@ -2,12 +2,15 @@
 
 #include "relayheader.h"
 #include "statedload.h"
+#include "targetpace.h"
 
 #include <hornbeam/base/timerservice.h>
 #include <hornbeam/membership/target.h>
 #include <hornbeam/rollouts/versiongate.h>
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <memory>
 
 namespace Hornbeam {
@@ -41,6 +44,8 @@
     double slowdown = 1; ///< Expected time of the next requests, relative to serviceTime.
     TimePoint slowdownAt = TimePoint::min(); ///< When the target or its node stated the slowdown.
     double statedPercent = 100; ///< Moving average of StatedLoad::timePercent; for a target on this host.
+    TargetPace pace{{}}; ///< Of a target on this host that is paced.
+    std::uint32_t paceLimit = std::numeric_limits<std::uint32_t>::max(); ///< TargetPace::limit() when it last changed.
     std::uint32_t unaccounted = 0; ///< Requests at a target on this host that this node has not sent, as stated.
 
     bool isEjected(TimePoint now) const
@@ -66,10 +71,17 @@
     /** Takes over the load that a target on this host states with the response to one of the outstanding requests. */
     void applyStated(const StatedLoad &stated, TimePoint now);
 
-    /** Requests that this node may have outstanding at a target on this host. At least 1. */
+    /** Requests that this node may have outstanding at a target on this host. 0 only while the pace has a pause. */
     std::uint32_t concurrencyLimit() const
     {
-        return slots > unaccounted ? slots - unaccounted : 1;
+        const auto accounted = slots > unaccounted ? slots - unaccounted : 1;
+        return std::min(accounted, paceLimit);
+    }
+
+    /** Whether the target gets no requests for the moment, so that none should wait for a slot. */
+    bool isPaused() const
+    {
+        return paceLimit == 0;
     }
 
     bool hasFreeSlot() const
--- a/libs/proxy/tests/loadbalancertest.cpp
+++ b/libs/proxy/tests/loadbalancertest.cpp
@@ -9,6 +9,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <map>
+#include <memory>
 
 using namespace Hornbeam;
 using namespace std::chrono_literals;
@@ -151,3 +152,89 @@
     CHECK(refused->expectedWait() > 900ms && refused->expectedWait() < 1100ms);
     CHECK(balancer.finish(ask(now + 1500ms)) == SlotResult::Granted);
 }
+
+TEST_GROUP(LoadBalancerPace)
+{
+    const TimePoint now{1h};
+    MetricsRegistry metrics;
+    LinkPacer link{{}};
+    std::unique_ptr<LoadBalancer> balancer;
+
+    void start(bool paced)
+    {
+        ProxyOptions options;
+        options.targetPace = paced;
+        balancer = std::make_unique<LoadBalancer>(options, metrics, link);
+        Target target;
+        target.address = Endpoint("10.0.0.1", 9000);
+        target.service = "rota";
+        target.name = "own";
+        target.slots = 8;
+        target.gateway = Endpoint("10.0.0.1", 7000);
+        RoutingState state;
+        state.targets = {target};
+        state.localTargets = {target};
+        balancer->publish(state, now);
+    }
+
+    /** Requests a slot of the local target, for a request that cannot wait. */
+    SlotRequestPtr ask()
+    {
+        auto request = std::make_shared<SlotRequest>(*balancer,
+                                                     SlotRequestOptions{.service = "rota",
+                                                                        .requiredLabels = {},
+                                                                        .excluded = {},
+                                                                        .deadline = now + 10s,
+                                                                        .latestStart = now,
+                                                                        .localTarget = "own",
+                                                                        .wake = [] {
+                                                                        }});
+        balancer->acquire(request, now);
+        return request;
+    }
+
+    /** Requests slots until one is refused; returns how many were granted. */
+    int granted()
+    {
+        int n = 0;
+        while (n < 20 && balancer->finish(ask()) == SlotResult::Granted) {
+            ++n;
+        }
+        return n;
+    }
+};
+
+// Guards against a new target that gets as many requests as it has slots before it has answered one.
+TEST(LoadBalancerPace, startsANewTargetWithAQuarterOfItsSlots)
+{
+    start(true);
+    CHECK_EQUAL(2, granted());
+}
+
+TEST(LoadBalancerPace, usesAllSlotsWithoutThePace)
+{
+    start(false);
+    CHECK_EQUAL(8, granted());
+}
+
+// Guards against other nodes that place requests as if a limited target had all of its slots.
+TEST(LoadBalancerPace, reportsTheSlotsThatItDoesNotUseAsTaken)
+{
+    start(true);
+    CHECK_EQUAL(6, balancer->reportOf("rota", "own")->running);
+}
+
+// Guards against a target that refuses everything and is offered each request.
+TEST(LoadBalancerPace, pausesATargetThatRefusesEverything)
+{
+    start(true);
+    const auto request = ask();
+    CHECK(balancer->finish(request) == SlotResult::Granted);
+    {
+        const SlotLease lease(*balancer, "rota", request->target(), now);
+        for (int i = 0; i < 4; ++i) {
+            balancer->recordPace(lease, PaceOutcome::Refused, 100ms, now);
+        }
+    }
+    CHECK_EQUAL(0, granted());
+}
--- a/libs/settings/include/hornbeam/settings/settings.h
+++ b/libs/settings/include/hornbeam/settings/settings.h
@@ -42,6 +42,7 @@
     double retryBudgetRatio = 0; ///< Retries of all nodes per request to a service, 0..1; 0: use the percentage.
     std::uint32_t retryBudgetReserve = 0; ///< Additional retries of all nodes per budget window. 0..100000.
     double linkMegabitsPerSecond = 0; ///< Of the host's link in each direction; 0 disables pacing. 0..1000000.
+    bool targetPace = false; ///< Whether the targets on this host are paced when they start or recover.
     std::chrono::milliseconds stopNotice{500}; ///< How long requests are still accepted after a stop. 0..60000.
 
     friend auto operator<=>(const TrafficSettings &, const TrafficSettings &) = default;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -150,6 +150,7 @@
     traffic.relayListen = section.optionalEndpoint("relayListen");
     traffic.retryBudgetRatio =
         section.reader().optionalNumber("retryBudgetRatio", {.minimum = 0, .maximum = 1}).value_or(0);
+    traffic.targetPace = section.reader().optionalBool("targetPace").value_or(traffic.targetPace);
     traffic.linkMegabitsPerSecond =
         section.reader().optionalNumber("linkMegabitsPerSecond", {.minimum = 0, .maximum = 1e6}).value_or(0);
     traffic.retryBudgetReserve = section.count("retryBudgetReserve", traffic.retryBudgetReserve, {0, 100000});
