--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -3,6 +3,7 @@
 #include "adminfacade.h"
 #include "crashreportforwarder.h"
 #include "logger.h"
+#include "nodeoptions.h"
 #include "ratelimits.h"
 #include "repositorysource.h"
 #include "requestlogger.h"
@@ -27,7 +28,6 @@
 #include <hornbeam/peer/grpcpeerserver.h>
 #include <hornbeam/platform/announcements.h>
 #include <hornbeam/platform/configdocumentdecoder.h>
-#include <hornbeam/platform/headers.h>
 #include <hornbeam/platform/platformstore.h>
 #include <hornbeam/platform/rolloutdocuments.h>
 #include <hornbeam/proxy/crashquarantine.h>
@@ -58,53 +58,11 @@
 // time, serving the targets that announce themselves is more important.
 constexpr auto departuresTimeout = 1s;
 
-// Upper bound of the random delay before the join, so that nodes that start at the same time do not contact the seeds
-// all at once.
-constexpr auto joinJitter = 100ms;
-
 // Bodies of requests to the admin listener on the platform, and to the listeners for readiness and metrics, which are
 // meant for requests without a body. Each of their connections may hold a body in memory.
 constexpr std::size_t platformBodyBytes = std::size_t{256} * 1024;
 constexpr std::size_t extraListenerBodyBytes = std::size_t{64} * 1024;
 
-ProxyOptions proxyOptions(const Settings &settings, const std::string &id)
-{
-    const auto &traffic = settings.traffic;
-    ProxyOptions options{.listen = traffic.listen,
-                         .zone = settings.node.zone,
-                         .threads = traffic.threads,
-                         .maxConnections = traffic.maxConnections,
-                         .maxHeaderBytes = traffic.maxHeaderBytes,
-                         .maxQueuedRequests = traffic.maxQueuedRequests,
-                         .idleTimeout = traffic.idleTimeout,
-                         .drainBound = traffic.drainBound,
-                         .retryBudgetPercent = traffic.retryBudgetPercent,
-                         .slowStart = traffic.slowStart};
-    options.nodeId = id;
-    options.relayListen = traffic.relayListen;
-    options.hostService = settings.node.targetService;
-    options.retryBudgetRatio = traffic.retryBudgetRatio;
-    options.retryBudgetReserve = traffic.retryBudgetReserve;
-    options.maxBufferedBytes = traffic.maxBufferedBytes;
-    options.stopNotice = traffic.stopNotice;
-    options.linkMegabitsPerSecond = traffic.linkMegabitsPerSecond;
-    options.targetPace = traffic.targetPace;
-    if (settings.environment == Environment::Platform) {
-        options.headers = Platform::headerNames();
-        options.routeTimeoutCapsDeadline = true;
-        options.acceptUnframedResponses = true;
-        options.quarantineStatus = 503;
-    }
-    return options;
-}
-
-HttpStoreOptions storeOptions(const Settings &settings)
-{
-    return {.endpoints = settings.store.endpoints,
-            .localAddress = settings.peer.listen.address(),
-            .requestTimeout = settings.store.requestTimeout};
-}
-
 const char *registrationReasonName(RegistrationReason reason)
 {
     switch (reason) {
@@ -118,20 +76,6 @@
     return "unknown";
 }
 
-FailureDetectorOptions detectorOptions(const Settings &settings, const std::string &id)
-{
-    return {.id = id,
-            .zone = settings.node.zone,
-            .advertisedAddress = settings.peer.advertise,
-            .seeds = settings.peer.seeds,
-            .joinJitter = joinJitter};
-}
-
-DisseminatorOptions disseminatorOptions(const Settings &settings, const std::string &id)
-{
-    return {.id = id, .zone = settings.node.zone, .advertisedAddress = settings.peer.advertise};
-}
-
 } // namespace
 
 /**
