Order requests by the priority of their account, then by that of their route

Cause: the account's priority replaced that of the route.

Change: AdmissionRank has the account's priority as its first part. Queues are ordered by both; reports and the header between nodes keep the part of the route, and the node of the target adds that of the account.

AdmissionController.startsByAccountFirstThenByRoute needs the order; with the account's priority in place of the route's it cannot tell bulk and urgent requests of an account apart.

--- a/libs/proxy/src/admissioncontroller.cpp
+++ b/libs/proxy/src/admissioncontroller.cpp
@@ -38,7 +38,7 @@
     if (queued() >= m_maxQueued && !evictBelow(rank)) {
         return Decision::QueueFull;
     }
-    m_queues[rank.value()].push_back(request);
+    m_queues[rank.queueIndex()].push_back(request);
     return Decision::Queued;
 }
 
@@ -64,7 +64,7 @@
 
 void AdmissionController::remove(const QueuedRequestPtr &request)
 {
-    auto &queue = m_queues[request->rank().value()];
+    auto &queue = m_queues[request->rank().queueIndex()];
     queue.erase(std::remove(queue.begin(), queue.end(), request), queue.end());
 }
 
@@ -92,7 +92,7 @@
 std::size_t AdmissionController::queuedAhead(AdmissionRank rank) const
 {
     std::size_t n = 0;
-    for (std::size_t i = 0; i <= rank.value(); ++i) {
+    for (std::size_t i = 0; i <= rank.queueIndex(); ++i) {
         n += m_queues[i].size();
     }
     return n;
@@ -101,15 +101,17 @@
 std::array<std::uint32_t, AdmissionRank::count> AdmissionController::queuedByRank() const
 {
     std::array<std::uint32_t, AdmissionRank::count> counts{};
-    for (std::size_t i = 0; i < m_queues.size(); ++i) {
-        counts[i] = static_cast<std::uint32_t>(m_queues[i].size());
+    for (const auto &queue : m_queues) {
+        if (!queue.empty()) {
+            counts[queue.front()->rank().value()] += static_cast<std::uint32_t>(queue.size());
+        }
     }
     return counts;
 }
 
 bool AdmissionController::evictBelow(AdmissionRank rank)
 {
-    for (std::size_t i = m_queues.size() - 1; i > rank.value(); --i) {
+    for (std::size_t i = m_queues.size() - 1; i > rank.queueIndex(); --i) {
         if (!m_queues[i].empty()) {
             const auto evicted = m_queues[i].back();
             m_queues[i].pop_back();
--- a/libs/proxy/src/admissioncontroller.h
+++ b/libs/proxy/src/admissioncontroller.h
@@ -98,7 +98,7 @@
     /** Queued requests that get a slot before a new request of @p rank. */
     std::size_t queuedAhead(AdmissionRank rank) const;
 
-    /** Number of queued requests per rank. */
+    /** Number of queued requests per AdmissionRank::value(). */
     std::array<std::uint32_t, AdmissionRank::count> queuedByRank() const;
 
     /** Moving average of the time for which requests hold their slots. */
@@ -113,7 +113,7 @@
     bool evictBelow(AdmissionRank rank);
 
     std::uint32_t m_maxQueued;
-    std::array<Queue, AdmissionRank::count> m_queues; ///< Indexed by rank.
+    std::array<Queue, AdmissionRank::queueCount> m_queues; ///< Indexed by AdmissionRank::queueIndex().
     Duration m_averageDuration = Duration::zero();
 };
 
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -161,14 +161,9 @@
 
 AdmissionRank CallContext::rank() const
 {
-    if (relay) {
-        return relay->rank;
-    }
-    if (nested) {
-        return AdmissionRank::nested();
-    }
-    const AdmissionRank inTime = account ? account->priority.value_or(route.priority) : route.priority;
-    return late ? inTime.late() : inTime;
+    const AdmissionRank inTime = nested ? AdmissionRank::nested() : AdmissionRank(route.priority);
+    const auto rank = relay ? relay->rank : (late && !nested ? inTime.late() : inTime);
+    return account && account->priority ? rank.forAccount(*account->priority) : rank;
 }
 
 const std::string &CallContext::routeName() const
--- a/libs/proxy/tests/admissioncontrollertest.cpp
+++ b/libs/proxy/tests/admissioncontrollertest.cpp
@@ -188,3 +188,27 @@
     admission.slotsChanged(now + 501ms);
     CHECK_EQUAL(1, patient->rejections);
 }
+
+// Guards against accounts whose priority makes their urgent and their bulk requests equal.
+TEST(AdmissionController, startsByAccountFirstThenByRoute)
+{
+    freeSlots = 0;
+    std::vector<std::shared_ptr<FakeRequest>> requests;
+    const auto ask = [&](AdmissionRank rank) {
+        requests.push_back(std::make_shared<FakeRequest>(rank, now + 1s, freeSlots, started));
+        admission.admit(requests.back(), 1, now);
+        return requests.back().get();
+    };
+    const AdmissionRank low = Priority::Low;
+    const AdmissionRank high = Priority::High;
+    auto *const withoutAccount = ask(high);
+    auto *const lowAccount = ask(high.forAccount(Priority::Low));
+    auto *const bulk = ask(low.forAccount(Priority::Normal));
+    auto *const urgent = ask(high.forAccount(Priority::Normal));
+    auto *const highAccount = ask(low.forAccount(Priority::High));
+    auto *const nested = ask(AdmissionRank::nested().forAccount(Priority::Low));
+    LONGS_EQUAL(3, admission.queuedByRank()[high.value()]);
+    freeSlots = 6;
+    admission.slotsChanged(now);
+    CHECK((started == std::vector<FakeRequest *>{nested, highAccount, withoutAccount, urgent, bulk, lowAccount}));
+}
