Give the test of the order by account a queue of its own

Cause: the queue of the fixture holds three requests, so the test's six evicted each other and the test failed.

--- a/libs/proxy/tests/admissioncontrollertest.cpp
+++ b/libs/proxy/tests/admissioncontrollertest.cpp
@@ -192,11 +192,12 @@
 // Guards against accounts whose priority makes their urgent and their bulk requests equal.
 TEST(AdmissionController, startsByAccountFirstThenByRoute)
 {
+    AdmissionController wide(10);
     freeSlots = 0;
     std::vector<std::shared_ptr<FakeRequest>> requests;
     const auto ask = [&](AdmissionRank rank) {
         requests.push_back(std::make_shared<FakeRequest>(rank, now + 1s, freeSlots, started));
-        admission.admit(requests.back(), 1, now);
+        wide.admit(requests.back(), 1, now);
         return requests.back().get();
     };
     const AdmissionRank low = Priority::Low;
@@ -207,8 +208,8 @@
     auto *const urgent = ask(high.forAccount(Priority::Normal));
     auto *const highAccount = ask(low.forAccount(Priority::High));
     auto *const nested = ask(AdmissionRank::nested().forAccount(Priority::Low));
-    LONGS_EQUAL(3, admission.queuedByRank()[high.value()]);
+    LONGS_EQUAL(3, wide.queuedByRank()[high.value()]);
     freeSlots = 6;
-    admission.slotsChanged(now);
+    wide.slotsChanged(now);
     CHECK((started == std::vector<FakeRequest *>{nested, highAccount, withoutAccount, urgent, bulk, lowAccount}));
 }
