Treat a reset that a write has met as a reset when reading

Callers saw: a target answered a long upload early with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports a reset of a connection once. The write of the request body got it; the response is read even after a failed write, and recv() then returned the bytes that had arrived and after them 0, the end of the stream, which marks the end of a body without a length. A request that was written whole was not affected: there the read itself gets ECONNRESET.

Change: TimedSocket remembers that a write failed with connection_reset, and its reads return connection_reset in place of eof from then on. Linux reports EPIPE instead if the peer had ended its stream before the reset; the body is complete then, and the end stays an end. All connections to targets and nodes read through this class.

Evidence: BrokenResponse.aResetDuringAnUploadIsNotTheEndOfABody failed before the change: 200 for each upload (with a length, not idempotent, in chunks) on both hops when the response had no length; 502 with a length or in chunks. With the change all 18 are 502. BrokenResponse.anEarlyResponseThatEndsInOrderIsComplete passes before and after: a whole early response is still delivered.

--- a/libs/proxy/src/timedsocket.cpp
+++ b/libs/proxy/src/timedsocket.cpp
@@ -117,10 +117,17 @@
     {
     }
 
+    /** The result of a read: the kernel reports a reset once, so after a write that got it, reads see a normal end. */
+    std::error_code readResult(const std::error_code &ec) const
+    {
+        return ec == asio::error::eof && resetByPeer ? asio::error::connection_reset : ec;
+    }
+
     asio::ip::tcp::socket socket;
     Operation reading;
     Operation writing;
     std::uint64_t watchId = 0;
+    bool resetByPeer = false; ///< A write has failed because of a reset.
 };
 
 TimedSocket::TimedSocket(asio::ip::tcp::socket socket)
@@ -156,7 +163,7 @@
     std::error_code ec;
     state->reading.begin(state, deadline);
     n = co_await state->socket.async_read_some(buffer, asio::redirect_error(asio::use_awaitable, ec));
-    co_return state->reading.end(ec);
+    co_return state->reading.end(state->readResult(ec));
 }
 
 asio::awaitable<std::error_code> TimedSocket::waitReadable(TimePoint deadline)
@@ -183,7 +190,7 @@
         return {};
     }
     if (result == 0) {
-        return asio::error::eof;
+        return m_state->readResult(asio::error::eof);
     }
     return {errno, asio::error::get_system_category()};
 }
@@ -196,6 +203,8 @@
     std::error_code ec;
     state->writing.begin(state, deadline);
     n = co_await asio::async_write(state->socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
+    // A reset that follows the end of the peer's stream is reported as broken_pipe: everything before it has arrived.
+    state->resetByPeer = state->resetByPeer || ec == asio::error::connection_reset;
     co_return state->writing.end(ec);
 }
 
--- a/libs/proxy/src/timedsocket.h
+++ b/libs/proxy/src/timedsocket.h
@@ -17,7 +17,8 @@
 /**
  * A TCP socket whose operations fail with std::errc::timed_out at a deadline, unless they have succeeded when a delayed
  * thread notices it. One read and one write may be pending at the same time, besides watchDisconnect(); if one of them
- * times out, the other fails with operation_aborted. Use it only on the thread that runs its executor.
+ * times out, the other fails with operation_aborted. After a reset by the peer, a read of the bytes that came before it
+ * ends with connection_reset, never with eof. Use it only on the thread that runs its executor.
  */
 class TimedSocket
 {
--- /dev/null
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -0,0 +1,111 @@
+#include "hopfixture.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Hornbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** More than the socket buffers between a caller and a target take. */
+constexpr std::size_t uploadBytes = std::size_t{24} * 1024 * 1024;
+
+/** An upload, which its target may answer before it has read the body. */
+struct Upload
+{
+    const char *name;
+    std::string head;
+    std::string piece; ///< Sent again and again after the head.
+    std::string end;
+};
+
+std::vector<Upload> uploads()
+{
+    const std::string body(std::size_t{64} * 1024, 'u');
+    const std::string fields = " HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c1\r\n";
+    const auto length = "Content-Length: " + std::to_string(uploadBytes) + "\r\n\r\n";
+    return {{"with a length", "POST /" + fields + length, body, {}},
+            {"with a length, not idempotent", "POST /book" + fields + length, body, {}},
+            {"in chunks",
+             "POST /" + fields + "Transfer-Encoding: chunked\r\n\r\n",
+             "10000\r\n" + body + "\r\n",
+             "0\r\n\r\n"}};
+}
+
+/** A target, or the node in its place, that sends responses with broken bytes. */
+class BrokenResponseTest : public Utest, protected HopFixture
+{
+protected:
+    /** Sends @p upload until the connection fails, and returns the response. */
+    TestMessage send(const Upload &upload) const
+    {
+        auto socket = connect();
+        std::jthread sender([&] {
+            bool open = socket.send(upload.head);
+            for (std::size_t sent = 0; open && sent < uploadBytes; sent += std::size_t{64} * 1024) {
+                open = socket.send(upload.piece);
+            }
+            if (open) {
+                socket.send(upload.end);
+            }
+        });
+        auto response = socket.read().value_or(TestMessage());
+        socket.shutdown();
+        return response;
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(BrokenResponse, BrokenResponseTest){};
+
+// Guards against a part of a body that passes for a whole one: the write of the request learns of the reset, and the
+// next read then finds the end of the connection, which marks the end of a body without a length.
+TEST(BrokenResponse, aResetDuringAnUploadIsNotTheEndOfABody)
+{
+    for (const char *framing : {"", "Content-Length: 100\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        const auto text = responseHead(framing) + (framing[0] == 'T' ? "4\r\npart\r\n" : "part");
+        for (const auto hop : allHops) {
+            for (const auto &upload : uploads()) {
+                const TestTarget target(
+                    [&](const TestMessage & /*request*/, TestSocket &connection) {
+                        connection.send(text);
+                        connection.reset();
+                        return false;
+                    },
+                    TestTarget::Reads::Head);
+                startReading(hop, target);
+                const auto response = send(upload);
+                const auto name = std::string(framing) + upload.name + ", " + hopName(hop);
+                CHECK_EQUAL_TEXT(502, response.status(), name.c_str());
+                STRCMP_EQUAL_TEXT("unknown", response.header("x-hornbeam-outcome").c_str(), name.c_str());
+            }
+        }
+    }
+}
+
+// Guards against a whole response that is taken for a part because the target ends the connection before it has read
+// the body.
+TEST(BrokenResponse, anEarlyResponseThatEndsInOrderIsComplete)
+{
+    for (const auto hop : allHops) {
+        for (const auto &upload : uploads()) {
+            const TestTarget target(
+                [&](const TestMessage & /*request*/, TestSocket &connection) {
+                    connection.send(responseHead() + "whole");
+                    connection.shutdownSend();
+                    connection.waitClosed();
+                    return false;
+                },
+                TestTarget::Reads::Head);
+            startReading(hop, target);
+            const auto response = send(upload);
+            const auto name = std::string(upload.name) + ", " + hopName(hop);
+            CHECK_EQUAL_TEXT(200, response.status(), name.c_str());
+            CHECK_TEXT(response.complete, name.c_str());
+            STRCMP_EQUAL_TEXT("whole", response.body.c_str(), name.c_str());
+        }
+    }
+}
--- a/libs/proxy/tests/testsocket.cpp
+++ b/libs/proxy/tests/testsocket.cpp
@@ -202,6 +202,11 @@
     ::shutdown(m_fd, SHUT_WR);
 }
 
+void TestSocket::shutdown()
+{
+    ::shutdown(m_fd, SHUT_RDWR);
+}
+
 void TestSocket::reset()
 {
     const linger option{.l_onoff = 1, .l_linger = 0};
--- a/libs/proxy/tests/testsocket.h
+++ b/libs/proxy/tests/testsocket.h
@@ -37,6 +37,9 @@
     /** Reads one message; nothing if the connection ends within its head. @p hasBody: false after a HEAD request. */
     std::optional<TestMessage> read(bool hasBody = true);
 
+    /** Reads the head of a message; nothing if the connection ends within it. */
+    std::optional<TestMessage> readHead();
+
     /** Like read(), but discards the body. */
     std::optional<TestMessage> readAndDiscard();
 
@@ -48,6 +51,9 @@
 
     void shutdownSend();
 
+    /** Ends both directions, so that a call on another thread fails. */
+    void shutdown();
+
     /** Closes the connection with a reset. */
     void reset();
     void close();
@@ -55,7 +61,6 @@
 private:
     bool receiveMore();
     std::optional<std::string> readLine();
-    std::optional<TestMessage> readHead();
     /** @p out: receives the body; null to discard it. Returns whether it is complete. */
     bool readBody(const TestMessage &message, std::string *out);
     bool readExactly(std::uint64_t n, std::string *out);
--- a/libs/proxy/tests/testtarget.cpp
+++ b/libs/proxy/tests/testtarget.cpp
@@ -11,8 +11,9 @@
 
 namespace Hornbeam {
 
-TestTarget::TestTarget(Handler handler)
+TestTarget::TestTarget(Handler handler, Reads reads)
     : m_handler(std::move(handler))
+    , m_reads(reads)
     , m_listener(::socket(AF_INET, SOCK_STREAM, 0))
 {
     sockaddr_in address{};
@@ -63,8 +64,8 @@
     TestSocket connection(fd);
     bool open = true;
     while (open) {
-        const auto request = connection.read();
-        if (!request || !request->complete) {
+        const auto request = m_reads == Reads::Head ? connection.readHead() : connection.read();
+        if (!request || (m_reads == Reads::Whole && !request->complete)) {
             break;
         }
         ++m_requests;
--- a/libs/proxy/tests/testtarget.h
+++ b/libs/proxy/tests/testtarget.h
@@ -17,7 +17,13 @@
     /** Responds to a request; returns whether the connection stays open for another one. */
     using Handler = std::function<bool(const TestMessage &request, TestSocket &connection)>;
 
-    explicit TestTarget(Handler handler);
+    /** What is read of a request before the handler is called. */
+    enum class Reads {
+        Whole,
+        Head, ///< The body stays on the connection.
+    };
+
+    explicit TestTarget(Handler handler, Reads reads = Reads::Whole);
     ~TestTarget();
 
     const Endpoint &address() const
@@ -46,6 +52,7 @@
     void serve(int fd);
 
     Handler m_handler;
+    Reads m_reads;
     Endpoint m_address;
     int m_listener;
     std::atomic<int> m_requests = 0;
