Test the status 000 on both hops and during an upload

Reported: a target in trouble sent a response whose status was 000, and the caller got it as a response. Here UpstreamExchange refuses it since hasValidStatus() was added: the caller gets 502, outcome unknown. OddStatus.threeZeros shows that for a target that the caller's node reaches itself; the new test shows it for targets and for nodes, with a length, in chunks, behind an interim response, without a reason, and before the request is written. Nothing else is changed.

--- a/libs/proxy/tests/brokenresponsetest.cpp
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -55,6 +55,42 @@
         socket.shutdown();
         return response;
     }
+
+    /** Checks on each hop that the response @p bytes reaches the caller as a failure, at once. */
+    void checkRefused(const std::string &bytes, const std::string &name)
+    {
+        for (const auto hop : allHops) {
+            const TestTarget target([&](const TestMessage & /*request*/, TestSocket &connection) {
+                connection.send(bytes);
+                return true;
+            });
+            startReading(hop, target);
+            const auto response = exchange(get());
+            const auto text = name + ", " + hopName(hop);
+            CHECK_EQUAL_TEXT(502, response.status(), text.c_str());
+            CHECK_TEXT(response.complete, text.c_str());
+            STRCMP_EQUAL_TEXT("unknown", response.header("x-hornbeam-outcome").c_str(), text.c_str());
+        }
+    }
+
+    /** The same for a response that comes before the request is written. */
+    void checkRefusedDuringUpload(const std::string &bytes)
+    {
+        for (const auto hop : allHops) {
+            for (const auto &upload : uploads()) {
+                const TestTarget target(
+                    [&](const TestMessage & /*request*/, TestSocket &connection) {
+                        connection.send(bytes);
+                        connection.waitClosed();
+                        return false;
+                    },
+                    TestTarget::Reads::Head);
+                startReading(hop, target);
+                const auto name = std::string(upload.name) + ", " + hopName(hop);
+                CHECK_EQUAL_TEXT(502, send(upload).status(), name.c_str());
+            }
+        }
+    }
 };
 
 } // namespace
@@ -109,3 +145,15 @@
         }
     }
 }
+
+// Guards against a status that is none, on each hop; see the group OddStatus for other such statuses.
+TEST(BrokenResponse, aStatusOfThreeZeros)
+{
+    const std::string fields = " Odd\r\nSigned-By: t\r\nCall-Id: c1\r\n";
+    checkRefused("HTTP/1.1 000" + fields + "Content-Length: 2\r\n\r\nok", "with a length");
+    checkRefused("HTTP/1.1 000" + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "in chunks");
+    checkRefused("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000" + fields + "Content-Length: 0\r\n\r\n",
+                 "after another");
+    checkRefused("HTTP/1.1 000\r\nContent-Length: 0\r\n\r\n", "without a reason");
+    checkRefusedDuringUpload("HTTP/1.1 000" + fields + "Content-Length: 2\r\n\r\nok");
+}
