Refuse responses whose field names are not tokens

Callers saw: a response of a faulty target with a blank in a field name as a success, with that line passed on. With "Transfer-Encoding : chunked" they got the size lines of the chunks as a part of the body, because the hidden field did not frame it; a refusal with such a line was believed and passed on as "not run".

Cause: requests are checked by findRequestProblem(), responses were not, and http_parser accepts blanks in names unless it is built in its strict mode, which the Debian package is not. A line that begins with a blank continues the field before it for http_parser, so its text became a part of that field's value.

Change: HttpMessageReader takes a response for malformed if a name of a field holds a byte that no token has, in the head, in an interim head or in the trailers. ResponseFraming checks the bytes outside the content; it refuses a line that begins with a blank (RFC 9112, section 5.2, leaves that choice to a proxy). Section 5.1 would have a proxy remove a blank before the colon; that response is refused as well, because the parser has already framed its body without the field. A malformed response is a failure of the target: an idempotent request may go to another one, otherwise the caller gets 502, outcome unknown.

--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -103,10 +103,9 @@
         || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
 }
 
-/** Whether a header name is a token. The parser accepts names with spaces, which other parsers ignore or strip. */
 bool isToken(std::string_view name)
 {
-    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
+    return !name.empty() && hasOnlyTokenCharacters(name);
 }
 
 bool hasControlCharacter(std::string_view text)
@@ -122,6 +121,11 @@
         && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
 }
 
+bool hasOnlyTokenCharacters(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
 const std::string *HttpHead::find(std::string_view name) const
 {
     const auto it = std::find_if(
--- a/libs/proxy/src/httphead.h
+++ b/libs/proxy/src/httphead.h
@@ -20,6 +20,9 @@
 /** Compares two header names or tokens case-insensitively. */
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 
+/** Whether @p text can be a part of a header name. http_parser accepts spaces, which other parsers ignore or strip. */
+bool hasOnlyTokenCharacters(std::string_view text);
+
 /** Start line and header fields of a request or response. */
 struct HttpHead
 {
--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -52,7 +52,8 @@
             self.m_fields.back().name += static_cast<std::uint32_t>(n);
             self.m_fieldText.append(at, n);
         }
-        return self.countHeaderBytes(n) ? 0 : 1;
+        const bool allowed = self.m_kind == Kind::Request || hasOnlyTokenCharacters({at, n});
+        return allowed && self.countHeaderBytes(n) ? 0 : 1;
     }
 
     static int onHeaderValue(http_parser *parser, const char *at, std::size_t n)
@@ -84,7 +85,10 @@
 
     static int onBody(http_parser *parser, const char *at, std::size_t n)
     {
-        reader(parser).m_body.append(at, n);
+        auto &self = reader(parser);
+        self.checkFraming(at);
+        self.m_unchecked = at + n;
+        self.m_body.append(at, n);
         return 0;
     }
 
@@ -131,6 +135,7 @@
     m_fieldText = {};
     m_fields = {};
     m_fieldMemory = 0;
+    m_framing = {};
     m_headerBytes = 0;
     m_headWireBytes = 0;
     m_headBegun = false;
@@ -153,13 +158,18 @@
         countStatusDigits(bytes);
     }
     http_parser_pause(&m_parser, 0);
+    m_unchecked = bytes.data();
     const auto used = http_parser_execute(&m_parser, &Callbacks::settings(), bytes.data(), bytes.size());
+    checkFraming(bytes.data() + used);
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (error == HPE_HEADER_OVERFLOW) {
         m_state = State::HeadTooLarge;
     } else if (error != HPE_OK && error != HPE_PAUSED && m_state != State::HeadTooLarge) {
         m_state = State::Malformed;
     }
+    if (!m_framing.isValid()) {
+        m_state = State::Malformed;
+    }
     if (inHead) {
         m_headWireBytes += used;
         limitHead();
@@ -167,6 +177,14 @@
     return used;
 }
 
+void HttpMessageReader::checkFraming(const char *end)
+{
+    if (m_kind == Kind::Response) {
+        m_framing.check({m_unchecked, static_cast<std::size_t>(end - m_unchecked)});
+        m_unchecked = end;
+    }
+}
+
 bool HttpMessageReader::finish()
 {
     if (m_state == State::Body && m_closeDelimited) {
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httphead.h"
+#include "responseframing.h"
 
 #include <http_parser.h>
 
@@ -14,7 +15,11 @@
 /** Upper bound of the limit of a head. The limit of http_parser itself must not be lower. */
 constexpr std::uint32_t largestHeaderBytes = 1024 * 1024;
 
-/** Incremental HTTP/1.x parser for the consecutive messages of a connection; its owner reads the bytes. */
+/**
+ * Incremental HTTP/1.x parser for the consecutive messages of a connection; its owner reads the bytes. A response is
+ * malformed if any byte outside its content is not allowed, because it may be sent on; findRequestProblem() checks
+ * requests.
+ */
 class HttpMessageReader
 {
 public:
@@ -122,6 +127,7 @@
     };
 
     void countStatusDigits(std::string_view bytes);
+    void checkFraming(const char *end);
     void finishHead();
     void makeFields();
     void limitHead();
@@ -136,6 +142,8 @@
     std::string m_fieldText; ///< Names and values of the fields of an incomplete head, without separators.
     std::vector<FieldLengths> m_fields; ///< Of an incomplete head.
     std::size_t m_fieldMemory = 0; ///< Memory of the fields of a complete head.
+    ResponseFraming m_framing;
+    const char *m_unchecked = nullptr; ///< The first byte that m_framing has not checked; only during feed().
     std::size_t m_headerBytes = 0;
     std::size_t m_headWireBytes = 0; ///< Bytes up to the end of the head, with separators and empty lines.
     bool m_headRequested = false;
--- a/libs/proxy/tests/brokenresponsetest.cpp
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -157,3 +157,51 @@
     checkRefused("HTTP/1.1 000\r\nContent-Length: 0\r\n\r\n", "without a reason");
     checkRefusedDuringUpload("HTTP/1.1 000" + fields + "Content-Length: 2\r\n\r\nok");
 }
+
+// Guards against field names that other parsers read in another way, so that the line is passed on, or that hide how
+// the body ends, so that another body is passed on.
+TEST(BrokenResponse, aFieldNameThatIsNoToken)
+{
+    const std::string length = "Content-Length: 2\r\n";
+    for (const char *line : {"Rota Day: monday",
+                             "Rota\tDay: monday",
+                             "Rota\x01"
+                             "Day: monday",
+                             "Rota\x7f"
+                             "Day: monday",
+                             "Rota\x80"
+                             "Day: monday",
+                             "Rota-Day : monday",
+                             "Rota-Day\t: monday",
+                             " Rota-Day: monday",
+                             ": monday",
+                             "Rota-Day"}) {
+        const std::string field = std::string(line) + "\r\n";
+        checkRefused(responseHead(length + field) + "ok", field + "last");
+        checkRefused(responseHead(field + length) + "ok", field + "before others");
+        checkRefused("HTTP/1.1 200 OK\r\n" + field + "Signed-By: t\r\nCall-Id: c1\r\n" + length + "\r\nok",
+                     field + "first");
+        checkRefused("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n" + responseHead(length) + "ok",
+                     field + "in an interim response");
+        checkRefused(responseHead("Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\n" + field + "\r\n",
+                     field + "in the trailers");
+    }
+    checkRefused(responseHead("Transfer-Encoding : chunked\r\n") + "2\r\nok\r\n0\r\n\r\n", "hidden chunks");
+    checkRefused(responseHead("Content-Length : 2\r\n") + "ok", "hidden length");
+}
+
+// Guards against a refusal with such a name that is believed, and against one that comes during an upload.
+TEST(BrokenResponse, aFieldNameThatIsNoTokenInOtherResponses)
+{
+    checkRefused("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nX-Hornbeam-Outcome: not-run\r\nCall-Id: c1\r\nRota Day: a\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 "refusal");
+    checkRefusedDuringUpload(responseHead("Content-Length: 2\r\nRota Day: monday\r\n") + "ok");
+}
+
+// Guards against a value that is joined from two lines, RFC 9112, section 5.2.
+TEST(BrokenResponse, aFieldOfTwoLines)
+{
+    checkRefused(responseHead("Content-Length: 2\r\nRota-Day: mon\r\n day\r\n") + "ok", "value");
+    checkRefused(responseHead("Content-Length: 2\r\nRota-Day:\r\n\tmonday\r\n") + "ok", "empty first line");
+}
