Refuse responses with control bytes outside their content

Callers saw: a status line with NUL, ESC or other control bytes in it as a success; such a line is none of the protocol (RFC 9112, section 4).

Cause: http_parser takes any byte but a line end for a part of the reason phrase and of a chunk extension, and ResponseForwarder::formatHead() sends the reason phrase on as it is. In values and names of fields http_parser refuses them.

Change: ResponseFraming, which HttpMessageReader feeds with the bytes of a response outside its content, refuses control bytes other than tabs, carriage returns and line feeds. The caller gets 502, or another target gets the request.

Evidence: BrokenResponse.controlBytesInAHead.

--- a/libs/proxy/src/responseframing.cpp
+++ b/libs/proxy/src/responseframing.cpp
@@ -2,6 +2,18 @@
 
 namespace Hornbeam {
 
+namespace {
+
+/** Whether @p c may not stand in a line, RFC 9112, sections 4, 5 and 7.1; a line end is not a part of its line. */
+bool isControl(char c)
+{
+    constexpr unsigned char deleteByte = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == deleteByte || (byte < ' ' && c != '\t' && c != '\r' && c != '\n');
+}
+
+} // namespace
+
 void ResponseFraming::check(std::string_view bytes)
 {
     for (const char c : bytes) {
@@ -12,6 +24,9 @@
 
 bool ResponseFraming::isAllowed(char c) const
 {
+    if (isControl(c)) {
+        return false;
+    }
     // A line that begins with white space continues the field before it, section 5.2; its text could be a field.
     return m_previous != '\n' || (c != ' ' && c != '\t');
 }
--- a/libs/proxy/tests/brokenresponsetest.cpp
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -199,6 +199,22 @@
     checkRefusedDuringUpload(responseHead("Content-Length: 2\r\nRota Day: monday\r\n") + "ok");
 }
 
+// Guards against control bytes that are passed on, or that end a line for one parser and not for another.
+TEST(BrokenResponse, controlBytesInAHead)
+{
+    const std::string length = "Content-Length: 2\r\n";
+    for (const char control : {'\0', '\x01', '\x1b', '\x7f', '\r'}) {
+        const auto name = "byte " + std::to_string(control) + " in the ";
+        checkRefused(responseHead(length, std::string("O") + control + "K") + "ok", name + "reason");
+        checkRefused(responseHead(length + "Rota-Day: mon" + control + "day\r\n") + "ok", name + "value");
+        checkRefused(responseHead("Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\nRota-Day: mon" + control
+                         + "day\r\n\r\n",
+                     name + "trailers");
+        checkRefused(responseHead("Transfer-Encoding: chunked\r\n") + "2;day=mon" + control + "day\r\nok\r\n0\r\n\r\n",
+                     name + "chunk extension");
+    }
+}
+
 // Guards against a value that is joined from two lines, RFC 9112, section 5.2.
 TEST(BrokenResponse, aFieldOfTwoLines)
 {
