Refuse responses with bytes in the place of a line end

Callers saw: a response whose framing was broken as a whole one. "2 CRLF okXX0 CRLF CRLF" reached them as "ok".

Cause: outside its strict mode http_parser skips the byte after a carriage return where a line feed has to follow (status line, end of the head, size of a chunk, end of the trailers), the two bytes after a chunk, and line feeds in a chunk extension. Other parsers read such bytes in another way, so what is skipped can hide a different body.

Change: ResponseFraming refuses a carriage return without a line feed, anything but a line end after the content of a chunk, and a line feed alone behind the head. Line feeds alone stay allowed in the head (RFC 9112, section 2.2). HttpMessageReader::feed() is split.

Evidence: BrokenResponse.bytesInPlaceOfALineEnd.

--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -89,6 +89,10 @@
         self.checkFraming(at);
         self.m_unchecked = at + n;
         self.m_body.append(at, n);
+        // http_parser skips the two bytes after a chunk.
+        if (self.m_head.chunked && parser->content_length == 0) {
+            self.m_framing.chunkEnded();
+        }
         return 0;
     }
 
@@ -157,6 +161,18 @@
     if (inHead && m_kind == Kind::Response) {
         countStatusDigits(bytes);
     }
+    const auto used = parse(bytes);
+    if (inHead) {
+        limitHead(used);
+    }
+    if (m_state != State::Head) {
+        m_framing.headEnded();
+    }
+    return used;
+}
+
+std::size_t HttpMessageReader::parse(std::string_view bytes)
+{
     http_parser_pause(&m_parser, 0);
     m_unchecked = bytes.data();
     const auto used = http_parser_execute(&m_parser, &Callbacks::settings(), bytes.data(), bytes.size());
@@ -170,10 +186,6 @@
     if (!m_framing.isValid()) {
         m_state = State::Malformed;
     }
-    if (inHead) {
-        m_headWireBytes += used;
-        limitHead();
-    }
     return used;
 }
 
@@ -221,8 +233,9 @@
     }
 }
 
-void HttpMessageReader::limitHead()
+void HttpMessageReader::limitHead(std::size_t used)
 {
+    m_headWireBytes += used;
     // Separators, white space before a value and empty lines before the start line are not passed to a callback.
     if (m_state == State::Head && m_headWireBytes > 2 * m_maxHeaderBytes) {
         m_state = State::HeadTooLarge;
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -127,10 +127,13 @@
     };
 
     void countStatusDigits(std::string_view bytes);
+    std::size_t parse(std::string_view bytes);
+
+    /** Checks the bytes of a response up to @p end that are not content. */
     void checkFraming(const char *end);
     void finishHead();
     void makeFields();
-    void limitHead();
+    void limitHead(std::size_t used);
     bool countHeaderBytes(std::size_t n);
 
     http_parser m_parser;
--- a/libs/proxy/src/responseframing.cpp
+++ b/libs/proxy/src/responseframing.cpp
@@ -18,13 +18,18 @@
 {
     for (const char c : bytes) {
         m_valid = m_valid && isAllowed(c);
+        m_lineEndDue = false;
         m_previous = c;
     }
 }
 
 bool ResponseFraming::isAllowed(char c) const
 {
-    if (isControl(c)) {
+    if (isControl(c) || (m_previous == '\r' && c != '\n') || (m_lineEndDue && c != '\r')) {
+        return false;
+    }
+    // The head itself can end with two line feeds, which http_parser takes for line ends only there.
+    if (m_afterHead && c == '\n' && m_previous != '\r' && m_previous != '\n') {
         return false;
     }
     // A line that begins with white space continues the field before it, section 5.2; its text could be a field.
--- a/libs/proxy/src/responseframing.h
+++ b/libs/proxy/src/responseframing.h
@@ -14,6 +14,18 @@
     /** Checks the next bytes. */
     void check(std::string_view bytes);
 
+    /** The next byte to check is the last one of the head, or follows it. */
+    void headEnded()
+    {
+        m_afterHead = true;
+    }
+
+    /** The content of a chunk has ended, so that a line end must follow. */
+    void chunkEnded()
+    {
+        m_lineEndDue = true;
+    }
+
     /** Whether RFC 9112 allows all bytes that have been checked. */
     bool isValid() const
     {
@@ -24,6 +36,8 @@
     bool isAllowed(char c) const;
 
     char m_previous = 0;
+    bool m_afterHead = false;
+    bool m_lineEndDue = false;
     bool m_valid = true;
 };
 
--- a/libs/proxy/tests/brokenresponsetest.cpp
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -221,3 +221,18 @@
     checkRefused(responseHead("Content-Length: 2\r\nRota-Day: mon\r\n day\r\n") + "ok", "value");
     checkRefused(responseHead("Content-Length: 2\r\nRota-Day:\r\n\tmonday\r\n") + "ok", "empty first line");
 }
+
+// Guards against bytes in the place of a line end that are skipped, so that a body can pass for another one.
+TEST(BrokenResponse, bytesInPlaceOfALineEnd)
+{
+    const auto chunked = responseHead("Transfer-Encoding: chunked\r\n");
+    checkRefused(chunked + "2\r\nokXX0\r\n\r\n", "after a chunk");
+    checkRefused(chunked + "2\r\nok\rX0\r\n\r\n", "second byte after a chunk");
+    checkRefused(chunked + "2\rXok\r\n0\r\n\r\n", "after the size of a chunk");
+    checkRefused(chunked + "2\r\nok\r\n0\rX\r\n", "after the last size");
+    checkRefused(chunked + "2\r\nok\r\n0\r\n\rX", "after the trailers");
+    checkRefused(chunked + "2;a\nb\r\nok\r\n0\r\n\r\n", "in a chunk extension");
+    checkRefused("HTTP/1.1 200 OK\rXSigned-By: t\r\nCall-Id: c1\r\nContent-Length: 2\r\n\r\nok",
+                 "after the status line");
+    checkRefused("HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: c1\r\nContent-Length: 2\r\n\rXok", "after the head");
+}
--- a/libs/proxy/tests/httpmessagereadertest.cpp
+++ b/libs/proxy/tests/httpmessagereadertest.cpp
@@ -1,5 +1,7 @@
 #include "httpmessagereader.h"
 
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Hornbeam;
@@ -40,6 +42,44 @@
     }
 }
 
+// Guards against a check of the bytes outside the content that depends on how the network splits them: a sound response
+// that is refused, or a broken one that is read as complete.
+TEST(HttpMessageReader, checksResponsesInAnySplit)
+{
+    const std::string head = "HTTP/1.1 200 Tr\xe8s bien\r\nA:\tb\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, State>> cases = {
+        {"3;a=\"b\tc\"\r\nabc\r\n2\r\n\r\n\r\n0\r\nTrailer: x\r\n\r\n", State::Complete},
+        {"3\r\nabcXX2\r\n\r\n\r\n0\r\n\r\n", State::Malformed},
+        {"3\r\nabc\rX2\r\n\r\n\r\n0\r\n\r\n", State::Malformed},
+        {"3\rXabc\r\n2\r\n\r\n\r\n0\r\n\r\n", State::Malformed},
+        {"3;a\nb\r\nabc\r\n2\r\n\r\n\r\n0\r\n\r\n", State::Malformed},
+        {"3\r\nabc\r\n2\r\n\r\n\r\n0\r\nTrai ler: x\r\n\r\n", State::Malformed},
+        {"3\r\nabc\r\n2\r\n\r\n\r\n0\r\nTrailer: x\r\n y\r\n\r\n", State::Malformed},
+        {"3\r\nabc\r\n2\r\n\r\n\r\n0\r\n\rX", State::Malformed},
+    };
+    for (const auto &[rest, state] : cases) {
+        const auto text = head + rest;
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            HttpMessageReader reader(HttpMessageReader::Kind::Response, 1024);
+            feedAll(reader, text, step);
+            CHECK_TEXT(reader.state() == state, (rest + " in steps of " + std::to_string(step)).c_str());
+            CHECK(state != State::Complete || reader.body() == "abc\r\n");
+        }
+    }
+}
+
+// Guards against a target that is refused because it ends its lines with a line feed alone, RFC 9112, section 2.2.
+TEST(HttpMessageReader, acceptsLineFeedsInTheHeadOfAResponse)
+{
+    const std::string text = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        HttpMessageReader reader(HttpMessageReader::Kind::Response, 1024);
+        feedAll(reader, text, step);
+        CHECK(reader.state() == State::Complete);
+        STRCMP_EQUAL("ok", reader.body().c_str());
+    }
+}
+
 TEST(HttpMessageReader, stopsAtTheEndOfAMessage)
 {
     HttpMessageReader reader(HttpMessageReader::Kind::Request, 1024);
