Refuse responses with another transfer coding than chunked

Callers saw: the compressed bytes of a response with "Transfer-Encoding: gzip, chunked" as a success in chunks, a body of 60 bytes in place of 860, which they could not tell from a whole one. With "chunked, gzip", "gzip" or "identity" an idempotent request failed with 504 at its deadline, because the body then ends with its connection.

Cause: HttpMessageReader::finishHead() sees only whether the last coding is chunked, and appendEndToEndHeaders() drops the header that names the others. The proxy sends no TE header, so a target may use no coding but chunked (RFC 9112, section 7.4).

Change: UpstreamExchange takes a response for bad whose Transfer-Encoding is not "chunked" alone, which has a Content-Length beside it, or which is HTTP/1.0. It is a failure of the target, and the caller gets 502 at once, or another target gets the request.

Evidence: BrokenResponse.aTransferCodingOtherThanChunked.

--- a/libs/proxy/src/httphead.cpp
+++ b/libs/proxy/src/httphead.cpp
@@ -231,6 +231,16 @@
     return response.status >= 200 && response.status < 600;
 }
 
+bool hasUnambiguousFraming(const HttpHead &response)
+{
+    const auto codings = response.findAll("transfer-encoding");
+    if (codings.empty()) {
+        return true;
+    }
+    const bool chunked = codings.size() == 1 && equalsIgnoringCase(trim(codings.front()), "chunked");
+    return chunked && response.minorVersion >= 1 && response.find("content-length") == nullptr;
+}
+
 bool statusHasNoBody(int status)
 {
     return status == 204 || status == 304 || (status >= 100 && status < 200);
--- a/libs/proxy/src/httphead.h
+++ b/libs/proxy/src/httphead.h
@@ -82,6 +82,13 @@
  */
 bool hasValidStatus(const HttpHead &response);
 
+/**
+ * Whether the head of a response says in one way only how its body is framed: without Transfer-Encoding, or by the
+ * coding "chunked" alone. The proxy sends no TE header, so a target may use no other coding, RFC 9112, section 7.4, and
+ * the proxy would pass on the coded body as the body itself.
+ */
+bool hasUnambiguousFraming(const HttpHead &response);
+
 /** Whether a response with this status has no body, regardless of its headers. */
 bool statusHasNoBody(int status);
 
--- a/libs/proxy/tests/brokenresponsetest.cpp
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -236,3 +236,27 @@
                  "after the status line");
     checkRefused("HTTP/1.1 200 OK\r\nSigned-By: t\r\nCall-Id: c1\r\nContent-Length: 2\r\n\rXok", "after the head");
 }
+
+// Guards against a body in a transfer coding that is passed on as the body itself.
+TEST(BrokenResponse, aTransferCodingOtherThanChunked)
+{
+    for (const char *coding : {"gzip, chunked", "chunked, gzip", "gzip", "identity", "chunked, chunked"}) {
+        checkRefused(responseHead("Transfer-Encoding: " + std::string(coding) + "\r\n") + "2\r\nok\r\n0\r\n\r\n",
+                     coding);
+    }
+    checkRefused(responseHead("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\n\r\n",
+                 "two fields");
+    checkRefused(responseHead("Transfer-Encoding: chunked\r\nContent-Length: 2\r\n") + "2\r\nok\r\n0\r\n\r\n",
+                 "with a length");
+    checkRefused("HTTP/1.0 200 OK\r\nSigned-By: t\r\nCall-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "2\r\nok\r\n0\r\n\r\n",
+                 "in HTTP/1.0, which has none");
+    // White space around the value is not a part of it.
+    const TestTarget sound([](const TestMessage & /*request*/, TestSocket &connection) {
+        return connection.send(responseHead("Transfer-Encoding: \tChunked \r\n") + "2\r\nok\r\n0\r\n\r\n");
+    });
+    for (const auto hop : allHops) {
+        startReading(hop, sound);
+        STRCMP_EQUAL("ok", exchange(get()).body.c_str());
+    }
+}
