Bound the memory of all responses that a node keeps

Callers saw: connections that ended without an answer, because their node was killed: a burst of large responses without a length, or without end, took it over the memory of its machine, and the requests of other callers ended with it.

Cause: a large response of a target on the node's host is kept in memory up to 2 MB, to free the target's slot while the link sends it. LinkPacer::canBufferLargeResponse() limits that by the announced or the mean size of the responses in progress; without a Content-Length the mean of earlier ones counts, however much has arrived. On the way from another node a large response was not counted at all (128 KB each). The others were counted by their bytes, though a string can take twice as much, and the reader of a connection kept the memory of its largest response for as long as the connection was open, also idle in the pool.

Change: each response that is kept takes its memory from a BufferPool before it is read: a large one from a new pool of 16 MiB, the limit that LinkPacer has, the others from the one of maxBufferedBytes. When the pool has no room, the rest is streamed at the pace of the caller, as for a longer body. The memory goes back when the response has been written, and the reader frees a large buffer then.

Evidence: ResponseMemory, allowed are 16 MiB for large responses and 8 MiB for everything else.

--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -10,6 +10,9 @@
 /** Bytes of the shortest line of a header field: a name of one byte, a colon and the line end. */
 constexpr std::size_t minFieldBytes = 4;
 
+/** Memory for body bytes that a reader keeps for the next ones; more than the bytes of one read. */
+constexpr std::size_t maxKeptBodyBytes = std::size_t{32} * 1024;
+
 /** RFC 9112, section 4: a status code has three digits. */
 constexpr int statusDigits = 3;
 
@@ -135,7 +138,7 @@
     m_parser.data = this;
     m_state = State::Head;
     m_head = HttpHead();
-    m_body.clear();
+    releaseBody();
     m_fieldText = {};
     m_fields = {};
     m_fieldMemory = 0;
@@ -242,6 +245,16 @@
     }
 }
 
+void HttpMessageReader::releaseBody()
+{
+    if (m_body.capacity() > maxKeptBodyBytes) {
+        // An assignment of an empty string keeps the memory.
+        std::string().swap(m_body);
+    } else {
+        m_body.clear();
+    }
+}
+
 std::size_t HttpMessageReader::headMemory() const
 {
     return m_fieldText.capacity() + m_fields.capacity() * sizeof(FieldLengths) + m_head.requestTarget.capacity()
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -73,12 +73,15 @@
         return std::move(m_head);
     }
 
-    /** Decoded body bytes; the owner clears them after use. */
+    /** Decoded body bytes; the owner clears or releases them after use. */
     std::string &body()
     {
         return m_body;
     }
 
+    /** Discards the decoded body bytes, and frees their memory if it is large. */
+    void releaseBody();
+
     /** Whether any byte of the current message has been parsed. */
     bool started() const
     {
--- a/libs/proxy/src/httpstream.cpp
+++ b/libs/proxy/src/httpstream.cpp
@@ -9,13 +9,10 @@
 
 namespace {
 
-/** Largest number of bytes in one read, which also bounds the body bytes buffered per direction. */
-constexpr std::size_t bufferBytes = std::size_t{16} * 1024;
-
 /** Shared by the connections of a thread: no coroutine is suspended between a read and the parsing of its bytes. */
-std::array<char, bufferBytes> &receiveBuffer()
+std::array<char, HttpStream::maxReadBytes> &receiveBuffer()
 {
-    thread_local std::array<char, bufferBytes> buffer;
+    thread_local std::array<char, HttpStream::maxReadBytes> buffer;
     return buffer;
 }
 
--- a/libs/proxy/src/httpstream.h
+++ b/libs/proxy/src/httpstream.h
@@ -25,6 +25,9 @@
 class HttpStream
 {
 public:
+    /** Largest number of bytes in one read, which also bounds the body bytes buffered per direction. */
+    static constexpr std::size_t maxReadBytes = std::size_t{16} * 1024;
+
     HttpStream(TimedSocket socket, HttpMessageReader::Kind kind, std::size_t maxHeaderBytes);
 
     TimedSocket &socket()
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -27,10 +27,6 @@
 /** Assumed size of a large response until the size of the first one is known. */
 constexpr double initialLargeBytes = 64.0 * 1024;
 
-/** Limit for buffered large responses, and for the size that a target can announce. The smallest hosts have 88 MB of
- * memory, of which a node uses 10 MB. */
-constexpr double maxBufferedBytes = 16.0 * 1024 * 1024;
-
 /** Weight of a new sample in the moving average of the size. */
 constexpr double sizeWeight = 1.0 / 8;
 
@@ -78,9 +74,9 @@
 void LinkPacer::largeResponseAnnounced(std::size_t bytes, std::uint64_t id)
 {
     const std::lock_guard lock(m_mutex);
-    const auto size = std::min(static_cast<double>(bytes), maxBufferedBytes);
-    m_large.at(id).remaining = size;
-    learnSize(static_cast<std::size_t>(size));
+    const auto size = std::min(bytes, maxLargeResponseBytes);
+    m_large.at(id).remaining = static_cast<double>(size);
+    learnSize(size);
 }
 
 void LinkPacer::largeResponseLimited(TimePoint deadline, std::uint64_t id)
@@ -150,7 +146,7 @@
 bool LinkPacer::canBufferLargeResponse() const
 {
     const std::lock_guard lock(m_mutex);
-    return remainingBytes(TimePoint::max()) <= maxBufferedBytes;
+    return remainingBytes(TimePoint::max()) <= static_cast<double>(maxLargeResponseBytes);
 }
 
 Duration LinkPacer::largeResponseTime() const
--- a/libs/proxy/src/proxyserverimpl.cpp
+++ b/libs/proxy/src/proxyserverimpl.cpp
@@ -191,6 +191,7 @@
         {"peerConnections", m_core.peerConnections.load()},
         {"requestBufferBytes", m_core.requestBuffers.used()},
         {"responseBufferBytes", m_core.responseBuffers.used()},
+        {"largeResponseBufferBytes", m_core.largeResponseBuffers.used()},
         {"quarantined", state->quarantined.size()},
         {"services", nlohmann::json::parse(m_core.balancer.dumpJson(now))},
     };
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -145,7 +145,7 @@
         pieceHead = {};
     } while (!rest.empty() && !m_callerFailed);
     recordBody(body);
-    body.clear();
+    m_exchange.releaseBody();
 }
 
 asio::awaitable<void> ResponseForwarder::writePiece(std::string_view head,
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -35,6 +35,7 @@
     , accounts(std::chrono::steady_clock::now())
     , requestBuffers(options.maxBufferedBytes)
     , responseBuffers(options.maxBufferedBytes)
+    , largeResponseBuffers(maxLargeResponseBytes)
     , limitReports(dependencies.metrics, dependencies.log)
     , maxCallerConnections(ConnectionLimits::callerConnections(options.maxConnections, descriptorLimit()))
     , maxPeerConnections(ConnectionLimits::peerConnections(options.maxConnections, descriptorLimit()))
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -47,6 +47,7 @@
     std::atomic<std::size_t> requestsInFlight = 0;
     BufferPool requestBuffers; ///< For heads and bodies of requests.
     BufferPool responseBuffers; ///< For responses that are kept until they are complete, except large ones.
+    BufferPool largeResponseBuffers; ///< The same for large responses.
     LimitReports limitReports;
     const std::size_t maxCallerConnections;
     const std::size_t maxPeerConnections;
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -72,7 +72,7 @@
 UpstreamExchange::UpstreamExchange(CallContext &call, SlotLease lease)
     : m_call(call)
     , m_lease(std::move(lease))
-    , m_responseShare(call.core.responseBuffers)
+    , m_responseShare(call.route.bulk ? call.core.largeResponseBuffers : call.core.responseBuffers)
 {
 }
 
@@ -479,9 +479,7 @@
         || reader.head().contentLength.value_or(0) > limit) {
         co_return AttemptStatus::Response;
     }
-    // Large responses have a limit of their own, see LinkPacer::canBufferLargeResponse().
-    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit
-           && (m_call.route.bulk || m_responseShare.resize(reader.body().size()))) {
+    while (reader.state() == HttpMessageReader::State::Body && reader.body().size() < limit && makeRoom(limit)) {
         const auto result = co_await stream().readMore(attemptDeadline());
         if (result == ReadResult::TimedOut) {
             co_return handleTimeout();
@@ -501,6 +499,30 @@
     co_return AttemptStatus::Response;
 }
 
+/** Reserves memory for the next read of a body of at most @p limit bytes; returns false if the pool has no room. */
+bool UpstreamExchange::makeRoom(std::size_t limit)
+{
+    // A limit is reached in a few steps, each of which doubles the memory.
+    constexpr std::size_t firstStepDivisor = 8;
+    auto &body = stream().reader().body();
+    if (body.capacity() - body.size() >= HttpStream::maxReadBytes) {
+        return m_responseShare.resize(body.capacity());
+    }
+    const auto whole = limit + HttpStream::maxReadBytes;
+    const auto next = std::clamp(2 * body.capacity(), whole / firstStepDivisor, whole);
+    const bool granted = m_responseShare.resize(next);
+    if (granted) {
+        body.reserve(next);
+    }
+    return granted;
+}
+
+void UpstreamExchange::releaseBody()
+{
+    stream().reader().releaseBody();
+    m_responseShare.resize(0);
+}
+
 AttemptStatus UpstreamExchange::statusOf(ReadResult result) const
 {
     switch (result) {
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -56,6 +56,9 @@
      */
     asio::awaitable<AttemptStatus> bufferResponse(std::size_t limit);
 
+    /** Discards the body bytes that have been read and gives their memory back. */
+    void releaseBody();
+
     /** Load report about the target, for the node that relayed the request to this one. */
     LoadReport report() const;
 
@@ -120,6 +123,7 @@
     asio::awaitable<AttemptStatus> streamBody(bool chunked);
     asio::awaitable<AttemptStatus> readHead();
     asio::awaitable<bool> write(std::span<const asio::const_buffer> buffers);
+    bool makeRoom(std::size_t limit);
     AttemptStatus statusOf(ReadResult result) const;
     AttemptStatus handleTimeout();
     TimePoint attemptDeadline() const;
@@ -130,7 +134,7 @@
     TimePoint m_sendStarted;
     std::uint64_t m_acknowledgedBeforeSend = 0;
     std::uint64_t m_sentBytes = 0;
-    BufferPool::Share m_responseShare; ///< Of a response that is kept until it is complete.
+    BufferPool::Share m_responseShare; ///< Memory for the body of a response that is kept until it is complete.
     bool m_bodySent = false;
     bool m_connectionRefused = false;
     bool m_tracked = false; ///< The request is in ServerCore::running.
--- a/libs/proxy/tests/endlessresponsetest.cpp
+++ b/libs/proxy/tests/endlessresponsetest.cpp
@@ -1,3 +1,4 @@
+#include "endlessresponses.h"
 #include "proxyfixture.h"
 
 #include <nlohmann/json.hpp>
@@ -12,42 +13,6 @@
 
 namespace {
 
-/** A response whose bytes do not end: @p piece is repeated after @p head until the proxy closes the connection. */
-struct EndlessResponse
-{
-    const char *name;
-    std::string head;
-    std::string piece;
-};
-
-const std::vector<EndlessResponse> &endlessResponses()
-{
-    static const std::vector<EndlessResponse> all = {
-        {"no bytes of HTTP", "", "garbage "},
-        {"empty lines", "", "\r\n"},
-        {"status line", "HTTP/1.1 200 ", "Okay "},
-        {"header", "HTTP/1.1 200 OK\r\nX-Long: ", "value "},
-        {"headers", "HTTP/1.1 200 OK\r\n", "X-Name: value\r\n"},
-        {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-        {"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000"},
-        {"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "name=value;"},
-        {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Name: value\r\n"},
-        {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
-        {"body without length", "HTTP/1.1 200 OK\r\n\r\n", "body"},
-        {"body with length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "body"},
-    };
-    return all;
-}
-
-std::size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return resident * 4096;
-}
-
 /** Time for which the calling thread has been ready but the system ran others instead. */
 std::chrono::nanoseconds runDelay()
 {
