Send no request late in a stop that may outlast it

Callers saw: in a planned stop of a node, in calm, requests that had come late were passed on and cut off at its end; those that may not be repeated could have run.

Cause, two parts. (1) A request learned of the stop when its head was read. One whose body was still arriving, or that waited for a slot, when the stop began kept its own deadline, was passed on at any time and ended with the process, without an answer. (2) One that arrived during the stop was refused only if the mean time of its route, and a quarter more, did not fit; a slower run was cut off.

Change: CallContext::outlastsStop() limits the deadline to the end of the stop whenever it is asked, and it is asked again after the wait for a slot or a claim, and before a repetition.

Evidence: StoppingNode.cutsOffNoRequestWhoseBodyComesLate sends 30 bodies that end 0.6 to 1.5 s after the start of a stop of 1.5 s, to a target whose every fifth run takes 400 ms in place of 20 ms, with and without permission to repeat.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -31,9 +31,14 @@
 /** Time before the end of a shutdown that is left for a late response to reach the caller. */
 constexpr std::chrono::milliseconds stopReserve{200};
 
-/** Factor on the typical service time that leaves time for a slower than typical response. */
+/** Factor on a time of recent requests that leaves time for a slower one. */
 constexpr double serviceTimeMargin = 1.25;
 
+Duration withMargin(Duration time)
+{
+    return std::chrono::duration_cast<Duration>(time * serviceTimeMargin);
+}
+
 /** The time limit that the caller sent; std::nullopt if there is none or it is invalid. */
 std::optional<std::chrono::milliseconds> callerDeadline(const HttpHead &head, const HeaderNames &names)
 {
@@ -183,21 +188,31 @@
     });
 }
 
-bool CallContext::outlastsStop() const
+bool CallContext::outlastsStop()
 {
+    // The stop can have begun while the body arrived, or during a wait for a slot.
+    m_limitedByStop = limitToStop(core, deadline) || m_limitedByStop;
     if (!m_limitedByStop) {
         return false;
     }
     const auto &link = core.linkPacer;
     const auto now = std::chrono::steady_clock::now();
     const auto transfer = route.bulk ? link.largeResponseWait(deadline) + link.largeResponseTime() : Duration::zero();
-    return now + typicalTime() + transfer > deadline;
+    // A request that is refused can go to another node; one that is cut off may have run.
+    const auto time = std::max(typicalTime(), withMargin(core.responseTimes.longest(routeName(), now)));
+    return now + time + transfer > deadline;
+}
+
+void CallContext::noteResponseTime(TimePoint since) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    core.responseTimes.note(routeName(), now - since, now);
 }
 
 Duration CallContext::typicalTime() const
 {
     const auto mean = core.routeTimes.of(routeName(), core.balancer.typicalServiceTime(service.name));
-    return std::chrono::duration_cast<Duration>(mean * serviceTimeMargin);
+    return withMargin(mean);
 }
 
 void CallContext::updateLatestStart()
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -115,8 +115,14 @@
      */
     bool isDependencyBusy() const;
 
-    /** Whether this node probably stops before the response is complete, so that the request should not be started. */
-    bool outlastsStop() const;
+    /**
+     * Whether this node may stop before the response is complete, so that the request must not be sent. Also limits the
+     * deadline to the end of the stop. Call it again after each wait.
+     */
+    bool outlastsStop();
+
+    /** Records the time that the request has taken since @p since, for outlastsStop() of later ones. */
+    void noteResponseTime(TimePoint since) const;
 
     /** Whether the deadline has passed because this node stops, not because the caller's time is over. */
     bool isEndedByStop(TimePoint now) const
@@ -164,7 +170,7 @@
     bool canKeepAliveAfterRefusal() const;
     Duration typicalTime() const;
 
-    const bool m_limitedByStop; ///< The deadline is the end of a graceful shutdown of this node.
+    bool m_limitedByStop; ///< The deadline is the end of a graceful shutdown of this node.
     std::optional<Digest> m_crashDigest;
 };
 
--- a/libs/proxy/src/claimedcall.cpp
+++ b/libs/proxy/src/claimedcall.cpp
@@ -48,6 +48,7 @@
 
 ClaimedCall::ClaimedCall(CallContext &call)
     : m_call(call)
+    , m_started(std::chrono::steady_clock::now())
 {
 }
 
@@ -73,6 +74,12 @@
         co_return;
     }
     m_ticket = decision.ticket;
+    if (m_call.outlastsStop()) {
+        grant.lease.release();
+        m_call.core.dependencies.claims.release(m_ticket);
+        co_await m_call.refuse(stoppingRefusal(m_call));
+        co_return;
+    }
     co_await runClaimed(std::move(grant.lease));
 }
 
@@ -122,6 +129,7 @@
     const auto status = co_await exchange.run(false);
     reportAttempt(m_call, exchange, status);
     if (status == AttemptStatus::Response) {
+        m_call.noteResponseTime(m_started);
         co_await forward(exchange);
     } else {
         co_await fail(exchange, status);
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -29,6 +29,7 @@
 
 RetryableCall::RetryableCall(CallContext &call)
     : m_call(call)
+    , m_started(std::chrono::steady_clock::now())
 {
 }
 
@@ -48,6 +49,11 @@
         co_await refuse(refusalFor(grant, m_call));
         co_return;
     }
+    if (m_call.outlastsStop()) {
+        grant.lease.release();
+        co_await refuse(stoppingRefusal(m_call));
+        co_return;
+    }
     if (m_call.origin == CallOrigin::Caller) {
         m_call.core.balancer.countRequest(m_call.service.name);
     }
@@ -65,6 +71,9 @@
     }
     auto status = co_await exchangeOn(exchange);
     auto outcome = classify(exchange, status);
+    if (outcome == Outcome::Answered) {
+        m_call.noteResponseTime(m_started);
+    }
     if (outcome == Outcome::Answered && m_call.large) {
         announceSize(exchange);
     }
@@ -190,8 +199,8 @@
         return false;
     }
     const auto now = std::chrono::steady_clock::now();
-    if (m_sends >= maxSends || m_call.body.isPartlyConsumed() || m_call.watch.isDisconnected()
-        || now >= m_call.deadline) {
+    if (m_sends >= maxSends || m_call.body.isPartlyConsumed() || m_call.watch.isDisconnected() || now >= m_call.deadline
+        || m_call.outlastsStop()) {
         return false;
     }
     if (status == AttemptStatus::NotReceived) {
--- a/libs/proxy/src/retryablecall.h
+++ b/libs/proxy/src/retryablecall.h
@@ -42,6 +42,7 @@
     asio::awaitable<void> refuse(Refusal refusal);
 
     CallContext &m_call;
+    const TimePoint m_started;
     SlotLease m_lease; ///< Slot for the next attempt.
     std::vector<Endpoint> m_excluded; ///< Targets that refused or failed the request.
     std::size_t m_attempts = 0; ///< Attempts in which a target may have run the request.
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -8,6 +8,7 @@
 #include "linkqueue.h"
 #include "loadbalancer.h"
 #include "proxymetrics.h"
+#include "responsetimes.h"
 #include "routetimes.h"
 #include "runningrequests.h"
 #include "splitchooser.h"
@@ -43,6 +44,7 @@
     RunningRequests running;
     const AccountResolver accounts;
     RouteTimes routeTimes;
+    ResponseTimes responseTimes;
     StoppingPeers stoppingPeers;
     std::atomic<std::size_t> requestsInFlight = 0;
     BufferPool requestBuffers; ///< For heads and bodies of requests.
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -1,6 +1,8 @@
 #include "relayfixture.h"
 
 #include <algorithm>
+#include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -56,6 +58,128 @@
         CHECK_EQUAL(exportBytes, response->body.size());
     }
 
+    /** A target whose every fifth run takes much longer than the others, and the ids of the requests that it runs. */
+    struct UnevenTarget
+    {
+        std::mutex mutex;
+        std::set<std::string> ran;
+        std::atomic<int> runs = 0;
+        TestTarget target{[this](const TestMessage &request, TestSocket &connection) {
+            {
+                const std::lock_guard lock(mutex);
+                ran.insert(request.header("call-id"));
+            }
+            std::this_thread::sleep_for(++runs % 5 == 0 ? 400ms : 20ms);
+            return connection.send(signedResponse(request, "ok"));
+        }};
+    };
+
+    /** Starts the nodes for @p uneven with a short stop, and lets them learn its times. */
+    void startFor(UnevenTarget &uneven, const std::string &path)
+    {
+        nodes.clear();
+        targets.clear();
+        drained = false;
+        targetOptions.stopNotice = frontOptions.stopNotice = 300ms;
+        targetOptions.drainBound = frontOptions.drainBound = 1500ms;
+        addTarget(uneven.target, "first");
+        start();
+        for (int i = 0; i < 10; ++i) {
+            CHECK_EQUAL(200, call("POST", path).status());
+        }
+    }
+
+    /** Stops one of the nodes and waits until its process would end. */
+    void stopAndWait(bool targetStops)
+    {
+        (targetStops ? nodes[0] : front)->server->drain([this] { drained = true; });
+        CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
+    }
+
+    static void checkServed(const UnevenTarget &uneven, const std::set<std::string> &served, const std::string &text)
+    {
+        for (const auto &id : uneven.ran) {
+            const bool learning = id.find('-') == std::string::npos;
+            CHECK_TEXT(learning || served.contains(id), (text + ": " + id + " was cut off").c_str());
+        }
+    }
+
+    /** Sends requests until the nodes take no more, and checks that each one that runs gets its response. */
+    void checkRequestsDuringStop(const std::string &path, bool targetStops)
+    {
+        constexpr int callers = 6;
+        UnevenTarget uneven;
+        startFor(uneven, path);
+        const auto entry = front->server->localEndpoint();
+        std::mutex mutex;
+        std::set<std::string> served;
+        std::atomic<bool> ended = false;
+        std::vector<std::jthread> threads;
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([&, prefix = "c" + std::to_string(i) + "-"] {
+                std::optional<TestSocket> socket;
+                for (int n = 0; !ended; ++n) {
+                    const auto id = prefix + std::to_string(n);
+                    if (!socket) {
+                        socket.emplace(TestSocket::connectTo(entry));
+                    }
+                    socket->send(getRequest(path, id));
+                    const auto response = socket->read();
+                    if (!response || !response->complete) {
+                        return;
+                    }
+                    if (response->status() == 200) {
+                        const std::lock_guard lock(mutex);
+                        served.insert(id);
+                    }
+                    if (response->header("connection") == "close") {
+                        socket.reset();
+                    }
+                }
+            });
+        }
+        stopAndWait(targetStops);
+        ended = true;
+        threads.clear();
+        checkServed(uneven, served, path + (targetStops ? ", the target's node stops" : ", the caller's node stops"));
+        CHECK_COMPARE(served.size(), >, callers);
+    }
+
+    /** Sends bodies that end one after the other until the stop ends, and checks the same. */
+    void checkLateBodies(const std::string &path)
+    {
+        constexpr int callers = 30;
+        constexpr auto firstEnd = 600ms;
+        UnevenTarget uneven;
+        startFor(uneven, path);
+        std::vector<TestSocket> sockets;
+        std::vector<std::jthread> threads;
+        std::mutex mutex;
+        std::set<std::string> served;
+        for (int i = 0; i < callers; ++i) {
+            sockets.push_back(TestSocket::connectTo(front->server->localEndpoint()));
+            sockets.back().send("POST " + path + " HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c-" + std::to_string(i)
+                                + "\r\nContent-Length: 2\r\n\r\nh");
+        }
+        CHECK(ProxyFixture::waitUntil([&] { return front->server->requestsInFlight() == callers; }));
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([&, i] {
+                std::this_thread::sleep_for(firstEnd + i * 30ms);
+                sockets[i].send("i");
+                const auto response = sockets[i].read();
+                if (response && response->complete && response->status() == 200) {
+                    const std::lock_guard lock(mutex);
+                    served.insert("c-" + std::to_string(i));
+                }
+            });
+        }
+        stopAndWait(false);
+        front->server.reset();
+        threads.clear();
+        checkServed(uneven, served, path);
+        CHECK_COMPARE(served.size(), >, 0);
+    }
+
     void beginStop()
     {
         front->server->drain([this] { drained = true; });
@@ -339,3 +463,22 @@
     STRCMP_EQUAL("not-run", response->header("x-hornbeam-outcome").c_str());
     CHECK_EQUAL(0, target.requests());
 }
+
+// Guards against requests that come late in a stop, are passed on because of their mean time, and take longer: they end
+// without the target's response, and a non-idempotent one may have run.
+TEST(StoppingNode, cutsOffNoRequestThatItPassesOn)
+{
+    for (const bool targetStops : {false, true}) {
+        for (const char *path : {"/", "/book"}) {
+            checkRequestsDuringStop(path, targetStops);
+        }
+    }
+}
+
+// The same for requests that are passed on late because their bodies end late.
+TEST(StoppingNode, cutsOffNoRequestWhoseBodyComesLate)
+{
+    for (const char *path : {"/", "/book"}) {
+        checkLateBodies(path);
+    }
+}
