Request one large response at a time while a node stops

Callers saw: downloads that a stopping node took, passed on and reset shortly before it ended, long before their deadlines.

Cause: outlastsStop() expects a large response to have the mean size of earlier ones. Five requests for much larger ones that arrived together were all taken, before the first of them had said how large it is, and the link did not carry them by the end of the stop.

Change: while a node with a paced link stops, its requests for large responses wait for a turn, which the one before gives up when its head or its end has shown its size. A request expects the largest size that a response in progress has announced, or the mean; if that does not fit, it is refused as not run at once. The wait ends when the request can no longer be served. LinkPacer learns the size of a response without a length when it has been read whole, not only when it has been sent. ResponseTimes measures from the first sending, so that the wait for a turn does not count.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -195,18 +195,29 @@
     if (!m_limitedByStop) {
         return false;
     }
+    return std::chrono::steady_clock::now() > latestSend();
+}
+
+TimePoint CallContext::latestSend() const
+{
     const auto &link = core.linkPacer;
     const auto now = std::chrono::steady_clock::now();
-    const auto transfer = route.bulk ? link.largeResponseWait(deadline) + link.largeResponseTime() : Duration::zero();
+    const auto transfer =
+        route.bulk ? link.largeResponseWait(deadline) + link.longestLargeResponseTime() : Duration::zero();
     // A request that is refused can go to another node; one that is cut off may have run.
     const auto time = std::max(typicalTime(), withMargin(core.responseTimes.longest(routeName(), now)));
-    return now + time + transfer > deadline;
+    return deadline - time - transfer;
+}
+
+bool CallContext::needsStopTurn() const
+{
+    return m_limitedByStop && route.bulk && core.linkPacer.isPacing();
 }
 
-void CallContext::noteResponseTime(TimePoint since) const
+void CallContext::noteResponseTime() const
 {
     const auto now = std::chrono::steady_clock::now();
-    core.responseTimes.note(routeName(), now - since, now);
+    core.responseTimes.note(routeName(), now - firstSend, now);
 }
 
 Duration CallContext::typicalTime() const
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -121,8 +121,14 @@
      */
     bool outlastsStop();
 
-    /** Records the time that the request has taken since @p since, for outlastsStop() of later ones. */
-    void noteResponseTime(TimePoint since) const;
+    /** The last moment at which the request can be sent and its response be complete before the deadline. */
+    TimePoint latestSend() const;
+
+    /** Whether the request has to wait for its turn in ServerCore::stopQueue. */
+    bool needsStopTurn() const;
+
+    /** Records the time since the request was first sent, for outlastsStop() of later ones. */
+    void noteResponseTime() const;
 
     /** Whether the deadline has passed because this node stops, not because the caller's time is over. */
     bool isEndedByStop(TimePoint now) const
--- a/libs/proxy/src/claimedcall.cpp
+++ b/libs/proxy/src/claimedcall.cpp
@@ -48,7 +48,6 @@
 
 ClaimedCall::ClaimedCall(CallContext &call)
     : m_call(call)
-    , m_started(std::chrono::steady_clock::now())
 {
 }
 
@@ -129,7 +128,7 @@
     const auto status = co_await exchange.run(false);
     reportAttempt(m_call, exchange, status);
     if (status == AttemptStatus::Response) {
-        m_call.noteResponseTime(m_started);
+        m_call.noteResponseTime();
         co_await forward(exchange);
     } else {
         co_await fail(exchange, status);
--- a/libs/proxy/src/claimedcall.h
+++ b/libs/proxy/src/claimedcall.h
@@ -29,7 +29,6 @@
     asio::awaitable<void> answerDecision(const ClaimDecision &decision);
 
     CallContext &m_call;
-    const TimePoint m_started;
     ClaimTicket m_ticket;
 };
 
--- a/libs/proxy/src/largeresponse.h
+++ b/libs/proxy/src/largeresponse.h
@@ -25,13 +25,18 @@
         m_link.largeResponseEnded(m_size, m_id);
     }
 
-    /** Records the size that the head of the response announces; call it before any byte is sent. */
+    /** Records the size of the response, which its head or its end has shown; call it before any byte is sent. */
     void announced(std::size_t bytes)
     {
         m_link.largeResponseAnnounced(bytes, m_id);
         m_announced = true;
     }
 
+    bool isAnnounced() const
+    {
+        return m_announced;
+    }
+
     /** Records an earlier deadline. */
     void limitDeadline(TimePoint deadline)
     {
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -75,7 +75,9 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto size = std::min(bytes, maxLargeResponseBytes);
-    m_large.at(id).remaining = static_cast<double>(size);
+    auto &entry = m_large.at(id);
+    entry.remaining = static_cast<double>(size);
+    entry.announced = entry.remaining;
     learnSize(size);
 }
 
@@ -158,6 +160,19 @@
     return timeOf(m_largeBytes);
 }
 
+Duration LinkPacer::longestLargeResponseTime() const
+{
+    if (!isPacing()) {
+        return Duration::zero();
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto largest =
+        std::accumulate(m_large.begin(), m_large.end(), m_largeBytes, [](double bytes, const auto &it) {
+            return std::max(bytes, it.second.announced);
+        });
+    return timeOf(largest);
+}
+
 Duration LinkPacer::timeOf(double bytes) const
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bytes / m_bytesPerSecond));
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -78,11 +78,15 @@
     /** Time that the link needs for a large response of average size. */
     Duration largeResponseTime() const;
 
+    /** The same for one of the largest size that is announced by a response in progress, or of average size. */
+    Duration longestLargeResponseTime() const;
+
 private:
     struct LargeResponseEntry
     {
         TimePoint deadline;
         double remaining = 0; ///< Bytes that are expected to be sent.
+        double announced = 0; ///< Size of the response; 0 if it is not known.
     };
 
     Duration timeOf(double bytes) const;
--- a/libs/proxy/src/responsetimes.h
+++ b/libs/proxy/src/responsetimes.h
@@ -9,13 +9,13 @@
 namespace Hornbeam {
 
 /**
- * The longest recent times from the start of a request to its response, by route. While RouteTimes estimates when a
+ * The longest recent times from the sending of a request to its response, by route. While RouteTimes estimates when a
  * typical response comes, this says by when nearly every one has come. Thread-safe.
  */
 class ResponseTimes
 {
 public:
-    /** Records the time until a response, with the waits for a slot and of other nodes. */
+    /** Records the time from the sending of a request until its response, with the waits at other nodes. */
     void note(const std::string &route, Duration time, TimePoint now);
 
     /** The longest time of a route in the last 30 to 60 seconds; zero without any. */
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -29,7 +29,6 @@
 
 RetryableCall::RetryableCall(CallContext &call)
     : m_call(call)
-    , m_started(std::chrono::steady_clock::now())
 {
 }
 
@@ -40,6 +39,9 @@
         co_await refuse(notRunRefusal("a service that the request calls is busy", m_call));
         co_return;
     }
+    if (!m_call.outlastsStop() && m_call.needsStopTurn()) {
+        co_await waitForStopTurn();
+    }
     if (m_call.outlastsStop()) {
         co_await refuse(stoppingRefusal(m_call));
         co_return;
@@ -72,7 +74,7 @@
     auto status = co_await exchangeOn(exchange);
     auto outcome = classify(exchange, status);
     if (outcome == Outcome::Answered) {
-        m_call.noteResponseTime(m_started);
+        m_call.noteResponseTime();
     }
     if (outcome == Outcome::Answered && m_call.large) {
         announceSize(exchange);
@@ -82,6 +84,9 @@
             m_call.route.bulk && !exchange.lease().isRemote() && m_call.core.linkPacer.canBufferLargeResponse();
         status = co_await exchange.bufferResponse(bufferLarge ? bufferedLocalResponseBytes : bufferedResponseBytes);
         outcome = status == AttemptStatus::Response ? outcome : Outcome::MayHaveRun;
+        if (outcome == Outcome::Answered && m_call.large) {
+            announceSize(exchange);
+        }
     }
     reportAttempt(m_call, exchange, status);
     co_await checkTarget(exchange, status);
@@ -112,11 +117,31 @@
     }
 }
 
+/**
+ * Until a large response says how large it is, it is not known whether another one fits into the stop as well. Requests
+ * with the least time left come first.
+ */
+asio::awaitable<void> RetryableCall::waitForStopTurn()
+{
+    const auto started = std::chrono::steady_clock::now();
+    auto &queue = m_call.core.stopQueue;
+    m_stopTurn.emplace(
+        queue, LinkQueue::Ticket{.deadline = m_call.latestSend(), .response = queue.nextResponse()}, m_call.context);
+    co_await m_stopTurn->wait();
+    m_call.waited += std::chrono::steady_clock::now() - started;
+}
+
 void RetryableCall::announceSize(UpstreamExchange &exchange)
 {
-    const auto &head = exchange.stream().reader().head();
-    if (head.status < 300 && head.contentLength && m_call.head().method != "HEAD") {
-        m_call.large->announced(*head.contentLength);
+    auto &reader = exchange.stream().reader();
+    const auto &head = reader.head();
+    if (m_call.large->isAnnounced() || head.status >= 300 || m_call.head().method == "HEAD") {
+        return;
+    }
+    const bool buffered = reader.state() == HttpMessageReader::State::Complete;
+    if (head.contentLength || buffered) {
+        m_call.large->announced(head.contentLength.value_or(reader.body().size()));
+        m_stopTurn.reset();
     }
 }
 
--- a/libs/proxy/src/retryablecall.h
+++ b/libs/proxy/src/retryablecall.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "linkturn.h"
 #include "slotwait.h"
 #include "upstreamexchange.h"
 
+#include <optional>
 #include <vector>
 
 namespace Hornbeam {
@@ -30,6 +32,7 @@
 
     asio::awaitable<void> attempt();
     asio::awaitable<AttemptStatus> exchangeOn(UpstreamExchange &exchange);
+    asio::awaitable<void> waitForStopTurn();
     void announceSize(UpstreamExchange &exchange);
     Outcome classify(UpstreamExchange &exchange, AttemptStatus status);
     asio::awaitable<void> checkTarget(UpstreamExchange &exchange, AttemptStatus status);
@@ -42,7 +45,7 @@
     asio::awaitable<void> refuse(Refusal refusal);
 
     CallContext &m_call;
-    const TimePoint m_started;
+    std::optional<LinkTurn> m_stopTurn; ///< Held until the size of the response is known.
     SlotLease m_lease; ///< Slot for the next attempt.
     std::vector<Endpoint> m_excluded; ///< Targets that refused or failed the request.
     std::size_t m_attempts = 0; ///< Attempts in which a target may have run the request.
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -36,6 +36,7 @@
     const ProxyDependencies dependencies;
     LinkPacer linkPacer;
     LinkQueue linkQueue;
+    LinkQueue stopQueue; ///< During a graceful shutdown, of requests for large responses until their size is known.
     LoadBalancer balancer;
     CrashSuspects suspects;
     ProxyMetrics metrics;
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -482,3 +482,46 @@
         checkLateBodies(path);
     }
 }
+
+// Guards against large responses that are taken by the size of earlier, smaller ones and cut off by the stop.
+TEST(StoppingNode, cutsOffNoLargeResponseThatItPassesOn)
+{
+    // At 5 Mbit/s, two of the five responses fit into the stop.
+    constexpr int count = 5;
+    std::atomic<bool> large = false;
+    const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
+        return connection.send(signedResponse(request, std::string(large ? otherExportBytes : 4000, 'x')));
+    });
+    timeout = 4000ms;
+    frontOptions.linkMegabits = 5;
+    targetOptions.linkMegabits = 5;
+    frontOptions.stopNotice = 1000ms;
+    frontOptions.drainBound = 1900ms;
+    addTarget(target, "first");
+    start();
+    for (int i = 0; i < 10; ++i) {
+        CHECK_EQUAL(200, call("GET", "/export").status());
+    }
+    large = true;
+    beginStop();
+    std::vector<std::optional<TestMessage>> responses(count);
+    std::vector<std::jthread> callers;
+    for (auto &response : responses) {
+        callers.emplace_back([&, id = "c" + std::to_string(callers.size())] {
+            auto socket = TestSocket::connectTo(front->server->localEndpoint());
+            socket.send(getRequest("/export", id));
+            response = socket.read();
+        });
+    }
+    CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
+    front->server.reset();
+    callers.clear();
+    int served = 0;
+    for (const auto &response : responses) {
+        CHECK(response && response->complete);
+        CHECK(response->status() == 200 || response->header("x-hornbeam-outcome") == "not-run");
+        served += response->status() == 200 ? 1 : 0;
+    }
+    CHECK_COMPARE(served, >=, 1);
+    CHECK_COMPARE(target.requests(), ==, 10 + served);
+}
