Answer the requests that still wait when a stop ends

Callers saw: requests whose head had come before a planned stop, and which waited for a slot or were not whole when it ended, lost their connections without an answer.

Cause: the end of the stop was not the end of these waits. A slot was waited for until the request's own deadline, a body as well, and the process ended before.

Change: 0.2 s before the end of the stop each connection ends the waits of its requests that have not been sent. They are refused as not run, with a Retry-After. ServerCore::stopDeadline() is that moment, also for the deadlines of requests that are sent.

Evidence: StoppingNode.answersTheRequestsThatWaitWhenItEnds (one slot, runs of 2.5 s, a stop of 1 s) failed without the change in TrafficThread: the stop had ended before the answers came.

--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -28,9 +28,6 @@
 /** Time limit for writing a refusal, which may be sent after the request's deadline. */
 constexpr auto refusalWriteTimeout = std::chrono::seconds(1);
 
-/** Time before the end of a shutdown that is left for a late response to reach the caller. */
-constexpr std::chrono::milliseconds stopReserve{200};
-
 /** Factor on a time of recent requests that leaves time for a slower one. */
 constexpr double serviceTimeMargin = 1.25;
 
@@ -69,11 +66,11 @@
  */
 bool limitToStop(const ServerCore &core, TimePoint &deadline)
 {
-    const auto stopEnd = core.stopEnd.load(std::memory_order_relaxed);
-    if (stopEnd == TimePoint::max() || deadline <= stopEnd - stopReserve) {
+    const auto latest = core.stopDeadline();
+    if (deadline <= latest) {
         return false;
     }
-    deadline = stopEnd - stopReserve;
+    deadline = latest;
     return true;
 }
 
@@ -188,14 +185,21 @@
     });
 }
 
-bool CallContext::outlastsStop()
+bool CallContext::isLimitedByStop()
 {
     // The stop can have begun while the body arrived, or during a wait for a slot.
     m_limitedByStop = limitToStop(core, deadline) || m_limitedByStop;
-    if (!m_limitedByStop) {
-        return false;
-    }
-    return std::chrono::steady_clock::now() > latestSend();
+    return m_limitedByStop;
+}
+
+bool CallContext::isEndedByStop(TimePoint now)
+{
+    return isLimitedByStop() && now >= deadline;
+}
+
+bool CallContext::outlastsStop()
+{
+    return isLimitedByStop() && std::chrono::steady_clock::now() > latestSend();
 }
 
 TimePoint CallContext::latestSend() const
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -15,6 +15,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -70,6 +71,7 @@
     bool nested = false; ///< Made by a request that is running at a target of this host.
     std::optional<LargeResponse> large; ///< The response of the current attempt, if it is large.
     LinkTurn *linkTurn = nullptr; ///< The piece of the response that waits for the link; null for none.
+    std::function<void()> endWait; ///< Ends the wait for a slot; null while there is none.
     bool repeated = false; ///< A target may already have run the request.
     bool late = false; ///< The request is expected to miss its latency objective.
     bool dependencyFailed = false; ///< Refused because of a busy dependency; reported to the sending node.
@@ -130,11 +132,11 @@
     /** Records the time since the request was first sent, for outlastsStop() of later ones. */
     void noteResponseTime() const;
 
-    /** Whether the deadline has passed because this node stops, not because the caller's time is over. */
-    bool isEndedByStop(TimePoint now) const
-    {
-        return m_limitedByStop && now >= deadline;
-    }
+    /**
+     * Whether the deadline has passed because this node stops, not because the caller's time is over. Also limits the
+     * deadline to the end of the stop.
+     */
+    bool isEndedByStop(TimePoint now);
 
     /** Computes the end of the wait for a slot from the latency objective and the typical service time. */
     void updateLatestStart();
@@ -175,6 +177,7 @@
     bool canKeepAlive() const;
     bool canKeepAliveAfterRefusal() const;
     Duration typicalTime() const;
+    bool isLimitedByStop();
 
     bool m_limitedByStop; ///< The deadline is the end of a graceful shutdown of this node.
     std::optional<Digest> m_crashDigest;
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -313,6 +313,18 @@
     }
 }
 
+void CallerConnection::endWaits()
+{
+    for (auto *call : m_calls) {
+        if (call->endWait) {
+            call->endWait();
+        }
+    }
+    if (m_readingBody) {
+        m_stream.socket().cancel();
+    }
+}
+
 void CallerConnection::limitDeadlines(const std::string &nodeId)
 {
     for (auto *call : m_calls) {
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -46,6 +46,9 @@
     /** Logs and counts the requests in progress, which the end of the process interrupts. */
     void reportInterrupted() const;
 
+    /** Ends the waits of requests that have not been sent, shortly before the process stops. */
+    void endWaits();
+
     /** Limits the deadlines of requests in progress that the node with this id, which stops, has relayed. */
     void limitDeadlines(const std::string &nodeId);
 
--- a/libs/proxy/src/responseframing.cpp
+++ b/libs/proxy/src/responseframing.cpp
@@ -28,7 +28,7 @@
     if (isControl(c) || (m_previous == '\r' && c != '\n') || (m_lineEndDue && c != '\r')) {
         return false;
     }
-    // The head itself can end with two line feeds, which http_parser takes for line ends only there.
+    // Only a head may have line feeds alone, section 2.2. Its last one can be the first byte that is checked after it.
     if (m_afterHead && c == '\n' && m_previous != '\r' && m_previous != '\n') {
         return false;
     }
--- a/libs/proxy/src/responseframing.h
+++ b/libs/proxy/src/responseframing.h
@@ -14,7 +14,7 @@
     /** Checks the next bytes. */
     void check(std::string_view bytes);
 
-    /** The next byte to check is the last one of the head, or follows it. */
+    /** The next byte to check is the last line feed of the head, or follows it. */
     void headEnded()
     {
         m_afterHead = true;
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -16,6 +16,9 @@
  */
 constexpr std::chrono::seconds unpacedTime{1};
 
+/** Time before the end of a shutdown that is left for a late response to reach the caller. */
+constexpr std::chrono::milliseconds stopReserve{200};
+
 /** The descriptors that the process may open. */
 std::uint64_t descriptorLimit()
 {
@@ -45,6 +48,12 @@
     m_state = std::move(initial);
 }
 
+TimePoint ServerCore::stopDeadline() const
+{
+    const auto end = stopEnd.load(std::memory_order_relaxed);
+    return end == TimePoint::max() ? end : end - stopReserve;
+}
+
 TimePoint ServerCore::pacedUntil() const
 {
     const auto end = stopEnd.load(std::memory_order_relaxed);
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -60,6 +60,9 @@
     std::atomic<bool> draining = false;
     std::atomic<TimePoint> stopEnd = TimePoint::max(); ///< When a graceful shutdown interrupts the remaining requests.
 
+    /** The latest deadline of a request during a graceful shutdown; the maximum while there is none. */
+    TimePoint stopDeadline() const;
+
     /** When large responses are no longer paced, because the process is about to end. */
     TimePoint pacedUntil() const;
 
--- a/libs/proxy/src/slotwait.cpp
+++ b/libs/proxy/src/slotwait.cpp
@@ -75,10 +75,14 @@
     const QueueGuard guard(call.core.balancer, request);
     const auto started = std::chrono::steady_clock::now();
     if (call.core.balancer.acquire(request, started)) {
-        call.watch.setCancelCallback([timer] { timer->cancel(); });
+        call.endWait = [timer] {
+            timer->cancel();
+        };
+        call.watch.setCancelCallback(call.endWait);
         std::error_code ignored;
         co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         call.watch.setCancelCallback(nullptr);
+        call.endWait = nullptr;
         call.waited += std::chrono::steady_clock::now() - started;
     }
     co_return finishRequest(call, request);
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -178,6 +178,11 @@
         stopListening();
         closeIdleConnections();
     });
+    runAfter(m_core.stopDeadline() - std::chrono::steady_clock::now(), [this] {
+        for (const auto &connection : m_connections) {
+            connection->endWaits();
+        }
+    });
 }
 
 void TrafficThread::stopListening()
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -525,3 +525,35 @@
     CHECK_COMPARE(served, >=, 1);
     CHECK_COMPARE(target.requests(), ==, 10 + served);
 }
+
+// Guards against requests that were read before the stop, are not passed on, and get no response when the process ends.
+TEST(StoppingNode, answersTheRequestsThatWaitWhenItEnds)
+{
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        std::this_thread::sleep_for(2500ms);
+        return connection.send(signedResponse(request, "ok"));
+    });
+    timeout = 4500ms;
+    targetOptions.stopNotice = 300ms;
+    targetOptions.drainBound = 1000ms;
+    addTarget(target, "first", 1);
+    start();
+    auto &node = *nodes[0]->server;
+    auto running = TestSocket::connectTo(node.localEndpoint());
+    running.send(getRequest("/book", "c1"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    auto waiting = TestSocket::connectTo(node.localEndpoint());
+    waiting.send(getRequest("/book", "c2"));
+    auto unfinished = TestSocket::connectTo(node.localEndpoint());
+    unfinished.send("POST /book HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c3\r\nContent-Length: 2\r\n\r\nh");
+    CHECK(ProxyFixture::waitUntil([&] { return node.requestsInFlight() == 3; }));
+    node.drain([this] { drained = true; });
+    for (auto *socket : {&waiting, &unfinished}) {
+        const auto it = socket->read();
+        CHECK(it.has_value());
+        CHECK_EQUAL(503, it->status());
+        STRCMP_EQUAL("not-run", it->header("x-hornbeam-outcome").c_str());
+    }
+    CHECK(!drained);
+    CHECK_EQUAL(1, target.requests());
+}
