Test the estimates behind a stop without nodes

The longest recent time of a route and the longest time of a large response decide what a stopping node still sends; until now only whole nodes showed them. Comments of the members that take part are made clearer.

--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -9,8 +9,10 @@
 
 namespace Hornbeam {
 
-/** Limit for buffered large responses, and for the size that a target can announce. The smallest hosts have 88 MB of
- * memory, of which a node uses 10 MB. */
+/**
+ * Limit for buffered large responses, and for the size that a target can announce. The smallest hosts have 88 MB of
+ * memory, of which a node uses 10 MB.
+ */
 constexpr std::size_t maxLargeResponseBytes = std::size_t{16} * 1024 * 1024;
 
 struct LinkPacerOptions
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -117,10 +117,6 @@
     }
 }
 
-/**
- * Until a large response says how large it is, it is not known whether another one fits into the stop as well. Requests
- * with the least time left come first.
- */
 asio::awaitable<void> RetryableCall::waitForStopTurn()
 {
     const auto started = std::chrono::steady_clock::now();
--- a/libs/proxy/src/retryablecall.h
+++ b/libs/proxy/src/retryablecall.h
@@ -32,7 +32,13 @@
 
     asio::awaitable<void> attempt();
     asio::awaitable<AttemptStatus> exchangeOn(UpstreamExchange &exchange);
+
+    /**
+     * Waits until no other request of this node waits for a large response of unknown size: until then, it is not known
+     * whether another one fits into the stop as well. Those with the least time left come first.
+     */
     asio::awaitable<void> waitForStopTurn();
+
     void announceSize(UpstreamExchange &exchange);
     Outcome classify(UpstreamExchange &exchange, AttemptStatus status);
     asio::awaitable<void> checkTarget(UpstreamExchange &exchange, AttemptStatus status);
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -36,7 +36,7 @@
     const ProxyDependencies dependencies;
     LinkPacer linkPacer;
     LinkQueue linkQueue;
-    LinkQueue stopQueue; ///< During a graceful shutdown, of requests for large responses until their size is known.
+    LinkQueue stopQueue; ///< Of requests for large responses during a graceful shutdown, see RetryableCall.
     LoadBalancer balancer;
     CrashSuspects suspects;
     ProxyMetrics metrics;
--- a/libs/proxy/tests/linkpacertest.cpp
+++ b/libs/proxy/tests/linkpacertest.cpp
@@ -123,6 +123,20 @@
     CHECK(pacer.largeResponseWait() < 610ms);
 }
 
+// Guards against large responses that are admitted by their mean size while a larger one is in progress.
+TEST(LinkPacer, knowsTheLongestTimeOfTheResponsesInProgress)
+{
+    pacer.largeResponseEnded(90000, pacer.largeResponseStarted(now));
+    CHECK(pacer.longestLargeResponseTime() == pacer.largeResponseTime());
+    {
+        LargeResponse large(pacer, now);
+        large.announced(900000);
+        large.sent(850000);
+        CHECK(pacer.longestLargeResponseTime() > 990ms && pacer.longestLargeResponseTime() < 1010ms);
+    }
+    CHECK(pacer.longestLargeResponseTime() == pacer.largeResponseTime());
+}
+
 // Guards against a target that makes its link look busy for hours by announcing a size that it does not send.
 TEST(LinkPacer, limitsTheAnnouncedSize)
 {
