End the waits at a target's node when the caller's node stops

Callers saw: a request that was read before a planned stop of its node, was relayed and waited for a slot at the node of the target got no answer when the stop ended, although it never ran.

Cause: the node of the target learns of the stop and limits the deadline of the request, but a wait for a slot that has begun keeps its end.

Change: 0.4 s before the end of the other node's stop, twice the time that is left for a late response on one hop, the node of the target ends the waits for a slot of the requests that this node has relayed. It refuses them as not run, and the stopping node passes that on.

--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -325,11 +325,23 @@
     }
 }
 
-void CallerConnection::limitDeadlines(const std::string &nodeId)
+TimePoint CallerConnection::limitDeadlines(const std::string &nodeId)
 {
+    auto end = TimePoint::max();
     for (auto *call : m_calls) {
         if (call->sender && call->sender->nodeId == nodeId) {
-            call->limitDeadline(m_core.stoppingPeers.endOf(*call->sender));
+            end = m_core.stoppingPeers.endOf(*call->sender);
+            call->limitDeadline(end);
+        }
+    }
+    return end;
+}
+
+void CallerConnection::endWaits(const std::string &nodeId)
+{
+    for (auto *call : m_calls) {
+        if (call->endWait && call->sender && call->sender->nodeId == nodeId) {
+            call->endWait();
         }
     }
 }
--- a/libs/proxy/src/callerconnection.h
+++ b/libs/proxy/src/callerconnection.h
@@ -49,8 +49,14 @@
     /** Ends the waits of requests that have not been sent, shortly before the process stops. */
     void endWaits();
 
-    /** Limits the deadlines of requests in progress that the node with this id, which stops, has relayed. */
-    void limitDeadlines(const std::string &nodeId);
+    /**
+     * Limits the deadlines of requests in progress that the node with this id, which stops, has relayed. Returns the
+     * end of its stop; the maximum if it has relayed none of them.
+     */
+    TimePoint limitDeadlines(const std::string &nodeId);
+
+    /** Ends the waits for a slot of requests that the node with this id has relayed. */
+    void endWaits(const std::string &nodeId);
 
 private:
     class InFlight;
--- a/libs/proxy/src/servercore.cpp
+++ b/libs/proxy/src/servercore.cpp
@@ -16,9 +16,6 @@
  */
 constexpr std::chrono::seconds unpacedTime{1};
 
-/** Time before the end of a shutdown that is left for a late response to reach the caller. */
-constexpr std::chrono::milliseconds stopReserve{200};
-
 /** The descriptors that the process may open. */
 std::uint64_t descriptorLimit()
 {
--- a/libs/proxy/src/servercore.h
+++ b/libs/proxy/src/servercore.h
@@ -30,6 +30,9 @@
 class ServerCore
 {
 public:
+    /** Time before the end of a shutdown that is left for a late response to reach the next hop. */
+    static constexpr std::chrono::milliseconds stopReserve{200};
+
     ServerCore(ProxyOptions options, ProxyDependencies dependencies);
 
     const ProxyOptions options;
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -8,6 +8,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace Hornbeam {
@@ -228,9 +229,19 @@
 void TrafficThread::limitDeadlines(const std::string &nodeId)
 {
     asio::post(*m_context, [this, nodeId] {
+        auto end = TimePoint::max();
         for (const auto &connection : m_connections) {
-            connection->limitDeadlines(nodeId);
+            end = std::min(end, connection->limitDeadlines(nodeId));
         }
+        if (end == TimePoint::max()) {
+            return;
+        }
+        // A refusal has to reach the node before its stop ends.
+        runAfter(end - 2 * ServerCore::stopReserve - std::chrono::steady_clock::now(), [this, nodeId] {
+            for (const auto &connection : m_connections) {
+                connection->endWaits(nodeId);
+            }
+        });
     });
 }
 
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -557,3 +557,33 @@
     CHECK(!drained);
     CHECK_EQUAL(1, target.requests());
 }
+
+// The same for a request that waits at the node of the target while its caller's node stops.
+TEST(StoppingNode, answersTheRequestsThatWaitAtAnotherNodeWhenItEnds)
+{
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        std::this_thread::sleep_for(2500ms);
+        return connection.send(signedResponse(request, "ok"));
+    });
+    timeout = 4500ms;
+    frontOptions.stopNotice = 300ms;
+    frontOptions.drainBound = 1000ms;
+    frontOptions.nodeId = "front";
+    addTarget(target, "first", 1);
+    start();
+    const auto neighbour = startCallerNode({.hostService = "desk", .nodeId = "neighbour"});
+    auto running = TestSocket::connectTo(neighbour->server->localEndpoint());
+    running.send(getRequest("/book", "c1"));
+    CHECK(ProxyFixture::waitUntil([&] { return target.requests() == 1; }));
+    auto waiting = TestSocket::connectTo(front->server->localEndpoint());
+    waiting.send(getRequest("/book", "c2"));
+    CHECK(ProxyFixture::waitUntil([&] { return nodes[0]->server->requestsInFlight() == 2; }));
+    beginStop();
+    nodes[0]->server->peerStops("front");
+    const auto response = readUntilStopped(waiting);
+    CHECK(response.has_value());
+    CHECK(answeredBeforeStop);
+    CHECK_EQUAL(503, response->status());
+    STRCMP_EQUAL("not-run", response->header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(1, target.requests());
+}
