Give a pipelined response its time whenever it has waited for its turn

Callers saw: a large response behind a request that timed out was cut off within its body, although its target had sent it in time.

Cause: the time for a late response was granted only if its turn came at or after its deadline. A request that was read a few microseconds after the one before it has its turn that much before its deadline when the timer of the first fires exactly.

Change: a response that has waited for its turn has a second at least.

--- a/libs/proxy/src/callerexchange.h
+++ b/libs/proxy/src/callerexchange.h
@@ -59,6 +59,12 @@
     /** Waits until all earlier responses of the connection have been written. */
     asio::awaitable<void> waitForTurn();
 
+    /** Whether the response had to wait for earlier ones of the connection. */
+    bool hasWaitedForTurn() const
+    {
+        return m_minDeadline != TimePoint::min();
+    }
+
     /**
      * Decides whether the connection stays open after the response, whose turn it must be. Returns true if further
      * requests have been accepted, because their responses follow; otherwise @p wanted. After a result of false, the
--- a/libs/proxy/src/responseforwarder.cpp
+++ b/libs/proxy/src/responseforwarder.cpp
@@ -20,7 +20,7 @@
 /** Longest time without data in the middle of a body; a longer attempt timeout of the service takes precedence. */
 constexpr auto bodyStallTimeout = std::chrono::seconds(10);
 
-/** Time for a response whose turn comes after its deadline. */
+/** Least time for a response that had to wait for its turn. */
 constexpr auto lateResponseTime = std::chrono::seconds(1);
 
 /** Size of the pieces in which a paced response is sent; one takes 13 ms at 5 Mbit/s. */
@@ -95,9 +95,9 @@
     m_call.stages.enter(CallStage::Caller, headReceived);
     const bool hasBody = m_call.head().method != "HEAD" && !statusHasNoBody(stream.reader().head().status);
     auto head = co_await formatHead(hasBody);
-    if (const auto turn = std::chrono::steady_clock::now(); turn >= m_call.deadline) {
+    if (m_call.caller.hasWaitedForTurn()) {
         // Earlier responses of the connection delayed this one, which the target sent in time.
-        m_call.deadline = turn + lateResponseTime;
+        m_call.deadline = std::max<TimePoint>(m_call.deadline, std::chrono::steady_clock::now() + lateResponseTime);
     }
     const bool chunked = hasBody && !stream.reader().head().contentLength && m_call.head().minorVersion >= 1;
     const auto stall = std::max<Duration>(bodyStallTimeout, m_call.service.attemptTimeout);
