Refuse an ambiguous framing where responses are parsed

The check of the transfer codings stood in UpstreamExchange::readHead(), beside the reader that interprets them. HttpMessageReader now takes such a response for malformed, like one with other bytes that are not allowed, so each reader of responses has the check. No behaviour changes: BrokenResponse.aTransferCodingOtherThanChunked and the other 8 of brokenresponsetests pass.

--- a/libs/proxy/src/httpmessagereader.cpp
+++ b/libs/proxy/src/httpmessagereader.cpp
@@ -81,6 +81,9 @@
             return -1;
         }
         self.finishHead();
+        if (self.m_kind == Kind::Response && !hasUnambiguousFraming(self.m_head)) {
+            return -1;
+        }
         http_parser_pause(parser, 1);
         // The result 1 tells http_parser that the message has no body.
         return self.m_kind == Kind::Response && self.m_headRequested ? 1 : 0;
--- a/libs/proxy/src/httpmessagereader.h
+++ b/libs/proxy/src/httpmessagereader.h
@@ -17,8 +17,8 @@
 
 /**
  * Incremental HTTP/1.x parser for the consecutive messages of a connection; its owner reads the bytes. A response is
- * malformed if any byte outside its content is not allowed, because it may be sent on; findRequestProblem() checks
- * requests.
+ * malformed if any byte outside its content is not allowed, because it may be sent on, or if its framing is ambiguous;
+ * findRequestProblem() checks requests.
  */
 class HttpMessageReader
 {
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -313,7 +313,7 @@
         if (result != ReadResult::Ok) {
             co_return result == ReadResult::TimedOut ? handleTimeout() : statusOf(result);
         }
-        if (!hasValidStatus(reader.head()) || !hasUnambiguousFraming(reader.head())) {
+        if (!hasValidStatus(reader.head())) {
             // The target has answered, so nothing else is to be waited for.
             co_return AttemptStatus::BadResponse;
         }
