Check the end of a stop immediately before a request is sent

Whether a stop leaves time for a request was asked by RetryableCall after the wait for a slot and by ClaimedCall after the wait for a claim, but not after the wait for the slot of a repetition, nor after the opening of a connection. UpstreamExchange::send() already checks the deadline before the first byte of each attempt; it now asks there, and the attempt ends with the new status NodeStops: not run, or 504 if an earlier attempt may have run. The callers keep only the question before a wait. ResponseTimes is fed there as well, for both kinds of calls, and only by responses below 500, since a 504 says nothing of the time that a response takes.

--- a/libs/proxy/src/attemptreport.cpp
+++ b/libs/proxy/src/attemptreport.cpp
@@ -186,6 +186,11 @@
         return notRunRefusal("connection failed", call);
     case AttemptStatus::DeadlinePassed:
         return {.status = 504, .reason = "deadline passed"};
+    case AttemptStatus::NodeStops:
+        // An earlier attempt may have run the request.
+        return call.sentToTarget
+            ? Refusal{.status = 504, .outcome = RefusalOutcome::Unknown, .reason = "the node stops"}
+            : stoppingRefusal(call);
     case AttemptStatus::Expired:
         return {.status = 504, .outcome = RefusalOutcome::Unknown, .reason = "no response before the deadline"};
     case AttemptStatus::Silent:
--- a/libs/proxy/src/callcontext.cpp
+++ b/libs/proxy/src/callcontext.cpp
@@ -204,13 +204,15 @@
 
 TimePoint CallContext::latestSend() const
 {
-    const auto &link = core.linkPacer;
     const auto now = std::chrono::steady_clock::now();
-    const auto transfer =
-        route.bulk ? link.largeResponseWait(deadline) + link.longestLargeResponseTime() : Duration::zero();
     // A request that is refused can go to another node; one that is cut off may have run.
     const auto time = std::max(typicalTime(), withMargin(core.responseTimes.longest(routeName(), now)));
-    return deadline - time - transfer;
+    if (!route.bulk) {
+        return deadline - time;
+    }
+    const auto &link = core.linkPacer;
+    const auto wait = large ? large->waitForOthers(deadline) : link.largeResponseWait(deadline);
+    return deadline - time - wait - link.longestLargeResponseTime();
 }
 
 bool CallContext::needsStopTurn() const
--- a/libs/proxy/src/callcontext.h
+++ b/libs/proxy/src/callcontext.h
@@ -119,7 +119,7 @@
 
     /**
      * Whether this node may stop before the response is complete, so that the request must not be sent. Also limits the
-     * deadline to the end of the stop. Call it again after each wait.
+     * deadline to the end of the stop. UpstreamExchange asks before it sends; asking earlier saves a wait.
      */
     bool outlastsStop();
 
@@ -129,6 +129,12 @@
     /** Whether the request has to wait for its turn in ServerCore::stopQueue. */
     bool needsStopTurn() const;
 
+    /** Whether the node with this id has relayed the request. */
+    bool isRelayedBy(const std::string &nodeId) const
+    {
+        return sender && sender->nodeId == nodeId;
+    }
+
     /** Records the time since the request was first sent, for outlastsStop() of later ones. */
     void noteResponseTime() const;
 
--- a/libs/proxy/src/callerconnection.cpp
+++ b/libs/proxy/src/callerconnection.cpp
@@ -329,7 +329,7 @@
 {
     auto end = TimePoint::max();
     for (auto *call : m_calls) {
-        if (call->sender && call->sender->nodeId == nodeId) {
+        if (call->isRelayedBy(nodeId)) {
             end = m_core.stoppingPeers.endOf(*call->sender);
             call->limitDeadline(end);
         }
@@ -340,7 +340,7 @@
 void CallerConnection::endWaits(const std::string &nodeId)
 {
     for (auto *call : m_calls) {
-        if (call->endWait && call->sender && call->sender->nodeId == nodeId) {
+        if (call->endWait && call->isRelayedBy(nodeId)) {
             call->endWait();
         }
     }
--- a/libs/proxy/src/claimedcall.cpp
+++ b/libs/proxy/src/claimedcall.cpp
@@ -73,12 +73,6 @@
         co_return;
     }
     m_ticket = decision.ticket;
-    if (m_call.outlastsStop()) {
-        grant.lease.release();
-        m_call.core.dependencies.claims.release(m_ticket);
-        co_await m_call.refuse(stoppingRefusal(m_call));
-        co_return;
-    }
     co_await runClaimed(std::move(grant.lease));
 }
 
@@ -128,7 +122,6 @@
     const auto status = co_await exchange.run(false);
     reportAttempt(m_call, exchange, status);
     if (status == AttemptStatus::Response) {
-        m_call.noteResponseTime();
         co_await forward(exchange);
     } else {
         co_await fail(exchange, status);
--- a/libs/proxy/src/largeresponse.h
+++ b/libs/proxy/src/largeresponse.h
@@ -32,6 +32,12 @@
         m_announced = true;
     }
 
+    /** Time that the link needs for the other large responses with a deadline of at most @p deadline. */
+    Duration waitForOthers(TimePoint deadline) const
+    {
+        return m_link.largeResponseWait(deadline, m_id);
+    }
+
     bool isAnnounced() const
     {
         return m_announced;
--- a/libs/proxy/src/linkpacer.cpp
+++ b/libs/proxy/src/linkpacer.cpp
@@ -112,20 +112,20 @@
     m_largeBytes += (static_cast<double>(bytes) - m_largeBytes) * weight;
 }
 
-double LinkPacer::remainingBytes(TimePoint deadline) const
+double LinkPacer::remainingBytes(TimePoint deadline, std::optional<std::uint64_t> except) const
 {
-    return std::accumulate(m_large.begin(), m_large.end(), 0.0, [deadline](double sum, const auto &it) {
-        return it.second.deadline <= deadline ? sum + it.second.remaining : sum;
+    return std::accumulate(m_large.begin(), m_large.end(), 0.0, [&](double sum, const auto &it) {
+        return it.second.deadline <= deadline && it.first != except ? sum + it.second.remaining : sum;
     });
 }
 
-Duration LinkPacer::largeResponseWait(TimePoint deadline) const
+Duration LinkPacer::largeResponseWait(TimePoint deadline, std::optional<std::uint64_t> except) const
 {
     if (!isPacing()) {
         return Duration::zero();
     }
     const std::lock_guard lock(m_mutex);
-    return timeOf(remainingBytes(deadline));
+    return timeOf(remainingBytes(deadline, except));
 }
 
 bool LinkPacer::wouldCutOff(TimePoint deadline, TimePoint now) const
--- a/libs/proxy/src/linkpacer.h
+++ b/libs/proxy/src/linkpacer.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace Hornbeam {
 
@@ -64,9 +65,11 @@
     /** Removes a response. @p bytes: its size, 0 if it failed. */
     void largeResponseEnded(std::size_t bytes, std::uint64_t id);
 
-    /** Time that the link needs for the remaining bytes of the large responses with a deadline of at most @p deadline.
+    /**
+     * Time that the link needs for the remaining bytes of the large responses with a deadline of at most @p deadline.
+     * @p except: the id of one that does not count.
      */
-    Duration largeResponseWait(TimePoint deadline = TimePoint::max()) const;
+    Duration largeResponseWait(TimePoint deadline = TimePoint::max(), std::optional<std::uint64_t> except = {}) const;
 
     /**
      * Whether another large response with @p deadline would delay one in progress beyond its own, later deadline. One
@@ -92,7 +95,7 @@
     };
 
     Duration timeOf(double bytes) const;
-    double remainingBytes(TimePoint deadline) const;
+    double remainingBytes(TimePoint deadline, std::optional<std::uint64_t> except = {}) const;
     void learnSize(std::size_t bytes);
 
     const double m_bytesPerSecond;
--- a/libs/proxy/src/retryablecall.cpp
+++ b/libs/proxy/src/retryablecall.cpp
@@ -51,11 +51,6 @@
         co_await refuse(refusalFor(grant, m_call));
         co_return;
     }
-    if (m_call.outlastsStop()) {
-        grant.lease.release();
-        co_await refuse(stoppingRefusal(m_call));
-        co_return;
-    }
     if (m_call.origin == CallOrigin::Caller) {
         m_call.core.balancer.countRequest(m_call.service.name);
     }
@@ -73,9 +68,6 @@
     }
     auto status = co_await exchangeOn(exchange);
     auto outcome = classify(exchange, status);
-    if (outcome == Outcome::Answered) {
-        m_call.noteResponseTime();
-    }
     if (outcome == Outcome::Answered && m_call.large) {
         announceSize(exchange);
     }
@@ -157,6 +149,7 @@
         break;
     case AttemptStatus::ConnectFailed:
     case AttemptStatus::DeadlinePassed:
+    case AttemptStatus::NodeStops:
         return Outcome::NotRun;
     case AttemptStatus::NotReceived:
         // TCP acknowledgements strongly indicate that the target did not read the request, but a target that resets the
--- a/libs/proxy/src/upstreamexchange.cpp
+++ b/libs/proxy/src/upstreamexchange.cpp
@@ -53,6 +53,8 @@
         return "connection failed";
     case AttemptStatus::DeadlinePassed:
         return "deadline passed";
+    case AttemptStatus::NodeStops:
+        return "node stops";
     case AttemptStatus::NotReceived:
         return "idle connection closed";
     case AttemptStatus::Silent:
@@ -237,6 +239,9 @@
     if (m_sendStarted >= m_call.deadline) {
         co_return AttemptStatus::DeadlinePassed;
     }
+    if (m_call.outlastsStop()) {
+        co_return AttemptStatus::NodeStops;
+    }
     if (m_call.firstSend == TimePoint()) {
         m_call.firstSend = m_sendStarted;
     }
@@ -340,6 +345,9 @@
         const bool framed = !reader.isCloseDelimited() || m_call.core.options.acceptUnframedResponses;
         const bool authentic = isAuthentic(reader.head());
         const bool valid = framed && authentic && !promisesTooMuch(reader.head());
+        if (valid && reader.head().status < 500 && !statesNotRun()) {
+            m_call.noteResponseTime();
+        }
         co_return valid ? AttemptStatus::Response : AttemptStatus::BadResponse;
     }
     co_return AttemptStatus::BadResponse;
--- a/libs/proxy/src/upstreamexchange.h
+++ b/libs/proxy/src/upstreamexchange.h
@@ -11,6 +11,7 @@
     Response, ///< The head of the response has been read, see stream().reader().
     ConnectFailed, ///< No connection; nothing was sent.
     DeadlinePassed, ///< The deadline had passed before sending; nothing was sent.
+    NodeStops, ///< This node stops before a response is expected; nothing was sent.
     NotReceived, ///< The target closed the reused connection before it received the request.
     Silent, ///< No response within the attempt timeout.
     Expired, ///< No response before the request's deadline; not counted as a failure of the target.
@@ -35,8 +36,8 @@
     asio::awaitable<bool> connect(bool fresh);
 
     /**
-     * Sends the request and reads the head of the response. Checks the deadline immediately before the first byte is
-     * sent. @p cancellable: stops when the caller disconnects.
+     * Sends the request and reads the head of the response. Checks the deadline, and the end of a stop of this node,
+     * immediately before the first byte is sent. @p cancellable: stops when the caller disconnects.
      */
     asio::awaitable<AttemptStatus> run(bool cancellable);
 
--- a/libs/proxy/tests/claimedcalltest.cpp
+++ b/libs/proxy/tests/claimedcalltest.cpp
@@ -238,6 +238,35 @@
     CHECK_EQUAL(0, target.requests());
 }
 
+// Guards against a request that is sent after a wait for its claim although the node stops before it can end: it may
+// have run when it is cut off.
+TEST(ClaimedCall, isNotSentAfterAClaimThatComesLateInAStop)
+{
+    TestTarget target([](const TestMessage & /*request*/, TestSocket &connection) {
+        std::this_thread::sleep_for(300ms);
+        return connection.send(TestTarget::response("200 OK", "ok"));
+    });
+    proxy.options.drainBound = 600ms;
+    proxy.addTarget(target);
+    proxy.start();
+    CHECK_EQUAL(200, book().value().status());
+    proxy.claims.hold = true;
+    auto socket = proxy.connect();
+    socket.send(ProxyFixture::post("/book", "slot 6", "Idempotency-Key: k2\r\n"));
+    CHECK(ProxyFixture::waitUntil([&] { return proxy.claims.claimed().size() == 2; }));
+    std::atomic<bool> drained = false;
+    proxy.server->drain([&] { drained = true; });
+    std::this_thread::sleep_for(100ms);
+    proxy.claims.decidePending();
+    const auto response = socket.read();
+    CHECK(response.has_value());
+    CHECK_EQUAL(503, response->status());
+    STRCMP_EQUAL("not-run", response->header("x-hornbeam-outcome").c_str());
+    CHECK_EQUAL(1, proxy.claims.released());
+    CHECK_EQUAL(1, target.requests());
+    CHECK(ProxyFixture::waitUntil([&] { return drained.load(); }));
+}
+
 // The coordinator may call back after the server was destroyed. The callback must not access the server.
 TEST(ClaimedCall, ignoresADecisionAfterTheServerWasDestroyed)
 {
