Test a reset during a write to the store

The reset that a write meets first could also end a response of the store early, whose responses libcurl reads. It fails the request: EtcdStore.failsAResponseThatIsResetDuringItsRequest answers a write of 16 MB early, without a length, with a body that is a success when the connection ends in order, and resets it; the outcome is unknown. Handled already, nothing else is changed.

--- a/libs/store/tests/etcdstoretest.cpp
+++ b/libs/store/tests/etcdstoretest.cpp
@@ -144,6 +144,28 @@
     CHECK(counter("hornbeam_store_bytes_received_total") - before < bytes);
 }
 
+// Guards against a part of a response that is taken for the whole one, so that a write of unknown outcome counts as
+// done: the store answers a long write early, without a length, and resets the connection.
+TEST(EtcdStore, failsAResponseThatIsResetDuringItsRequest)
+{
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\n"
+                             R"({"header":{"revision":"7"},"succeeded":true})";
+    const Transaction large = {.compares = {},
+                               .success = {Operation::put("/a", std::string(std::size_t{16} * 1024 * 1024, 'v'))},
+                               .failure = {}};
+    for (const bool reset : {true, false}) {
+        ScriptedServer server(
+            [&](const ScriptedRequest &) { return ScriptedReply{.bytes = part, .close = true, .reset = reset}; },
+            reset ? ScriptedServer::Reads::Head : ScriptedServer::Reads::Whole);
+        connect({.endpoints = {server.endpoint()}, .requestTimeout = 5s, .watchIdleTimeout = 5s});
+        std::optional<Result<TransactionResult>> answer;
+        store->commit(large, [&](Result<TransactionResult> result) { answer = std::move(result); });
+        runUntil([&] { return answer.has_value(); });
+        CHECK_EQUAL(!reset, answer->has_value());
+        CHECK(!reset || ErrorCode::OutcomeUnknown == answer->error().code());
+    }
+}
+
 // Guards against libcurl's automatic retry when a pooled connection is closed: the store may have executed the first
 // copy of a write, and the second one would then report a failed comparison.
 TEST(EtcdStore, neverSendsAWriteTwice)
--- a/libs/store/tests/scriptedserver.cpp
+++ b/libs/store/tests/scriptedserver.cpp
@@ -39,7 +39,8 @@
     {
         const std::string name = "Content-Length: ";
         const auto position = m_input.find(name);
-        const std::size_t length = position < headerLength ? std::stoul(m_input.substr(position + name.size())) : 0;
+        const bool hasBody = position < headerLength && m_server.m_reads == Reads::Whole;
+        const std::size_t length = hasBody ? std::stoul(m_input.substr(position + name.size())) : 0;
         const std::size_t total = headerLength + length;
         const std::size_t missing = total > m_input.size() ? total - m_input.size() : 0;
         asio::async_read(m_socket,
@@ -65,7 +66,10 @@
         m_server.m_bytesSent += m_reply.bytes.size();
         asio::async_write(
             m_socket, asio::buffer(m_reply.bytes), [self = shared_from_this()](const std::error_code &ec, std::size_t) {
-                if (!ec && !self->m_reply.close) {
+                if (!ec && self->m_reply.reset) {
+                    self->m_socket.set_option(asio::socket_base::linger(true, 0));
+                    self->m_socket.close();
+                } else if (!ec && !self->m_reply.close) {
                     self->readRequest();
                 }
             });
@@ -77,8 +81,9 @@
     ScriptedReply m_reply;
 };
 
-ScriptedServer::ScriptedServer(Handler handler)
+ScriptedServer::ScriptedServer(Handler handler, Reads reads)
     : m_handler(std::move(handler))
+    , m_reads(reads)
     , m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0})
 {
     accept();
--- a/libs/store/tests/scriptedserver.h
+++ b/libs/store/tests/scriptedserver.h
@@ -26,6 +26,7 @@
 {
     std::string bytes{}; ///< The response, sent unchanged; nothing is sent when empty.
     bool close = false; ///< Close the connection after the response.
+    bool reset = false; ///< Reset it instead.
 };
 
 /** Returns the bytes of a response with status 200 and a Content-Length. */
@@ -37,7 +38,13 @@
 public:
     using Handler = std::function<ScriptedReply(const ScriptedRequest &)>;
 
-    explicit ScriptedServer(Handler handler);
+    /** What is read of a request before the handler is called. */
+    enum class Reads {
+        Whole,
+        Head, ///< The body stays on the connection.
+    };
+
+    explicit ScriptedServer(Handler handler, Reads reads = Reads::Whole);
     ~ScriptedServer();
 
     Endpoint endpoint() const;
@@ -63,6 +70,7 @@
     void accept();
 
     Handler m_handler;
+    Reads m_reads;
     asio::io_context m_context;
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<std::uint64_t> m_bytesReceived = 0;
