--- a/libs/proxy/tests/brokenresponsetest.cpp
+++ b/libs/proxy/tests/brokenresponsetest.cpp
@@ -1,5 +1,6 @@
 #include "hopfixture.h"
 
+#include <functional>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -73,24 +74,35 @@
         }
     }
 
-    /** The same for a response that comes before the request is written. */
-    void checkRefusedDuringUpload(const std::string &bytes)
+    /**
+     * On each hop, sends each upload to a target that answers with @p handler before it has read the body. Calls
+     * @p check with the response and the name of the case.
+     */
+    void forEachUpload(const TestTarget::Handler &handler,
+                       const std::function<void(const TestMessage &response, const std::string &name)> &check)
     {
         for (const auto hop : allHops) {
             for (const auto &upload : uploads()) {
-                const TestTarget target(
-                    [&](const TestMessage & /*request*/, TestSocket &connection) {
-                        connection.send(bytes);
-                        connection.waitClosed();
-                        return false;
-                    },
-                    TestTarget::Reads::Head);
+                const TestTarget target(handler, TestTarget::Reads::Head);
                 startReading(hop, target);
-                const auto name = std::string(upload.name) + ", " + hopName(hop);
-                CHECK_EQUAL_TEXT(502, send(upload).status(), name.c_str());
+                check(send(upload), std::string(upload.name) + ", " + hopName(hop));
             }
         }
     }
+
+    /** The same as checkRefused() for a response that comes before the request is written. */
+    void checkRefusedDuringUpload(const std::string &bytes)
+    {
+        forEachUpload(
+            [&](const TestMessage & /*request*/, TestSocket &connection) {
+                connection.send(bytes);
+                connection.waitClosed();
+                return false;
+            },
+            [](const TestMessage &response, const std::string &name) {
+                CHECK_EQUAL_TEXT(502, response.status(), name.c_str());
+            });
+    }
 };
 
 } // namespace
@@ -103,22 +115,17 @@
 {
     for (const char *framing : {"", "Content-Length: 100\r\n", "Transfer-Encoding: chunked\r\n"}) {
         const auto text = responseHead(framing) + (framing[0] == 'T' ? "4\r\npart\r\n" : "part");
-        for (const auto hop : allHops) {
-            for (const auto &upload : uploads()) {
-                const TestTarget target(
-                    [&](const TestMessage & /*request*/, TestSocket &connection) {
-                        connection.send(text);
-                        connection.reset();
-                        return false;
-                    },
-                    TestTarget::Reads::Head);
-                startReading(hop, target);
-                const auto response = send(upload);
-                const auto name = std::string(framing) + upload.name + ", " + hopName(hop);
+        forEachUpload(
+            [&](const TestMessage & /*request*/, TestSocket &connection) {
+                connection.send(text);
+                connection.reset();
+                return false;
+            },
+            [&](const TestMessage &response, const std::string &upload) {
+                const auto name = framing + upload;
                 CHECK_EQUAL_TEXT(502, response.status(), name.c_str());
                 STRCMP_EQUAL_TEXT("unknown", response.header("x-hornbeam-outcome").c_str(), name.c_str());
-            }
-        }
+            });
     }
 }
 
@@ -126,24 +133,18 @@
 // the body.
 TEST(BrokenResponse, anEarlyResponseThatEndsInOrderIsComplete)
 {
-    for (const auto hop : allHops) {
-        for (const auto &upload : uploads()) {
-            const TestTarget target(
-                [&](const TestMessage & /*request*/, TestSocket &connection) {
-                    connection.send(responseHead() + "whole");
-                    connection.shutdownSend();
-                    connection.waitClosed();
-                    return false;
-                },
-                TestTarget::Reads::Head);
-            startReading(hop, target);
-            const auto response = send(upload);
-            const auto name = std::string(upload.name) + ", " + hopName(hop);
+    forEachUpload(
+        [](const TestMessage & /*request*/, TestSocket &connection) {
+            connection.send(responseHead() + "whole");
+            connection.shutdownSend();
+            connection.waitClosed();
+            return false;
+        },
+        [](const TestMessage &response, const std::string &name) {
             CHECK_EQUAL_TEXT(200, response.status(), name.c_str());
             CHECK_TEXT(response.complete, name.c_str());
             STRCMP_EQUAL_TEXT("whole", response.body.c_str(), name.c_str());
-        }
-    }
+        });
 }
 
 // Guards against a status that is none, on each hop; see the group OddStatus for other such statuses.
--- a/libs/proxy/tests/endlessresponses.cpp
+++ b/libs/proxy/tests/endlessresponses.cpp
@@ -1,9 +1,26 @@
 #include "endlessresponses.h"
 
-#include <fstream>
+#include <string_view>
 
 namespace Hornbeam {
 
+std::string EndlessResponse::headWith(const std::string &fields) const
+{
+    constexpr std::string_view statusLineEnd = "OK\r\n";
+    auto text = head;
+    const auto end = text.find(statusLineEnd);
+    return end == std::string::npos ? text : text.insert(end + statusLineEnd.size(), fields);
+}
+
+std::string EndlessResponse::pieces(std::size_t bytes) const
+{
+    std::string text = piece;
+    while (text.size() < bytes) {
+        text += piece;
+    }
+    return text;
+}
+
 const std::vector<EndlessResponse> &endlessResponses()
 {
     static const std::vector<EndlessResponse> all = {
@@ -23,13 +40,4 @@
     return all;
 }
 
-std::size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return resident * 4096;
-}
-
 } // namespace Hornbeam
--- a/libs/proxy/tests/endlessresponses.h
+++ b/libs/proxy/tests/endlessresponses.h
@@ -12,12 +12,15 @@
     const char *name;
     std::string head;
     std::string piece;
+
+    /** The head with @p fields, each ending in CRLF, if it has fields. */
+    std::string headWith(const std::string &fields) const;
+
+    /** At least @p bytes of repeated pieces. */
+    std::string pieces(std::size_t bytes) const;
 };
 
 /** One response for each part of a response that can go on without end. */
 const std::vector<EndlessResponse> &endlessResponses();
 
-/** Memory of this process that is in use, without pages that were swapped out. */
-std::size_t residentBytes();
-
 } // namespace Hornbeam
--- a/libs/proxy/tests/endlessresponsetest.cpp
+++ b/libs/proxy/tests/endlessresponsetest.cpp
@@ -1,4 +1,5 @@
 #include "endlessresponses.h"
+#include "processmemory.h"
 #include "proxyfixture.h"
 
 #include <nlohmann/json.hpp>
@@ -86,15 +87,8 @@
             if (request.startLine.find("/endless") == std::string::npos) {
                 return answer(socket);
             }
-            std::string head = response.head;
-            if (const auto end = head.find("OK\r\n"); end != std::string::npos) {
-                head.insert(end + 4, "Signed-By: t\r\n");
-            }
-            std::string piece = response.piece;
-            while (!slow && piece.size() < pieceBytes) {
-                piece += response.piece;
-            }
-            bool open = socket.send(head);
+            const auto piece = response.pieces(slow ? 1 : pieceBytes);
+            bool open = socket.send(response.headWith("Signed-By: t\r\n"));
             for (std::size_t i = 0; open; ++i) {
                 open = slow ? socket.send(piece.substr(i % piece.size(), 1)) : socket.send(piece);
                 if (slow) {
--- a/libs/proxy/tests/hopfixture.cpp
+++ b/libs/proxy/tests/hopfixture.cpp
@@ -19,15 +19,7 @@
         m_reader = nodes.front().get();
         return;
     }
-    Target it;
-    it.address = standIn.address();
-    it.service = "rota";
-    it.zone = "turku";
-    it.slots = 10;
-    it.name = "i-1";
-    it.instance = 1;
-    it.gateway = standIn.address();
-    targets.push_back(it);
+    addTargetBehind(standIn.address(), standIn, "i-1", 10);
     start();
     m_reader = front.get();
 }
@@ -37,11 +29,11 @@
     return TestSocket::connectTo(m_reader->server->localEndpoint());
 }
 
-TestMessage HopFixture::exchange(const std::string &requestText, bool hasBody) const
+TestMessage HopFixture::exchange(const std::string &requestText) const
 {
     auto socket = connect();
     socket.send(requestText);
-    return socket.read(hasBody).value_or(TestMessage());
+    return socket.read().value_or(TestMessage());
 }
 
 ProxyServer &HopFixture::server() const
--- a/libs/proxy/tests/hopfixture.h
+++ b/libs/proxy/tests/hopfixture.h
@@ -31,7 +31,7 @@
     TestSocket connect() const;
 
     /** Sends @p requestText on a new connection and returns the response, without content if there is none. */
-    TestMessage exchange(const std::string &requestText, bool hasBody = true) const;
+    TestMessage exchange(const std::string &requestText) const;
 
     /** The node that reads from the stand-in. */
     ProxyServer &server() const;
--- a/libs/proxy/tests/relayfixture.cpp
+++ b/libs/proxy/tests/relayfixture.cpp
@@ -50,6 +50,14 @@
 {
     nodes.push_back(std::make_unique<RelayNode>());
     nodes.back()->start(targetOptions);
+    addTargetBehind(nodes.back()->server->relayEndpoint(), target, name, slots);
+}
+
+void RelayFixture::addTargetBehind(const Endpoint &gateway,
+                                   const TestTarget &target,
+                                   const std::string &name,
+                                   std::uint32_t slots)
+{
     Target it;
     it.address = target.address();
     it.service = "rota";
@@ -57,7 +65,7 @@
     it.slots = slots;
     it.name = name;
     it.instance = 1;
-    it.gateway = nodes.back()->server->relayEndpoint();
+    it.gateway = gateway;
     targets.push_back(it);
 }
 
--- a/libs/proxy/tests/relayfixture.h
+++ b/libs/proxy/tests/relayfixture.h
@@ -52,6 +52,12 @@
     RelayNodeOptions targetOptions{.hostService = "rota"}; ///< Of the nodes that are added from now on.
     int nextId = 0; ///< Request ids of call() are "c1", "c2" and so on.
 
+    /** Adds a target behind @p gateway, the relay listener of a node or a stand-in for one. */
+    void addTargetBehind(const Endpoint &gateway,
+                         const TestTarget &target,
+                         const std::string &name,
+                         std::uint32_t slots);
+
     /** Adds a target that only its own node can reach. */
     void addTarget(const TestTarget &target, const std::string &name, std::uint32_t slots = 10);
 
--- a/libs/proxy/tests/responsememorytest.cpp
+++ b/libs/proxy/tests/responsememorytest.cpp
@@ -1,7 +1,6 @@
 #include "endlessresponses.h"
 #include "hopfixture.h"
-
-#include <malloc.h>
+#include "processmemory.h"
 
 #include <sstream>
 #include <thread>
@@ -68,13 +67,6 @@
         + "\r\n0\r\n\r\n";
 }
 
-/** Without what the allocator keeps for later, which residentBytes() contains. */
-std::size_t allocatedBytes()
-{
-    const auto info = ::mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 } // namespace
 
 TEST_GROUP_BASE(ResponseMemory, ResponseMemoryTest){};
@@ -118,14 +110,8 @@
         for (const auto &response : endlessResponses()) {
             for (const char *path : {"/", "/export"}) {
                 std::atomic<int> open = 0;
-                std::string head = response.head;
-                if (const auto end = head.find("OK\r\n"); end != std::string::npos) {
-                    head.insert(end + 4, "Signed-By: t\r\nCall-Id: c1\r\n");
-                }
-                std::string pieces;
-                while (pieces.size() < 65536) {
-                    pieces += response.piece;
-                }
+                const auto head = response.headWith("Signed-By: t\r\nCall-Id: c1\r\n");
+                const auto pieces = response.pieces(65536);
                 const TestTarget target([&](const TestMessage & /*request*/, TestSocket &connection) {
                     ++open;
                     for (bool sent = connection.send(head); sent;) {
--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -58,6 +58,43 @@
         CHECK_EQUAL(exportBytes, response->body.size());
     }
 
+    using Responses = std::vector<std::optional<TestMessage>>;
+
+    /**
+     * Requests @p callers large responses from the front node, with @p pause before the next one, and ends the process
+     * of @p stopping when its stop ends. Returns the responses, if any.
+     */
+    Responses exportUntilStopped(int callers, std::chrono::milliseconds pause, RelayNode &stopping)
+    {
+        Responses responses(callers);
+        std::vector<std::jthread> threads;
+        for (auto &response : responses) {
+            threads.emplace_back([&, id = "c" + std::to_string(threads.size())] {
+                auto socket = TestSocket::connectTo(front->server->localEndpoint());
+                socket.send(getRequest("/export", id));
+                response = socket.read();
+            });
+            std::this_thread::sleep_for(pause);
+        }
+        CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
+        stopping.server.reset();
+        threads.clear();
+        return responses;
+    }
+
+    /** Checks that each response is complete or says that the request did not run. Returns the number of the former. */
+    static int countServed(const Responses &responses)
+    {
+        int served = 0;
+        for (const auto &response : responses) {
+            CHECK(response.has_value());
+            CHECK(response->complete);
+            CHECK(response->status() == 200 || response->header("x-hornbeam-outcome") == "not-run");
+            served += response->status() == 200 ? 1 : 0;
+        }
+        return served;
+    }
+
     /** A target whose every fifth run takes much longer than the others, and the ids of the requests that it runs. */
     struct UnevenTarget
     {
@@ -361,27 +398,7 @@
     start();
     CHECK_EQUAL(200, call("GET", "/export").status()); // The node learns the size.
     nodes[0]->server->drain([this] { drained = true; });
-    std::vector<std::optional<TestMessage>> responses(callers);
-    {
-        std::vector<std::jthread> threads;
-        for (auto &response : responses) {
-            threads.emplace_back([&, id = "c" + std::to_string(threads.size())] {
-                auto socket = TestSocket::connectTo(front->server->localEndpoint());
-                socket.send(getRequest("/export", id));
-                response = socket.read();
-            });
-            std::this_thread::sleep_for(30ms);
-        }
-        CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
-        nodes[0]->server.reset();
-    }
-    int served = 0;
-    for (const auto &response : responses) {
-        CHECK(response.has_value());
-        CHECK(response->complete);
-        CHECK(response->status() == 200 || response->header("x-hornbeam-outcome") == "not-run");
-        served += response->status() == 200 ? 1 : 0;
-    }
+    const int served = countServed(exportUntilStopped(callers, 30ms, *nodes[0]));
     CHECK_COMPARE(served, >=, 1);
     CHECK_COMPARE(served, <, callers);
 }
@@ -398,18 +415,7 @@
     addTarget(target, "first");
     start();
     beginStop();
-    std::vector<std::optional<TestMessage>> responses(callers);
-    std::vector<std::jthread> threads;
-    for (auto &response : responses) {
-        threads.emplace_back([&, id = "c" + std::to_string(threads.size())] {
-            auto socket = TestSocket::connectTo(front->server->localEndpoint());
-            socket.send(getRequest("/export", id));
-            response = socket.read();
-        });
-    }
-    CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
-    front->server.reset();
-    threads.clear();
+    const auto responses = exportUntilStopped(callers, 0ms, *front);
     const auto complete = std::count_if(
         responses.begin(), responses.end(), [](const auto &it) { return it && it->complete && it->status() == 200; });
     CHECK_COMPARE(complete, >=, 2);
@@ -487,7 +493,7 @@
 TEST(StoppingNode, cutsOffNoLargeResponseThatItPassesOn)
 {
     // At 5 Mbit/s, two of the five responses fit into the stop.
-    constexpr int count = 5;
+    constexpr int callers = 5;
     std::atomic<bool> large = false;
     const TestTarget target([&](const TestMessage &request, TestSocket &connection) {
         return connection.send(signedResponse(request, std::string(large ? otherExportBytes : 4000, 'x')));
@@ -504,24 +510,7 @@
     }
     large = true;
     beginStop();
-    std::vector<std::optional<TestMessage>> responses(count);
-    std::vector<std::jthread> callers;
-    for (auto &response : responses) {
-        callers.emplace_back([&, id = "c" + std::to_string(callers.size())] {
-            auto socket = TestSocket::connectTo(front->server->localEndpoint());
-            socket.send(getRequest("/export", id));
-            response = socket.read();
-        });
-    }
-    CHECK(ProxyFixture::waitUntil([this] { return drained.load(); }));
-    front->server.reset();
-    callers.clear();
-    int served = 0;
-    for (const auto &response : responses) {
-        CHECK(response && response->complete);
-        CHECK(response->status() == 200 || response->header("x-hornbeam-outcome") == "not-run");
-        served += response->status() == 200 ? 1 : 0;
-    }
+    const int served = countServed(exportUntilStopped(callers, 0ms, *front));
     CHECK_COMPARE(served, >=, 1);
     CHECK_COMPARE(target.requests(), ==, 10 + served);
 }
