Show the last load report of each remote target in the dump

Cause: a refusal with "no room at any target" logs the expected wait, but neither the log nor the dump says whether the slots or the link of the target's host were expected to be busy, nor how old that knowledge is.

Result: LoadBalancer.dumpsTheLastReportOfARemoteTarget is new; it checks all five values and that there are none before the first report.

--- a/libs/proxy/src/loadbalancer.cpp
+++ b/libs/proxy/src/loadbalancer.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace Hornbeam {
 
@@ -37,6 +38,21 @@
 constexpr std::chrono::milliseconds minRetryAfter{150};
 constexpr std::chrono::milliseconds retryAfterJitter{300};
 
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+nlohmann::json reportToJson(const TargetLoad &load, TimePoint now)
+{
+    const auto &report = load.report;
+    return {{"ageMs", toMilliseconds(now - load.reportedAt)},
+            {"running", report.running},
+            {"waiting", std::accumulate(report.waiting.begin(), report.waiting.end(), 0U)},
+            {"serviceTimeMs", report.serviceTime.count()},
+            {"linkWaitMs", report.largeWait.count()}};
+}
+
 } // namespace
 
 LoadBalancer::ServiceState::ServiceState(std::uint32_t maxQueued, std::uint32_t retryPercent)
@@ -508,13 +524,17 @@
     for (const auto &[name, service] : m_services) {
         auto targets = nlohmann::json::array();
         for (const auto &load : service.targets) {
-            targets.push_back({{"address", load->target.address.toString()},
-                               {"zone", load->target.zone},
-                               {"slots", load->slots},
-                               {"outstanding", load->outstanding},
-                               {"version", load->target.version},
-                               {"consecutiveFailures", load->consecutiveFailures},
-                               {"ejected", load->isEjected(now)}});
+            nlohmann::json target = {{"address", load->target.address.toString()},
+                                     {"zone", load->target.zone},
+                                     {"slots", load->slots},
+                                     {"outstanding", load->outstanding},
+                                     {"version", load->target.version},
+                                     {"consecutiveFailures", load->consecutiveFailures},
+                                     {"ejected", load->isEjected(now)}};
+            if (load->reportedAt != TimePoint::min()) {
+                target["lastReport"] = reportToJson(*load, now);
+            }
+            targets.push_back(std::move(target));
         }
         services[name] = {{"queued", service.admission.queued()}, {"targets", std::move(targets)}};
     }
--- a/libs/proxy/tests/loadbalancertest.cpp
+++ b/libs/proxy/tests/loadbalancertest.cpp
@@ -6,6 +6,8 @@
 #include <hornbeam/proxy/proxyoptions.h>
 #include <hornbeam/proxy/routingstate.h>
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <map>
@@ -153,6 +155,40 @@
     CHECK(balancer.finish(ask(now + 1500ms)) == SlotResult::Granted);
 }
 
+// Guards against refusals that the dump cannot explain: whether slots or the link were expected to be busy, and since
+// when.
+TEST(LoadBalancer, dumpsTheLastReportOfARemoteTarget)
+{
+    Target target;
+    target.address = Endpoint("10.0.0.2", 9000);
+    target.service = "rota";
+    target.gateway = Endpoint("10.0.0.2", 7000);
+    RoutingState state;
+    state.targets = {target};
+    balancer.publish(state, now);
+    const auto lastReport = [this] {
+        const auto dump = nlohmann::json::parse(balancer.dumpJson(now + 3s));
+        return dump["rota"]["targets"][0].value("lastReport", nlohmann::json());
+    };
+    CHECK(lastReport().is_null());
+    const auto request = std::make_shared<SlotRequest>(balancer,
+                                                       SlotRequestOptions{.service = "rota",
+                                                                          .requiredLabels = {},
+                                                                          .excluded = {},
+                                                                          .deadline = now + 10s,
+                                                                          .latestStart = now + 10s,
+                                                                          .wake = [] {
+                                                                          }});
+    balancer.acquire(request, now);
+    CHECK(balancer.finish(request) == SlotResult::Granted);
+    const SlotLease lease(balancer, "rota", request->target(), now);
+    const LoadReport report{.running = 4, .waiting = {0, 2, 1}, .slots = 8, .serviceTime = 160ms, .largeWait = 1900ms};
+    balancer.recordReport(lease, report, now);
+    const nlohmann::json expected = {
+        {"ageMs", 3000}, {"running", 4}, {"waiting", 3}, {"serviceTimeMs", 160}, {"linkWaitMs", 1900}};
+    CHECK(lastReport() == expected);
+}
+
 TEST_GROUP(LoadBalancerPace)
 {
     const TimePoint now{1h};
