Let the reported wait for a target's link run out with time

Cause: PlacementPolicy adds the wait for the link of the target's host to that of a large response. The wait comes with the last load report and was used as it is at any age, unlike the other loads in the report. After a burst it exceeds what a download can wait for, so the node sends none, and without a response there is no newer report.

Change: the time since the report is subtracted from the wait, in the decision and in the cost by which targets are compared. That is how fast the link works off what it had to send. If other nodes have added to it, the node of the target knows and refuses at once, with a new report, so a wrong guess costs one attempt and is corrected by it.

Same cause looked for in the other values of a report: running and waiting requests, slots out of use, service time and slowdown fade; the failure rate does not, but it only moves requests to other targets and refuses none. The node of the target uses its own link.

--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -169,7 +169,11 @@
 
 Duration PlacementPolicy::linkWaitOf(const TargetLoad &load, TimePoint now) const
 {
-    return linkWaitAfter(serviceTimeOf(load, now), load.largeResponseWait);
+    if (load.reportedAt == TimePoint::min()) {
+        return Duration::zero();
+    }
+    // The link has been sending since the report.
+    return linkWaitAfter(serviceTimeOf(load, now), load.largeResponseWait - (now - load.reportedAt));
 }
 
 double PlacementPolicy::slowdownOf(const TargetLoad &load, Duration constant, TimePoint now)
--- a/libs/proxy/src/targetload.h
+++ b/libs/proxy/src/targetload.h
@@ -35,7 +35,7 @@
     bool local = false; ///< On this host, so this node sends all of its requests.
     bool withdrawn = false; ///< No longer announced; gets no new requests.
     Duration serviceTime = Duration::zero(); ///< Moving average of a request's time at the target; 0 if unknown.
-    Duration largeResponseWait = Duration::zero(); ///< Wait of a large response for the link of the target's host.
+    Duration largeResponseWait = Duration::zero(); ///< For the link of the host of a remote target, at the last report.
     double failureRate = 0; ///< Moving average of the share of failed requests, 0..1.
     LoadReport report; ///< Last report of the target's node.
     TimePoint reportedAt = TimePoint::min();
--- a/libs/proxy/tests/placementpolicytest.cpp
+++ b/libs/proxy/tests/placementpolicytest.cpp
@@ -95,6 +95,32 @@
     CHECK_EQUAL(0, portOf({sending}, {.maxWait = 40ms, .bulk = true}));
 }
 
+// The link keeps sending after the report. Counting the reported wait for good would refuse all later large responses
+// of the only target, and no report would correct it.
+TEST(PlacementPolicy, countsTheLinkWaitOnlyUntilTheLinkHasSentTheBacklog)
+{
+    auto burst = makeBusy(1, "turku", 0);
+    burst->largeResponseWait = 1500ms;
+    burst->reportedAt = now - 1s;
+    CHECK_EQUAL(1, portOf({burst}, {.maxWait = 410ms, .bulk = true}));
+    CHECK_EQUAL(0, portOf({burst}, {.maxWait = 390ms, .bulk = true}));
+    burst->reportedAt = now - 1500ms;
+    const auto placement = policy.choose(std::vector{burst}, {.bulk = true}, 0, now);
+    CHECK(placement.outcome == PlacementPolicy::Outcome::Free);
+}
+
+// Guards against choosing among targets by a backlog of large responses that has been sent since the report.
+TEST(PlacementPolicy, returnsToATargetWhoseLinkHasSentTheBacklog)
+{
+    auto burst = makeBusy(1, "turku", 0);
+    burst->largeResponseWait = 2s;
+    const std::vector<TargetLoadPtr> loads = {burst, makeBusy(2, "helsinki", 0)};
+    const PlacementQuery query{.maxWait = 3s, .bulk = true};
+    CHECK_EQUAL(2, portOf(loads, query));
+    burst->reportedAt = now - 2s;
+    CHECK_EQUAL(1, portOf(loads, query));
+}
+
 // A target that fails requests quickly has few outstanding requests and would attract even more of them.
 TEST(PlacementPolicy, avoidsATargetThatFails)
 {
--- a/libs/proxy/tests/relaytest.cpp
+++ b/libs/proxy/tests/relaytest.cpp
@@ -72,6 +72,21 @@
     CHECK_EQUAL(2, target.requests());
 }
 
+// Guards against refusing all large responses because the link of the target's host was busy at the last load report.
+TEST(Relay, requestsLargeResponsesAgainWhenTheLinkIsFree)
+{
+    // At 5 Mbit/s, 600,000 bytes take 1.1 s.
+    const TestTarget target([](const TestMessage &request, TestSocket &connection) {
+        const bool isFirst = request.startLine.find("/export/first") != std::string::npos;
+        return connection.send(signedResponse(request, isFirst ? std::string(600000, 'x') : "ok"));
+    });
+    targetOptions.linkMegabits = 5;
+    addTarget(target, "first");
+    start();
+    CHECK_EQUAL(600000, call("GET", "/export/first").body.size());
+    CHECK(ProxyFixture::waitUntil([&] { return call("GET", "/export/next", "Left-Ms: 500\r\n").status() == 200; }));
+}
+
 // Guards against learning the size of large responses from responses to HEAD, of which no body follows.
 TEST(Relay, learnsNoSizeFromHead)
 {
