Expect the usual wait for a target's link once its report is old

Cause: a report tells the backlog of a link at one moment. Subtracting its age is right for a link that gets nothing new, but where many nodes use the same targets others add to the backlog, so that after some hundred milliseconds every target looked free.

Change: the wait is at least what is left of the reported backlog, and beyond that approaches the mean wait in the recent reports of the other targets as the report ages, as it is done for the requests in a report.

--- a/libs/proxy/src/placementpolicy.cpp
+++ b/libs/proxy/src/placementpolicy.cpp
@@ -154,26 +154,47 @@
     double slots = 0;
     Duration serviceTimes = Duration::zero();
     int known = 0;
+    m_recentLinkWaits = Duration::zero();
+    m_recentReports = 0;
     for (const auto &load : targets) {
         serviceTimes += load->serviceTime;
         known += load->serviceTime > Duration::zero() ? 1 : 0;
-        if (load->isRemote() && load->reportedAt != TimePoint::min()
-            && now - load->reportedAt <= 2 * m_options.reportTimeConstant) {
+        if (isRecent(*load, now)) {
             requests += requestsOfOthers(*load, rank);
             slots += load->slots;
+            m_recentLinkWaits += load->largeResponseWait;
+            ++m_recentReports;
         }
     }
     m_meanOccupancy = slots > 0 ? requests / slots : 0;
     m_meanServiceTime = known > 0 ? serviceTimes / known : Duration(m_options.defaultServiceTime);
 }
 
+bool PlacementPolicy::isRecent(const TargetLoad &load, TimePoint now) const
+{
+    return load.isRemote() && load.reportedAt != TimePoint::min()
+        && now - load.reportedAt <= 2 * m_options.reportTimeConstant;
+}
+
+Duration PlacementPolicy::linkWaitOfOthers(const TargetLoad &load, TimePoint now) const
+{
+    const bool own = isRecent(load, now);
+    const auto reports = m_recentReports - (own ? 1 : 0);
+    const auto waits = m_recentLinkWaits - (own ? load.largeResponseWait : Duration::zero());
+    return reports > 0 ? waits / reports : Duration::zero();
+}
+
 Duration PlacementPolicy::linkWaitOf(const TargetLoad &load, TimePoint now) const
 {
     if (load.reportedAt == TimePoint::min()) {
         return Duration::zero();
     }
-    // The link has been sending since the report.
-    return linkWaitAfter(serviceTimeOf(load, now), load.largeResponseWait - (now - load.reportedAt));
+    // The link has been sending since the report, but other nodes may have added to its backlog.
+    const auto age = now - load.reportedAt;
+    const auto left = load.largeResponseWait - age;
+    const auto weight = std::exp(-milliseconds(age) / milliseconds(m_options.reportTimeConstant));
+    const auto typical = std::chrono::duration_cast<Duration>((1 - weight) * Milliseconds(linkWaitOfOthers(load, now)));
+    return linkWaitAfter(serviceTimeOf(load, now), std::max<Duration>(left, typical));
 }
 
 double PlacementPolicy::slowdownOf(const TargetLoad &load, Duration constant, TimePoint now)
--- a/libs/proxy/src/placementpolicy.h
+++ b/libs/proxy/src/placementpolicy.h
@@ -92,6 +92,12 @@
                             TimePoint now) const;
     double costOf(const TargetLoad &load, const PlacementQuery &query, double requests, TimePoint now);
     void updateMeans(std::span<const TargetLoadPtr> targets, AdmissionRank rank, TimePoint now);
+    bool isRecent(const TargetLoad &load, TimePoint now) const;
+
+    /** Mean wait for the link in the recent reports of the targets other than @p load; zero without any. */
+    Duration linkWaitOfOthers(const TargetLoad &load, TimePoint now) const;
+
+    /** Expected wait of a large response for the link of the host of @p load, after the request has run. */
     Duration linkWaitOf(const TargetLoad &load, TimePoint now) const;
     static double slowdownOf(const TargetLoad &load, Duration constant, TimePoint now);
     Duration serviceTimeOf(const TargetLoad &load, TimePoint now) const;
@@ -99,6 +105,8 @@
 
     PlacementOptions m_options;
     std::mt19937_64 m_random;
+    Duration m_recentLinkWaits = Duration::zero(); ///< Sum of TargetLoad::largeResponseWait in recent reports.
+    int m_recentReports = 0;
     double m_meanOccupancy = 0; ///< Requests of other nodes per slot, averaged over targets with a recent report.
     Duration m_meanServiceTime = Duration::zero(); ///< Of the targets that have reported one; the default without any.
 };
--- a/libs/proxy/tests/placementpolicytest.cpp
+++ b/libs/proxy/tests/placementpolicytest.cpp
@@ -109,6 +109,20 @@
     CHECK(placement.outcome == PlacementPolicy::Outcome::Free);
 }
 
+// Guards against taking a link for free because the report is old, while the links of all other targets are busy: the
+// target's node would refuse the request, or its response would come late.
+TEST(PlacementPolicy, expectsTheLinkWaitOfTheOtherTargetsWhenTheReportIsOld)
+{
+    auto old = makeBusy(1, "turku", 0);
+    old->reportedAt = now - 10s;
+    auto busy = makeBusy(2, "turku", 0);
+    busy->largeResponseWait = 700ms;
+    CHECK_EQUAL(0, portOf({old, busy}, {.maxWait = 580ms, .bulk = true}));
+    CHECK(portOf({old, busy}, {.maxWait = 610ms, .bulk = true}) != 0);
+    busy->reportedAt = now - 10s;
+    CHECK(portOf({old, busy}, {.bulk = true}) != 0);
+}
+
 // Guards against choosing among targets by a backlog of large responses that has been sent since the report.
 TEST(PlacementPolicy, returnsToATargetWhoseLinkHasSentTheBacklog)
 {
