Show that a broken-off download loses the requests that were pipelined behind it

Case review/13 (LOST): clients send a download and four requests for another service without waiting. When the node of the download's instance is killed in the middle of the response, the undisturbed node of the clients resets their connection, and the requests behind the download, which run at sound instances, get no answer.

--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -113,6 +113,10 @@
             del self.items[key]
             self.note({"key": key, "revision": self.revision, "tombstone": True})
 
+    def text(self, key):
+        """The value of a key as text; empty if there is none."""
+        return base64.b64decode(self.items[key]["value"]).decode() if key in self.items else ""
+
     def note(self, event):
         self.history.append(event)
         self.changed.set()
@@ -141,7 +145,7 @@
                 method, target, _ = head[0].split(" ")
                 status, answer = await self.answer(method, target, body)
                 if self.mode == "silent":
-                    await asyncio.sleep(3600)
+                    await asyncio.sleep(3600)  # A connection on which an answer is lost returns nothing further.
                 text = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                              f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
@@ -350,6 +354,12 @@
             await asyncio.sleep(0.1)
         return self.mesh.record.now()
 
+    async def end(self):
+        """Deregisters and stops at once, without draining."""
+        await self.leave()
+        self.server.close()
+        self.mesh.record.line(f"{self.name} has ended")
+
     async def serve(self, reader, writer):
         try:
             while True:
