--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -10,7 +10,6 @@
 import random
 import shutil
 import signal
-import socket
 import tempfile
 import time
 import urllib.parse
@@ -71,14 +70,6 @@
     return await reader.readexactly(length) if length else b""
 
 
-def reset(writer):
-    """Closes a connection with a reset."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-    writer.transport.abort()
-
-
 class Platform:
     """The platform's key-value store: linearizable, with leases and long polls."""
 
@@ -90,11 +81,9 @@
         self.history = []
         self.revision = 10
         self.next_lease = 700
-        self.mode = "ok"  # "silent": no answer at all.
         self.changed = asyncio.Event()
         self.server = None
         self.port = 0
-        self.refused_machines = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.address, 0)
@@ -139,13 +128,9 @@
                 if head is None:
                     break
                 body = await read_body(reader, head[1])
-                if self.mode == "silent":
-                    await asyncio.sleep(3600)
                 self.expire()
                 method, target, _ = head[0].split(" ")
                 status, answer = await self.answer(method, target, body)
-                if self.mode == "silent":
-                    await asyncio.sleep(3600)  # A connection on which an answer is lost returns nothing further.
                 text = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                              f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
@@ -262,10 +247,6 @@
             return False
         return answer is not None and answer[0] == 200
 
-    def log_text(self):
-        with open(self.log, encoding="utf-8", errors="replace") as log:
-            return log.read()
-
 
 async def call(ip, port, method, path, body=b"", headers=None):
     """Sends one request on a connection of its own; returns status, headers and body, or None without an answer."""
@@ -304,7 +285,6 @@
         self.version = "v1"
         self.work = 0.05
         self.size = 1500
-        self.spoil = None  # Called with the request id; True breaks the answer off halfway.
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -396,13 +376,6 @@
             answer = (request + "|").encode() * (self.size // (len(request) + 1) + 1)
             text = (f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Signature: s.{request}\r\n"
                     f"Content-Length: {len(answer)}\r\n\r\n").encode() + answer
-            if self.spoil is not None and self.spoil(request):
-                record.line(f"{self.name} breaks off its answer to {request}")
-                writer.write(text[:len(text) * 3 // 4])
-                await writer.drain()
-                await asyncio.sleep(0.01)
-                reset(writer)
-                return False
             writer.write(text)
             await writer.drain()
             self.completed.add(request)
