Show that bad versions are completed when all nodes are killed after the order

Case review/11 (EXPOSURE): the first step of a roll-out records the stable version that the decider knows. Right after the start of all nodes it may know the new version alone, or none; the bad version is then compared with itself or with nothing, completed, and gets all requests.

--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -283,6 +283,7 @@
         self.zone = zone
         self.capacity = capacity
         self.version = "v1"
+        self.bad = 0  # If it is not 0, all answers but each so many-th are failures.
         self.work = 0.05
         self.size = 1500
         self.state = "ready"
@@ -374,7 +375,11 @@
         try:
             await asyncio.sleep(self.work)
             answer = (request + "|").encode() * (self.size // (len(request) + 1) + 1)
-            text = (f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Signature: s.{request}\r\n"
+            failed = self.bad and len(self.arrived) % self.bad
+            if failed:
+                self.mesh.failures.add(request)
+            status = "500 Internal Server Error" if failed else "200 OK"
+            text = (f"HTTP/1.1 {status}\r\nRequest-Id: {request}\r\nResponse-Signature: s.{request}\r\n"
                     f"Content-Length: {len(answer)}\r\n\r\n").encode() + answer
             writer.write(text)
             await writer.drain()
@@ -394,6 +399,7 @@
         self.platform = Platform(self.record, f"{self.network}.1")
         self.link_mbps = 1000.0
         self.rollouts = False
+        self.failures = set()  # Ids of requests that instances answered with a failure.
         self.nodes = []
         self.instances = []
 
