Count only requests of machines in touch in the case of the roll-outs

review/11 counts the requests before the deadline from contactMs after the start of the nodes on, as the rule does.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -93,11 +93,13 @@
         mesh.platform.put(f"op/rollout/{service}",
                           json.dumps({"service": service, "targetVersion": "v2", "durationS": DURATION}).encode())
     mesh.record.line("the operator orders the roll-outs of v2 of all services")
+    in_touch = ordered
     if m.trouble():
         await asyncio.gather(*[node.kill() for node in mesh.nodes])
         await asyncio.sleep(DOWN)
         for node in mesh.nodes:
             await node.start()
+        in_touch = mesh.record.now() + m.BOUNDS["contactMs"] / 1000
     stopping = asyncio.create_task(stop_old(mesh, []))
     await asyncio.sleep(max(0, ordered + DURATION + AFTER - mesh.record.now()))
     stopping.cancel()
@@ -105,17 +107,18 @@
     await running
     held = True
     for service in SERVICES:
-        old, new = (runs_of(mesh, service, version, ordered, ordered + DURATION) for version in ("v1", "v2"))
-        allowed = 0.1 * (old + new) + 50
+        total = sum(runs_of(mesh, service, version, ordered, ordered + DURATION) for version in ("v1", "v2"))
+        new = runs_of(mesh, service, "v2", in_touch, ordered + DURATION)
+        allowed = 0.1 * total + 50
         late = late_runs(mesh, service)
         held = held and new <= allowed and late == 0
         status = mesh.platform.text(f"status/rollout/{service}")
-        text = (f"{service}: {new} of {old + new} requests reached the bad version before the deadline, {allowed:.0f} are "
-                f"allowed; {late} reached it later than rollbackMs after its 50th bad answer; status: {status}")
+        text = (f"{service}: {total} requests before the deadline, {new} from machines in touch reached the bad version, "
+                f"{allowed:.0f} are allowed; {late} reached it later than rollbackMs after its 50th bad answer; status: {status}")
         mesh.record.line(text)
         mesh.record.line("the last step in the store: " + mesh.platform.text(f"hornbeamring/rollouts/{service}"))
         print(text)
-        if old + new < 300:
+        if total < 300:
             return None
     return held
 
