Record the version in use before a roll-out is compared with it

Callers saw: after a kill of all nodes right after the orders, bad versions were completed.

Cause: the decider writes the first step about 200 ms after it knows the order, and takes the stable version from the targets that it has heard of by then. Targets announce themselves every 1.5 s, and the guess of the processes before had died with them. The evidence that a completion requires is a part of the requests of both versions, which are then those of the new one. Ruled out: lost reports and a lost comparison; with stable=v1 in the step, the same decider rolled each version back.

Change: the version in use before any order is recorded in the store as a step of order 0, once, 5 s after the first target is known, and nodes read the steps when they start. The first step of an order takes the stable version from there. Without a record the decider waits until it has known the targets for 5 s, and the ordered version is not taken while others may be unknown. A stored step without a stable version is repaired in the same way. A step read from the store that is older than the order no longer stops the counting of results.

Tests: RolloutCoordinator.rollsBackABadVersionWhenAllNodesAreKilledAfterTheOrder plays the order of events each time; on the code before it failed with a stable version of "" in the place of v1. waitsForTheVersionInUseWithoutARecord, comparesWithTheVersionInUseAlthoughTheStoredStepNamesNone and recordsTheVersionInUseOnce failed there as well. runsTwoServicesSideBySide gave its second service no targets; the simulated nodes now have some for both, as a roll-out has nothing to compare without any.

Cost: one read for each start of a node, and up to three conditional writes in the life of a service.

--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -426,6 +426,9 @@
     if (m_directory) {
         m_directory->start();
     }
+    if (m_rollouts) {
+        m_rollouts->load();
+    }
     if (m_departures) {
         m_targets.hideTargets();
         m_targets.subscribeDepartures([this] { m_departures->write(); });
--- a/daemons/hornbeamd/rolloutagent.cpp
+++ b/daemons/hornbeamd/rolloutagent.cpp
@@ -68,6 +68,11 @@
     });
 }
 
+void RolloutAgent::load()
+{
+    m_coordinator->start();
+}
+
 void RolloutAgent::stop()
 {
     m_coordinator->stop();
--- a/daemons/hornbeamd/rolloutagent.h
+++ b/daemons/hornbeamd/rolloutagent.h
@@ -46,6 +46,9 @@
     /** Calls @p changed when rules() has changed. */
     void start(std::function<void()> changed);
 
+    /** Reads from the store what earlier processes have decided. */
+    void load();
+
     /** Hands over the decision of roll-outs to another node. */
     void stop();
 
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -8,6 +8,8 @@
 #include <hornbeam/rollouts/rolloutnetwork.h>
 #include <hornbeam/rollouts/rolloutorder.h>
 #include <hornbeam/rollouts/rolloutplan.h>
+#include <hornbeam/rollouts/runningversion.h>
+#include <hornbeam/rollouts/versioninuse.h>
 #include <hornbeam/rollouts/versionrule.h>
 #include <hornbeam/store/keyvaluestore.h>
 #include <hornbeam/store/leaseelection.h>
@@ -33,17 +35,10 @@
     Duration stepLifetime = std::chrono::milliseconds(1500);
     std::chrono::seconds leaseTime{3}; ///< Time to live of the decider's lease.
     BackoffOptions readBackoff{.initial = std::chrono::seconds(1), .maximum = std::chrono::seconds(4)};
-};
-
-/** A version of a service that live targets run. */
-struct RunningVersion
-{
-    std::string service;
-    std::string version;
-    std::uint64_t firstInstance = 0; ///< Lowest instance number of its targets, which grows with their start times.
-    bool serving = false; ///< Whether a target of the version accepts requests.
-
-    friend auto operator<=>(const RunningVersion &, const RunningVersion &) = default;
+    /** Delays between attempts to read all steps when the node starts. */
+    BackoffOptions loadBackoff{.initial = std::chrono::milliseconds(200), .maximum = std::chrono::seconds(2)};
+    /** Random delays before the version in use is recorded, which more than one node can do. */
+    BackoffOptions recordBackoff{.initial = std::chrono::seconds(1), .maximum = std::chrono::seconds(4)};
 };
 
 /** The referenced objects must outlive the coordinator. */
@@ -70,6 +65,9 @@
                                                             RolloutCoordinatorDependencies dependencies);
     ~RolloutCoordinator() override;
 
+    /** Reads the steps of all services from the store. */
+    void start();
+
     /** Frees the lease if this node decides. Call it when a stop begins. */
     void stop();
 
@@ -85,7 +83,7 @@
     /** Which versions requests may use now, sorted by service. A service without an announced version has no rule. */
     std::vector<VersionRule> rules() const;
 
-    /** The newest known step of each service with an order. */
+    /** The newest known step of each service; one of order 0 records the version in use before any order. */
     std::vector<RolloutStep> steps() const;
 
     bool isDecider() const;
@@ -93,8 +91,9 @@
 private:
     struct Service
     {
-        explicit Service(const BackoffOptions &reads)
-            : readBackoff(reads)
+        explicit Service(const RolloutCoordinatorOptions &options)
+            : readBackoff(options.readBackoff)
+            , recordBackoff(options.recordBackoff)
         {
         }
 
@@ -103,8 +102,7 @@
         std::optional<RolloutStep> step; ///< The newest one known.
         TimePoint heard = TimePoint::min(); ///< When the decider has last sent or repeated the step.
         TimePoint finished = TimePoint::min(); ///< When the step became final.
-        std::string stable; ///< Version that serves when no step says otherwise.
-        std::vector<RunningVersion> versions;
+        VersionInUse inUse;
         FleetOutcomes outcomes;
         std::unique_ptr<RolloutDecider> decider;
         std::int64_t modRevision = 0; ///< Of the step in the store that this decider has written.
@@ -113,12 +111,12 @@
         bool reading = false;
         TimePoint readAt = TimePoint::min();
         Backoff readBackoff;
+        Backoff recordBackoff;
+        std::optional<TimePoint> recordAt; ///< When this node records the version in use.
         std::optional<VersionRule> rule;
 
         bool isOpen() const;
         bool isCurrent() const; ///< The step belongs to the newest order.
-        bool serves(const std::string &version) const;
-        bool runs(const std::string &version) const;
     };
 
     RolloutCoordinator(RolloutCoordinatorOptions options, RolloutCoordinatorDependencies dependencies);
@@ -127,7 +125,11 @@
     void lost() override;
 
     Service &serviceOf(const std::string &name);
-    void chooseStable(Service &service);
+    void load();
+    void loaded(const Result<RangeResult> &stored);
+    void updateVersions();
+    void recordVersion(const std::string &name, Service &service);
+    void versionRecorded(const RolloutStep &record, const Result<TransactionResult> &result);
     void schedule();
     void tick();
     void updateCandidacy();
@@ -153,6 +155,10 @@
     std::unique_ptr<LeaseElection> m_election;
     std::map<std::string, Service> m_services;
     TimerHandle m_tick;
+    TimerHandle m_versionsTimer; ///< For updateVersions().
+    TimerHandle m_loadTimer;
+    Backoff m_loadBackoff;
+    bool m_loaded = false; ///< The steps were read when the node started.
     TimePoint m_lastBeat = TimePoint::min();
     std::shared_ptr<bool> m_alive;
     TimePoint m_lastReports; ///< When enough nodes reported to this decider, or its term began.
--- a/libs/rollouts/include/hornbeam/rollouts/versionrule.h
+++ b/libs/rollouts/include/hornbeam/rollouts/versionrule.h
@@ -10,7 +10,7 @@
 struct VersionRule
 {
     std::string service;
-    std::string stableVersion;
+    std::string stableVersion; ///< Empty if no version may be used.
     std::string freshVersion{}; ///< Of a running roll-out; empty for none.
     std::uint32_t sharePerMille = 0; ///< Of the requests that may use the fresh version; 1000 for all.
     std::int64_t order = 0; ///< RolloutOrder::revision of the roll-out, to which the counts of requests belong.
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -22,6 +22,9 @@
 
 constexpr Duration storeRetryDelay = 300ms;
 
+/** Longer than a call to the store takes. */
+constexpr Duration recordRetryDelay = 2s;
+
 /** A decider that most nodes do not report to for this long is cut off from them, and leaves the lease to others. */
 constexpr Duration longestDeafness = 3s;
 
@@ -70,17 +73,6 @@
     return order && !(isCurrent() && step->isFinal());
 }
 
-bool RolloutCoordinator::Service::serves(const std::string &version) const
-{
-    return std::any_of(
-        versions.begin(), versions.end(), [&](const auto &it) { return it.version == version && it.serving; });
-}
-
-bool RolloutCoordinator::Service::runs(const std::string &version) const
-{
-    return std::any_of(versions.begin(), versions.end(), [&](const auto &it) { return it.version == version; });
-}
-
 Result<std::unique_ptr<RolloutCoordinator>> RolloutCoordinator::make(RolloutCoordinatorOptions options,
                                                                      RolloutCoordinatorDependencies dependencies)
 {
@@ -104,6 +96,7 @@
 RolloutCoordinator::RolloutCoordinator(RolloutCoordinatorOptions options, RolloutCoordinatorDependencies dependencies)
     : m_options(std::move(options))
     , m_dependencies(dependencies)
+    , m_loadBackoff(m_options.loadBackoff)
     , m_alive(std::make_shared<bool>(true))
 {
 }
@@ -113,6 +106,36 @@
     *m_alive = false;
 }
 
+void RolloutCoordinator::start()
+{
+    load();
+}
+
+void RolloutCoordinator::load()
+{
+    m_dependencies.store.range({.key = m_options.prefix, .prefix = true},
+                               [this, alive = m_alive](const Result<RangeResult> &stored) {
+                                   if (*alive) {
+                                       loaded(stored);
+                                   }
+                               });
+}
+
+void RolloutCoordinator::loaded(const Result<RangeResult> &stored)
+{
+    if (!stored) {
+        m_loadTimer = m_dependencies.timers.once(m_loadBackoff.next(), [this] { load(); });
+        return;
+    }
+    m_loaded = true;
+    for (const auto &entry : stored->entries) {
+        if (const auto step = RolloutStep::decode(entry.value)) {
+            adopt(serviceOf(step->service), *step, false, false);
+        }
+    }
+    updateVersions();
+}
+
 void RolloutCoordinator::stop()
 {
     m_stopped = true;
@@ -125,7 +148,7 @@
     if (known != m_services.end()) {
         return known->second;
     }
-    return m_services.try_emplace(name, m_options.readBackoff).first->second;
+    return m_services.try_emplace(name, m_options).first->second;
 }
 
 void RolloutCoordinator::setOrder(const RolloutOrder &order)
@@ -143,46 +166,94 @@
     service.decider.reset();
     service.outcomes = {};
     service.readAt = service.orderKnown + silence;
+    service.inUse.setOrdered(order.version, service.orderKnown);
     if (service.isOpen()) {
         m_dependencies.ledger.track(order.service, order.revision);
     }
-    chooseStable(service);
-    updateRules();
+    updateVersions();
     schedule();
 }
 
 void RolloutCoordinator::setVersions(std::vector<RunningVersion> versions)
 {
-    for (auto &[name, service] : m_services) {
-        service.versions.clear();
-    }
+    std::map<std::string, std::vector<RunningVersion>> byService;
     for (auto &version : versions) {
-        serviceOf(version.service).versions.push_back(std::move(version));
+        serviceOf(version.service);
+        byService[version.service].push_back(std::move(version));
+    }
+    const auto now = m_dependencies.timers.now();
+    for (auto &[name, service] : m_services) {
+        service.inUse.setRunning(std::move(byService[name]), now);
     }
+    updateVersions();
+}
+
+void RolloutCoordinator::updateVersions()
+{
+    const auto now = m_dependencies.timers.now();
+    std::optional<TimePoint> next;
+    const auto expect = [&](const std::optional<TimePoint> &time) {
+        next = next && time ? std::min(*next, *time) : time ? time : next;
+    };
     for (auto &[name, service] : m_services) {
-        chooseStable(service);
+        service.inUse.update(now);
+        recordVersion(name, service);
+        expect(service.inUse.nextUpdate());
+        expect(service.recordAt);
+    }
+    m_versionsTimer.reset();
+    if (next) {
+        const auto delay = std::max<Duration>(*next - now, 1ms);
+        m_versionsTimer = m_dependencies.timers.once(delay, [this] { updateVersions(); });
     }
     updateRules();
 }
 
-void RolloutCoordinator::chooseStable(Service &service)
+void RolloutCoordinator::recordVersion(const std::string &name, Service &service)
 {
-    const auto ordered = service.order ? service.order->version : std::string();
-    const bool others = std::any_of(
-        service.versions.begin(), service.versions.end(), [&](const auto &it) { return it.version != ordered; });
-    if (service.runs(service.stable) && !(others && service.stable == ordered)) {
+    const bool wanted = m_loaded && !m_stopped && !service.step && !service.order && service.inUse.isConfirmed()
+        && m_dependencies.network.isCandidate();
+    if (!wanted) {
+        service.recordAt.reset();
         return;
     }
-    const RunningVersion *oldest = nullptr;
-    for (const auto &version : service.versions) {
-        const bool usable = !others || version.version != ordered;
-        if (usable && (oldest == nullptr || version.firstInstance < oldest->firstInstance)) {
-            oldest = &version;
-        }
+    const auto now = m_dependencies.timers.now();
+    if (!service.recordAt) {
+        service.recordAt = now + service.recordBackoff.next();
     }
-    if (oldest != nullptr) {
-        service.stable = oldest->version;
+    if (now < *service.recordAt) {
+        return;
     }
+    service.recordAt = now + recordRetryDelay + service.recordBackoff.next();
+    const auto &version = service.inUse.version();
+    const RolloutStep record{.service = name,
+                             .number = 1,
+                             .phase = RolloutPhase::Completed,
+                             .stableVersion = version,
+                             .version = version,
+                             .reason = "in use before any order"};
+    Transaction transaction;
+    transaction.compares.push_back({.key = keyOf(name), .field = Compare::Field::ModRevision, .revision = 0});
+    transaction.success.push_back(Operation::put(keyOf(name), record.encode()));
+    m_dependencies.store.commit(std::move(transaction),
+                                [this, alive = m_alive, record](const Result<TransactionResult> &result) {
+                                    if (*alive) {
+                                        versionRecorded(record, result);
+                                    }
+                                });
+}
+
+void RolloutCoordinator::versionRecorded(const RolloutStep &record, const Result<TransactionResult> &result)
+{
+    if (!result) {
+        return;
+    }
+    if (!result->succeeded) {
+        readStep(record.service);
+        return;
+    }
+    adopt(serviceOf(record.service), record, false, false);
+    m_dependencies.network.broadcast(stepMessage + record.encode());
 }
 
 bool RolloutCoordinator::isDecider() const
@@ -274,7 +345,7 @@
     }
     const auto next = service.decider->next({.outcomes = service.outcomes,
                                              .liveNodes = m_dependencies.network.liveNodes(),
-                                             .hasFreshTargets = service.serves(service.order->version)},
+                                             .hasFreshTargets = service.inUse.serves(service.order->version)},
                                             now);
     if (!next) {
         return;
@@ -330,19 +401,25 @@
         adopt(service, *known, true, false);
         return;
     }
+    auto stable = !known ? std::string() : sameOrder ? known->stableVersion : known->servingVersion();
+    if (stable.empty() && service.inUse.isConfirmed()) {
+        stable = service.inUse.version();
+    }
+    if (stable.empty()) {
+        // A step that does not name the version before the order would leave nothing to compare the new one with.
+        service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+        return;
+    }
     RolloutStep first{.service = name,
                       .order = order.revision,
                       .fence = std::max(known ? known->fence : 0, service.step ? service.step->fence : 0) + 1,
                       .number = 1,
                       .phase = RolloutPhase::Canary,
                       .sharePerMille = 0,
-                      .stableVersion = service.stable,
+                      .stableVersion = std::move(stable),
                       .version = order.version,
                       .elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(elapsedOf(service)),
                       .reason = sameOrder ? "another node decides now" : "the order was received"};
-    if (known) {
-        first.stableVersion = sameOrder ? known->stableVersion : known->servingVersion();
-    }
     if (service.isCurrent() && service.step->phase == RolloutPhase::Withdrawing) {
         first.phase = RolloutPhase::Withdrawing;
         first.reason = service.step->reason;
@@ -492,12 +569,13 @@
     if (same) {
         return;
     }
-    if (!service.order || service.order->revision < step.order) {
+    if (step.order > 0 && (!service.order || service.order->revision < step.order)) {
         setOrder(
             {.service = step.service, .version = step.version, .duration = unknownDuration, .revision = step.order});
     }
     service.step = step;
-    if (step.isFinal()) {
+    service.inUse.setRecorded(step.servingVersion());
+    if (step.isFinal() && service.isCurrent()) {
         service.finished = now;
         m_dependencies.ledger.stopTracking(step.service);
     }
@@ -585,14 +663,13 @@
 
 std::optional<VersionRule> RolloutCoordinator::ruleOf(const std::string &name, const Service &service) const
 {
-    VersionRule rule{.service = name, .stableVersion = service.stable};
-    const bool open = service.isOpen();
-    if (service.step && (open || service.runs(service.step->servingVersion()))) {
-        rule.stableVersion = service.step->servingVersion();
-    }
-    if (rule.stableVersion.empty()) {
+    if (!service.order && !service.inUse.hasTargets()) {
         return std::nullopt;
     }
+    const bool open = service.isOpen();
+    const bool stepSays = open && service.step && !service.step->servingVersion().empty();
+    VersionRule rule{.service = name,
+                     .stableVersion = stepSays ? service.step->servingVersion() : service.inUse.version()};
     if (!open) {
         return rule;
     }
@@ -602,8 +679,8 @@
     const bool live =
         service.isCurrent() && service.heard != TimePoint::min() && now - service.heard <= m_options.stepLifetime;
     const bool withdrawn = service.isCurrent() && service.step->phase == RolloutPhase::Withdrawing;
-    if (passed > order.duration + lateFallback && !withdrawn && !service.serves(rule.stableVersion)
-        && service.serves(order.version)) {
+    if (passed > order.duration + lateFallback && !withdrawn && !service.inUse.serves(rule.stableVersion)
+        && service.inUse.serves(order.version)) {
         rule.stableVersion = order.version;
         return rule;
     }
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 
 using namespace Hornbeam;
 using namespace std::chrono_literals;
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr auto step = 20ms;
+constexpr const char *stepKey = "hornbeamring/rollouts/menu";
 constexpr int nodeCount = 8;
 constexpr int requestsPerStep = 2; ///< Of each node; 800 a second in all.
 
@@ -37,7 +39,7 @@
 class TestNode : public RolloutNetwork, public RolloutListener
 {
 public:
-    TestNode(Cluster &cluster, TimerService &time, const InMemoryStore &shared, int number);
+    TestNode(Cluster &cluster, TimerService &time, const InMemoryStore &shared, int number, int start);
 
     void broadcast(std::string_view message) override;
     void send(const std::string &node, std::string_view message) override;
@@ -66,6 +68,21 @@
         rulesChanged();
     }
 
+    /** The node learns of the targets of these versions; they started in the order of the versions' names. */
+    void hear(const std::set<std::string> &versions)
+    {
+        known = versions;
+        std::vector<RunningVersion> running;
+        for (const auto &it : versions) {
+            const auto instance = static_cast<std::uint64_t>(it.back() - '0');
+            for (const auto *service : {"menu", "orders"}) {
+                running.push_back({.service = service, .version = it, .firstInstance = instance, .serving = true});
+            }
+        }
+        coordinator->setVersions(std::move(running));
+        rulesChanged();
+    }
+
     void kill()
     {
         killed = true;
@@ -95,32 +112,74 @@
     VersionGate gate;
     std::unique_ptr<RolloutCoordinator> coordinator;
     std::deque<std::pair<std::string, std::string>> inbox;
+    std::set<std::string> known; ///< Versions whose targets the node knows.
     bool paused = false;
     bool killed = false;
     bool cut = false; ///< From the other nodes; the store can be reached.
 };
 
-/** Eight nodes, each with one target of the stable and one of the new version, and a constant rate of requests. */
+/**
+ * Eight nodes, each with one target of the stable and one of the new version, and a constant rate of requests. They
+ * have run for long enough to record the version in use.
+ */
 class Cluster
 {
 public:
     Cluster()
     {
-        for (int i = 0; i < nodeCount; ++i) {
-            nodes.push_back(std::make_unique<TestNode>(*this, time, shared, i));
-            nodes.back()->coordinator->setVersions(
-                {{.service = "menu", .version = "v1", .firstInstance = 1, .serving = true},
-                 {.service = "menu", .version = "v2", .firstInstance = 2, .serving = true},
-                 {.service = "menu", .version = "v3", .firstInstance = 3, .serving = true}});
-        }
+        startNodes();
+        hear({"v1", "v2", "v3"});
+        pass(VersionInUse::settlingTime + 3s);
+        fresh = 0;
+        requests = 0;
     }
 
     void order(const std::string &version, std::int64_t revision)
     {
         m_ordered = time.now();
+        m_order = {.service = "menu", .version = version, .duration = 15s, .revision = revision};
         for (const auto &node : nodes) {
-            node->order({.service = "menu", .version = version, .duration = 15s, .revision = revision});
+            node->order(m_order);
+        }
+    }
+
+    void hear(const std::set<std::string> &versions)
+    {
+        for (const auto &node : nodes) {
+            node->hear(versions);
+        }
+    }
+
+    void killAll()
+    {
+        for (auto &node : nodes) {
+            node->kill();
+            m_killed.push_back(std::move(node));
         }
+        nodes.clear();
+    }
+
+    /** Starts new processes on all hosts. They read the order, and know no targets yet. */
+    void startNodes()
+    {
+        ++m_starts;
+        for (int i = 0; i < nodeCount; ++i) {
+            nodes.push_back(std::make_unique<TestNode>(*this, time, shared, i, m_starts));
+            nodes.back()->coordinator->start();
+            if (m_order.revision > 0) {
+                nodes.back()->order(m_order);
+            }
+        }
+    }
+
+    void store(const RolloutStep &step)
+    {
+        change(Operation::put(stepKey, step.encode()));
+    }
+
+    void removeRecord()
+    {
+        change(Operation::remove(stepKey));
     }
 
     void pass(Duration duration)
@@ -165,18 +224,17 @@
         return value;
     }
 
-    /** Fence of the step in the store; 0 without one. */
-    std::uint64_t storedFence()
+    /** The step in the store; a default one without any. */
+    RolloutStep storedStep()
     {
-        std::uint64_t fence = 0;
-        shared.range({.key = "hornbeamring/rollouts/menu"}, [&](const Result<RangeResult> &result) {
+        RolloutStep stored;
+        shared.range({.key = stepKey}, [&](const Result<RangeResult> &result) {
             if (result && !result->entries.empty()) {
-                const auto step = RolloutStep::decode(result->entries.front().value);
-                fence = step ? step->fence : 0;
+                stored = RolloutStep::decode(result->entries.front().value).value_or(RolloutStep());
             }
         });
         idle.run();
-        return fence;
+        return stored;
     }
 
     Duration sinceOrder() const
@@ -196,6 +254,14 @@
     TimePoint lastFresh = TimePoint::min();
 
 private:
+    void change(Operation operation)
+    {
+        Transaction transaction;
+        transaction.success.push_back(std::move(operation));
+        shared.commit(std::move(transaction), [](const Result<TransactionResult> &) {});
+        idle.run();
+    }
+
     void deliver(TestNode &node)
     {
         for (std::deque<std::pair<std::string, std::string>> messages = std::move(node.inbox); !messages.empty();
@@ -210,9 +276,12 @@
         for (int i = 0; i < requestsPerStep; ++i) {
             const auto track = node.gate.next("menu");
             std::string version;
-            for (const char *it : {"v1", "v2", "v3"}) {
+            for (const auto &it : node.known) {
                 version = node.gate.trackOf("menu", it) == track ? it : version;
             }
+            if (version.empty()) {
+                continue;
+            }
             const bool isFresh = version != "v1";
             const bool failed = isFresh && bad && ++m_counter % 2 == 0;
             node.gate.sent("menu", track);
@@ -230,13 +299,16 @@
     }
 
     TimePoint m_ordered;
+    RolloutOrder m_order;
+    std::vector<std::unique_ptr<TestNode>> m_killed; ///< The store may still call back to them.
+    int m_starts = 0;
     int m_counter = 0;
 };
 
-TestNode::TestNode(Cluster &owner, TimerService &time, const InMemoryStore &shared, int n)
+TestNode::TestNode(Cluster &owner, TimerService &time, const InMemoryStore &shared, int n, int start)
     : cluster(owner)
     , number(n)
-    , id("node-" + std::to_string(n))
+    , id("node-" + std::to_string(n) + "-" + std::to_string(start))
     , timers(time)
     , store(executor, shared)
     , gate(static_cast<std::uint64_t>(n) + 1)
@@ -308,6 +380,86 @@
     CHECK(cluster.lastFresh < cluster.time.now() - 8s);
 }
 
+// Guards against a bad version that is compared with itself, or with nothing, and completed: the decider starts before
+// it has heard of the targets of the version in use.
+TEST(RolloutCoordinator, rollsBackABadVersionWhenAllNodesAreKilledAfterTheOrder)
+{
+    for (const auto &heardFirst : {std::set<std::string>{}, std::set<std::string>{"v2"}}) {
+        Cluster restarted;
+        restarted.bad = true;
+        restarted.order("v2", 10);
+        restarted.killAll();
+        restarted.startNodes();
+        restarted.hear(heardFirst);
+        restarted.pass(1500ms);
+        CHECK_EQUAL(0, restarted.fresh);
+        restarted.hear({"v1", "v2"});
+        restarted.pass(15s);
+        STRCMP_EQUAL("v1", restarted.storedStep().stableVersion.c_str());
+        STRCMP_EQUAL("rolled_back v2", restarted.status().c_str());
+    }
+}
+
+// Guards against the same when the version in use was not recorded before the kill.
+TEST(RolloutCoordinator, waitsForTheVersionInUseWithoutARecord)
+{
+    cluster.bad = true;
+    cluster.order("v2", 10);
+    cluster.killAll();
+    cluster.removeRecord();
+    cluster.startNodes();
+    cluster.hear({"v2"});
+    cluster.pass(3s);
+    STRCMP_EQUAL("", cluster.status().c_str());
+    CHECK_EQUAL(0, cluster.fresh);
+    cluster.hear({"v1", "v2"});
+    cluster.pass(14s);
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+    checkExposure();
+}
+
+// Guards against a roll-out that never begins because the ordered version is the only one.
+TEST(RolloutCoordinator, completesTheOnlyVersionOfAService)
+{
+    cluster.killAll();
+    cluster.removeRecord();
+    cluster.startNodes();
+    cluster.order("v2", 10);
+    cluster.hear({"v2"});
+    cluster.pass(15s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+}
+
+// Guards against a step of an earlier release that does not name the stable version.
+TEST(RolloutCoordinator, comparesWithTheVersionInUseAlthoughTheStoredStepNamesNone)
+{
+    cluster.bad = true;
+    cluster.order("v2", 10);
+    cluster.pass(1s);
+    auto stored = cluster.storedStep();
+    stored.stableVersion.clear();
+    cluster.killAll();
+    cluster.store(stored);
+    cluster.startNodes();
+    cluster.hear({"v1", "v2"});
+    cluster.pass(18s);
+    STRCMP_EQUAL("v1", cluster.storedStep().stableVersion.c_str());
+    STRCMP_EQUAL("rolled_back v2", cluster.status().c_str());
+}
+
+// Guards against a record that is written again and again, or by each node.
+TEST(RolloutCoordinator, recordsTheVersionInUseOnce)
+{
+    STRCMP_EQUAL("v1", cluster.storedStep().servingVersion().c_str());
+    const auto revision = cluster.shared.revision();
+    cluster.pass(20s);
+    CHECK_EQUAL(revision, cluster.shared.revision());
+    for (const auto &node : cluster.nodes) {
+        CHECK(node->store.calls().writes <= 2);
+        CHECK_EQUAL(2U, node->coordinator->steps().size());
+    }
+}
+
 // Guards against requests to targets of a version before its order is known.
 TEST(RolloutCoordinator, usesTheOldestVersionWithoutAnOrder)
 {
@@ -365,8 +517,8 @@
     std::uint64_t fence = 0;
     for (int i = 0; i < 110; ++i) {
         cluster.pass(100ms);
-        CHECK(cluster.storedFence() >= fence);
-        fence = cluster.storedFence();
+        CHECK(cluster.storedStep().fence >= fence);
+        fence = cluster.storedStep().fence;
     }
     CHECK(fence >= 2);
 }
