Keep the version in use while none of its targets is known

Cause: a node chose another version as soon as none of the targets of the chosen one was in the membership, and then kept that one, because it still ran. The absence of targets was taken as their end.

Change: the version in use stays for 15 s without any known target; requests are refused meanwhile. The oldest other version is used after that, as operators can replace all targets without an order, until a target of the version in use is back.

--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -574,7 +574,7 @@
             {.service = step.service, .version = step.version, .duration = unknownDuration, .revision = step.order});
     }
     service.step = step;
-    service.inUse.setRecorded(step.servingVersion());
+    service.inUse.setRecorded(step.servingVersion(), now);
     if (step.isFinal() && service.isCurrent()) {
         service.finished = now;
         m_dependencies.ledger.stopTracking(step.service);
--- a/libs/rollouts/src/versioninuse.cpp
+++ b/libs/rollouts/src/versioninuse.cpp
@@ -4,9 +4,10 @@
 
 namespace Hornbeam {
 
-void VersionInUse::setRecorded(const std::string &version)
+void VersionInUse::setRecorded(const std::string &version, TimePoint now)
 {
     m_recorded = version;
+    update(now);
 }
 
 void VersionInUse::setOrdered(const std::string &version, TimePoint now)
@@ -29,29 +30,42 @@
     m_settled = m_settled || (m_firstSeen && now >= *m_firstSeen + settlingTime);
     const bool others =
         std::any_of(m_versions.begin(), m_versions.end(), [this](const auto &it) { return it.version != m_ordered; });
-    if (!m_settled || !runs(m_chosen) || (others && m_chosen == m_ordered)) {
-        if (auto chosen = oldest(); !chosen.empty() || !m_settled) {
-            m_chosen = std::move(chosen);
-        }
+    if (!m_settled || m_chosen.empty() || (others && m_chosen == m_ordered)) {
+        m_chosen = oldest();
+    }
+    m_version = m_recorded.empty() ? m_chosen : m_recorded;
+    if (!isAbsent(m_version)) {
+        m_absentSince.reset();
+        return;
+    }
+    m_absentSince = m_absentSince.value_or(now);
+    if (const auto other = oldest(); now >= *m_absentSince + absenceLimit && !other.empty()) {
+        m_version = other;
+        m_chosen = other;
     }
 }
 
 std::optional<TimePoint> VersionInUse::nextUpdate() const
 {
-    if (m_settled || !m_firstSeen) {
-        return std::nullopt;
+    std::optional<TimePoint> next;
+    if (!m_settled && m_firstSeen) {
+        next = *m_firstSeen + settlingTime;
+    }
+    if (m_absentSince && isAbsent(m_version)) {
+        const auto limit = *m_absentSince + absenceLimit;
+        next = next ? std::min(*next, limit) : limit;
     }
-    return *m_firstSeen + settlingTime;
+    return next;
 }
 
-const std::string &VersionInUse::version() const
+bool VersionInUse::isConfirmed() const
 {
-    return runs(m_recorded) ? m_recorded : m_chosen;
+    return !m_recorded.empty() || (m_settled && !m_chosen.empty());
 }
 
-bool VersionInUse::isConfirmed() const
+bool VersionInUse::isAbsent(const std::string &version) const
 {
-    return !m_recorded.empty() || (m_settled && !m_chosen.empty());
+    return !version.empty() && !m_versions.empty() && !runs(version);
 }
 
 bool VersionInUse::runs(const std::string &version) const
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -629,6 +629,47 @@
     checkExposure();
 }
 
+// Guards against a version without an order that replaces the one in use for good, because the hosts of all targets of
+// the latter restart at the same time.
+TEST(RolloutCoordinator, keepsTheVersionInUseWhileTheHostsOfItsTargetsRestart)
+{
+    cluster.pass(1s);
+    cluster.hear({"v2"});
+    cluster.pass(2s);
+    cluster.hear({"v1", "v2"});
+    cluster.requests = 0;
+    cluster.pass(2s);
+    CHECK(cluster.requests > 0);
+    CHECK_EQUAL(0, cluster.fresh);
+}
+
+// Guards against the same when all nodes restart, and hear of the other version first.
+TEST(RolloutCoordinator, keepsTheVersionInUseWhenAllNodesRestart)
+{
+    cluster.killAll();
+    cluster.startNodes();
+    cluster.pass(1s);
+    cluster.hear({"v2"});
+    cluster.pass(7s);
+    CHECK_EQUAL(0, cluster.requests);
+    cluster.hear({"v1", "v2"});
+    cluster.pass(2s);
+    CHECK(cluster.requests > 0);
+    CHECK_EQUAL(0, cluster.fresh);
+}
+
+// Guards against an outage when operators replace the targets of a service without an order.
+TEST(RolloutCoordinator, usesAnotherVersionWhenTheTargetsOfTheOneInUseHaveStopped)
+{
+    cluster.hear({"v2", "v3"});
+    cluster.pass(VersionInUse::absenceLimit + 100ms);
+    cluster.requests = 0;
+    cluster.fresh = 0;
+    cluster.pass(1s);
+    CHECK(cluster.requests > 0);
+    CHECK_EQUAL(cluster.requests, cluster.fresh);
+}
+
 // Guards against the use of a version whose order was replaced, and against one that becomes stable by its replacement.
 TEST(RolloutCoordinator, anOrderReplacesAnOrder)
 {
--- a/libs/rollouts/tests/versioninusetest.cpp
+++ b/libs/rollouts/tests/versioninusetest.cpp
@@ -58,8 +58,33 @@
 
 TEST(VersionInUse, isTheRecordedOne)
 {
-    inUse.setRecorded("v2");
+    inUse.setRecorded("v2", now);
     CHECK(inUse.isConfirmed());
     inUse.setRunning({v1, v2, v3}, now);
     STRCMP_EQUAL("v2", inUse.version().c_str());
 }
+
+// Guards against a version that replaces the one in use while the hosts of its targets restart.
+TEST(VersionInUse, staysWhileItsTargetsAreNotKnown)
+{
+    inUse.setRunning({v1, v2}, now);
+    inUse.setRunning({v2}, now + 10s);
+    inUse.update(now + 10s + VersionInUse::absenceLimit - 1ms);
+    STRCMP_EQUAL("v1", inUse.version().c_str());
+    inUse.setRunning({v1, v2}, now + 30s);
+    inUse.setRunning({v2}, now + 40s);
+    STRCMP_EQUAL("v1", inUse.version().c_str());
+    CHECK(inUse.nextUpdate() == now + 40s + VersionInUse::absenceLimit);
+}
+
+// Guards against a service without any version because the targets of the one in use have stopped for good.
+TEST(VersionInUse, isTheOldestOtherOneWhenItsTargetsHaveStopped)
+{
+    inUse.setRecorded("v1", now);
+    inUse.setRunning({v2, v3}, now);
+    STRCMP_EQUAL("v1", inUse.version().c_str());
+    inUse.update(now + VersionInUse::absenceLimit);
+    STRCMP_EQUAL("v2", inUse.version().c_str());
+    inUse.setRunning({v1, v2, v3}, now + 1min);
+    STRCMP_EQUAL("v1", inUse.version().c_str());
+}
