Wait for the steps of roll-outs before a restarted node serves

Cause: a node that starts reads the last order, but read its step only after 2 s without a message of a decider. Until then the order counted as running, the ordered version as one that is still to come, and the oldest other one was chosen.

Change: a node is ready when it has read the steps, or after 1 s without an answer, and goes on reading then.

--- a/daemons/hornbeamd/adminfacade.cpp
+++ b/daemons/hornbeamd/adminfacade.cpp
@@ -214,7 +214,7 @@
     if (m_dependencies.publisher.ready()) {
         return {.ready = true, .reason = {}};
     }
-    return {.ready = false, .reason = "the newest configuration is not known or not loaded yet"};
+    return {.ready = false, .reason = "the newest configuration or the versions in use are not known yet"};
 }
 
 SnapshotPtr AdminFacade::applied() const
--- a/daemons/hornbeamd/node.cpp
+++ b/daemons/hornbeamd/node.cpp
@@ -130,6 +130,7 @@
     void versionApplied(const SnapshotPtr &snapshot);
     void memberChanged(const MemberPtr &before, const MemberPtr &after);
     void updateMemberGauges();
+    void updateReady();
     void becameReady();
     void watcherChanged(bool watcher);
 
@@ -415,7 +416,7 @@
         m_disseminator->membershipJoined();
         startStoreAccess();
     });
-    m_disseminator->subscribeReady([this] { becameReady(); });
+    m_disseminator->subscribeReady([this] { updateReady(); });
 }
 
 void Node::Impl::start()
@@ -427,7 +428,7 @@
         m_directory->start();
     }
     if (m_rollouts) {
-        m_rollouts->load();
+        m_rollouts->load([this] { updateReady(); });
     }
     if (m_departures) {
         m_targets.hideTargets();
@@ -621,6 +622,13 @@
     }
 }
 
+void Node::Impl::updateReady()
+{
+    if (m_disseminator->ready() && (!m_rollouts || m_rollouts->isLoaded())) {
+        becameReady();
+    }
+}
+
 void Node::Impl::becameReady()
 {
     m_log.info("ready to serve", {{"version", std::to_string(m_configuration.current()->version())}});
--- a/daemons/hornbeamd/rolloutagent.cpp
+++ b/daemons/hornbeamd/rolloutagent.cpp
@@ -68,8 +68,9 @@
     });
 }
 
-void RolloutAgent::load()
+void RolloutAgent::load(std::function<void()> loaded)
 {
+    m_loaded = std::move(loaded);
     m_coordinator->start();
 }
 
@@ -200,6 +201,13 @@
     }
 }
 
+void RolloutAgent::stepsRead()
+{
+    m_log.info("steps of the roll-outs read", {{"services", std::to_string(m_coordinator->steps().size())}});
+    m_isLoaded = true;
+    m_loaded();
+}
+
 void RolloutAgent::decidesRollouts(bool decider)
 {
     m_log.info(decider ? "this node decides the roll-outs" : "this node no longer decides the roll-outs");
--- a/daemons/hornbeamd/rolloutagent.h
+++ b/daemons/hornbeamd/rolloutagent.h
@@ -46,8 +46,14 @@
     /** Calls @p changed when rules() has changed. */
     void start(std::function<void()> changed);
 
-    /** Reads from the store what earlier processes have decided. */
-    void load();
+    /** Reads from the store what earlier processes have decided, and then calls @p loaded once. */
+    void load(std::function<void()> loaded);
+
+    /** Whether the function of load() was called. */
+    bool isLoaded() const
+    {
+        return m_isLoaded;
+    }
 
     /** Hands over the decision of roll-outs to another node. */
     void stop();
@@ -79,12 +85,15 @@
     void rulesChanged() override;
     void stepChanged(const RolloutStep &step, bool decider) override;
     void decidesRollouts(bool decider) override;
+    void stepsRead() override;
 
     const RolloutAgentOptions m_options;
     RolloutAgentDependencies m_dependencies;
     Logger m_log{"rollouts"};
     OutcomeLedger m_ledger;
     std::function<void()> m_changed;
+    std::function<void()> m_loaded;
+    bool m_isLoaded = false;
     std::unique_ptr<RolloutCoordinator> m_coordinator;
 };
 
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -35,6 +35,8 @@
     Duration stepLifetime = std::chrono::milliseconds(1500);
     std::chrono::seconds leaseTime{3}; ///< Time to live of the decider's lease.
     BackoffOptions readBackoff{.initial = std::chrono::seconds(1), .maximum = std::chrono::seconds(4)};
+    /** After this time without the steps, the listener is told to go on without them. */
+    Duration loadTimeout = std::chrono::seconds(1);
     /** Delays between attempts to read all steps when the node starts. */
     BackoffOptions loadBackoff{.initial = std::chrono::milliseconds(200), .maximum = std::chrono::seconds(2)};
     /** Random delays before the version in use is recorded, which more than one node can do. */
@@ -65,7 +67,7 @@
                                                             RolloutCoordinatorDependencies dependencies);
     ~RolloutCoordinator() override;
 
-    /** Reads the steps of all services from the store. */
+    /** Reads the steps of all services from the store, until it has them; see RolloutListener::stepsRead(). */
     void start();
 
     /** Frees the lease if this node decides. Call it when a stop begins. */
@@ -157,6 +159,7 @@
     TimerHandle m_tick;
     TimerHandle m_versionsTimer; ///< For updateVersions().
     TimerHandle m_loadTimer;
+    TimerHandle m_loadTimeout;
     Backoff m_loadBackoff;
     bool m_loaded = false; ///< The steps were read when the node started.
     TimePoint m_lastBeat = TimePoint::min();
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutnetwork.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutnetwork.h
@@ -60,6 +60,12 @@
     virtual void stepChanged(const RolloutStep &step, bool decider) = 0;
 
     virtual void decidesRollouts(bool decider) = 0;
+
+    /**
+     * Called once after the start, when the steps in the store are known, or when the store has not answered in time.
+     * Before that, rules() can name a version that is not in use.
+     */
+    virtual void stepsRead() = 0;
 };
 
 } // namespace Hornbeam
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -108,6 +108,10 @@
 
 void RolloutCoordinator::start()
 {
+    m_loadTimeout = m_dependencies.timers.once(m_options.loadTimeout, [this] {
+        m_loadTimeout.reset();
+        m_dependencies.listener.stepsRead();
+    });
     load();
 }
 
@@ -134,6 +138,10 @@
         }
     }
     updateVersions();
+    if (m_loadTimeout) {
+        m_loadTimeout.reset();
+        m_dependencies.listener.stepsRead();
+    }
 }
 
 void RolloutCoordinator::stop()
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -8,6 +8,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -62,6 +63,11 @@
     void stepChanged(const RolloutStep &, bool) override {}
     void decidesRollouts(bool) override {}
 
+    void stepsRead() override
+    {
+        ready = true;
+    }
+
     void order(const RolloutOrder &order)
     {
         coordinator->setOrder(order);
@@ -113,6 +119,7 @@
     std::unique_ptr<RolloutCoordinator> coordinator;
     std::deque<std::pair<std::string, std::string>> inbox;
     std::set<std::string> known; ///< Versions whose targets the node knows.
+    bool ready = false; ///< Serves requests.
     bool paused = false;
     bool killed = false;
     bool cut = false; ///< From the other nodes; the store can be reached.
@@ -162,16 +169,22 @@
     /** Starts new processes on all hosts. They read the order, and know no targets yet. */
     void startNodes()
     {
-        ++m_starts;
         for (int i = 0; i < nodeCount; ++i) {
-            nodes.push_back(std::make_unique<TestNode>(*this, time, shared, i, m_starts));
-            nodes.back()->coordinator->start();
-            if (m_order.revision > 0) {
-                nodes.back()->order(m_order);
-            }
+            nodes.push_back(startNode(i));
         }
     }
 
+    /** Restarts one node, which learns of the same targets again. */
+    void restart(std::size_t number)
+    {
+        auto &node = nodes[number];
+        const auto known = node->known;
+        node->kill();
+        m_killed.push_back(std::move(node));
+        node = startNode(static_cast<int>(number));
+        node->hear(known);
+    }
+
     void store(const RolloutStep &step)
     {
         change(Operation::put(stepKey, step.encode()));
@@ -192,7 +205,9 @@
                 }
                 deliver(*node);
                 node->executor.run();
-                serve(*node);
+                if (node->ready) {
+                    serve(*node);
+                }
             }
         }
     }
@@ -209,6 +224,7 @@
 
     void setFaults(const InMemoryStoreFaults &faults)
     {
+        m_faults = faults;
         for (const auto &node : nodes) {
             node->store.setFaults(faults);
         }
@@ -249,11 +265,23 @@
     bool bad = false; ///< The new version fails every other request.
     int requests = 0;
     int fresh = 0; ///< Requests to a version other than the first.
+    std::map<std::string, int> served; ///< Requests by version.
     int badResponses = 0;
     TimePoint fiftiethBad = TimePoint::max();
     TimePoint lastFresh = TimePoint::min();
 
 private:
+    std::unique_ptr<TestNode> startNode(int number)
+    {
+        auto node = std::make_unique<TestNode>(*this, time, shared, number, ++m_starts);
+        node->store.setFaults(m_faults);
+        node->coordinator->start();
+        if (m_order.revision > 0) {
+            node->order(m_order);
+        }
+        return node;
+    }
+
     void change(Operation operation)
     {
         Transaction transaction;
@@ -288,6 +316,7 @@
             node.gate.responded("menu", track, failed);
             node.ledger.record("menu", version, "browse", failed, 100ms);
             ++requests;
+            ++served[version];
             if (isFresh) {
                 ++fresh;
                 lastFresh = time.now();
@@ -300,6 +329,7 @@
 
     TimePoint m_ordered;
     RolloutOrder m_order;
+    InMemoryStoreFaults m_faults;
     std::vector<std::unique_ptr<TestNode>> m_killed; ///< The store may still call back to them.
     int m_starts = 0;
     int m_counter = 0;
@@ -686,6 +716,42 @@
     STRCMP_EQUAL("completed v3", cluster.status().c_str());
 }
 
+// Guards against requests of a restarted node to a newer version without an order: the node knows the order of the
+// version in use, but not yet that it is completed.
+TEST(RolloutCoordinator, aRestartedNodeServesWithTheCompletedVersionOnly)
+{
+    cluster.hear({"v1", "v2"});
+    cluster.order("v2", 10);
+    cluster.pass(15s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+    cluster.hear({"v2"});
+    cluster.pass(15s);
+    cluster.hear({"v2", "v3"});
+    for (const auto delay : {0ms, 700ms}) {
+        cluster.setFaults({.answerDelay = delay});
+        cluster.restart(7);
+        cluster.served.clear();
+        cluster.pass(3s);
+        CHECK(cluster.served["v2"] > 0);
+        CHECK_EQUAL(0, cluster.served["v3"]);
+    }
+}
+
+// Guards against a node that never serves because the store does not answer.
+TEST(RolloutCoordinator, isReadyWithoutTheStore)
+{
+    cluster.setFaults({.unavailable = true});
+    cluster.restart(7);
+    cluster.pass(900ms);
+    CHECK_FALSE(cluster.nodes[7]->ready);
+    cluster.pass(200ms);
+    CHECK(cluster.nodes[7]->ready);
+    CHECK_EQUAL(0U, cluster.nodes[7]->coordinator->steps().size());
+    cluster.setFaults({});
+    cluster.pass(3s);
+    CHECK_EQUAL(2U, cluster.nodes[7]->coordinator->steps().size());
+}
+
 // Guards against a second roll-out that starts from the version before the first one.
 TEST(RolloutCoordinator, aCompletedVersionIsTheStableOneOfTheNextOrder)
 {
