Keep the time since the order when all nodes are killed

Operators saw: a good version was completed as long after its deadline as the roll-out had run before all nodes were killed.

Cause: each process measures the time since the order from the moment when it reads the order. After a kill of all nodes, no process knows of the time before, and the decider that took over began the plan anew. The time at the last step is in the store, but was not used.

Change: with the first step, the decider writes a key whose lease ends a whole number of seconds later, before the switch is due; the step says at which time since the order. A decider whose process is younger than the order reads the key until it is gone. The time at the last step is a lower bound meanwhile. An order that a process finds without a step is taken to have been 1.5 s old at its start. Limits and results are still counted from when a node knows the order, and the decider switches only to a version that it has observed for 4 s: the results before the kill are lost, and a slow version is noticed after 3 s.

RolloutDecider.observesASlowVersionAfterARestartAtTheDeadline fails without the 4 s. keepsTheExposureWhenAllNodesAreKilledLateInTheRollout guards against the opposite fault and passed before.

Cost: one lease for each order.

--- a/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -27,6 +27,8 @@
     std::string node; ///< Id of this node.
     RolloutLimits limits{};
     std::string prefix = "hornbeamring/rollouts/"; ///< Of the keys with the newest step of each service.
+    /** Of the keys that vanish a known time after an order, so that nodes that were all down learn how late it is. */
+    std::string timerPrefix = "hornbeamring/rollout-timers/";
     std::string electionPrefix = "hornbeamring/rollout-decider/";
     Duration tick = std::chrono::milliseconds(100); ///< Period of decisions while a roll-out runs.
     Duration beat = std::chrono::milliseconds(300); ///< Period in which the decider repeats the newest step.
@@ -101,6 +103,7 @@
 
         std::optional<RolloutOrder> order;
         TimePoint orderKnown{};
+        TimePoint ordered{}; ///< When the order was given; before orderKnown if that was while the node was down.
         std::optional<RolloutStep> step; ///< The newest one known.
         TimePoint heard = TimePoint::min(); ///< When the decider has last sent or repeated the step.
         TimePoint finished = TimePoint::min(); ///< When the step became final.
@@ -108,6 +111,7 @@
         FleetOutcomes outcomes;
         std::unique_ptr<RolloutDecider> decider;
         std::int64_t modRevision = 0; ///< Of the step in the store that this decider has written.
+        std::optional<TimePoint> timerReadAt; ///< When the timer is read next; unset if the time is known without it.
         bool storeBusy = false;
         TimePoint storeRetry = TimePoint::min();
         bool reading = false;
@@ -142,7 +146,11 @@
     void resignIfCutOff(const Service &service);
     void takeOver(const std::string &name);
     void takeOver(const std::string &name, const Result<RangeResult> &stored);
-    void write(const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first);
+    void startTimer(const std::string &name, const RolloutStep &first, std::int64_t expectedRevision);
+    void readTimer(const std::string &name, Service &service);
+    void timerRead(const std::string &name, const Result<RangeResult> &stored);
+    void write(
+        const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first, LeaseId timer = 0);
     void written(const std::string &name, const RolloutStep &step);
     void writeFailed(const std::string &name, const RolloutStep &step, bool first);
     void readBack(const std::string &name, const RolloutStep &step, bool first, const Result<RangeResult> &stored);
@@ -150,7 +158,10 @@
     void beat(bool now);
     OutcomeReport reportOf(const std::string &name, const Service &service) const;
     Duration elapsedOf(const Service &service) const;
+    Duration observedTime(const Service &service) const;
+    bool predatesStart(const RolloutOrder &order) const;
     std::string keyOf(const std::string &name) const;
+    std::string timerKeyOf(const std::string &name) const;
 
     const RolloutCoordinatorOptions m_options;
     RolloutCoordinatorDependencies m_dependencies;
@@ -162,6 +173,8 @@
     TimerHandle m_loadTimeout;
     Backoff m_loadBackoff;
     bool m_loaded = false; ///< The steps were read when the node started.
+    TimePoint m_started{};
+    std::int64_t m_startRevision = 0; ///< Of the store when the steps were read.
     TimePoint m_lastBeat = TimePoint::min();
     std::shared_ptr<bool> m_alive;
     TimePoint m_lastReports; ///< When enough nodes reported to this decider, or its term began.
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutdecider.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutdecider.h
@@ -16,13 +16,14 @@
     const FleetOutcomes &outcomes;
     std::size_t liveNodes = 1; ///< Which are expected to report.
     bool hasFreshTargets = false; ///< Whether a target of the new version accepts requests.
+    Duration elapsed{0}; ///< Lower bound of the time since the order.
 };
 
 /**
  * Decides the steps of one roll-out: shares by the plan, withdrawal when the new version is worse, the switch and the
  * completion. Load: a version that is bad from the start, from later on, on one route only or under full load, as
- * failures or slow responses; a decider that takes over in the middle; no requests at all; no targets of the new
- * version yet; reports that do not arrive. Not thread-safe.
+ * failures or slow responses; a decider that takes over in the middle; results that are lost with the nodes that
+ * counted them; no requests at all; no targets of the new version yet; reports that do not arrive. Not thread-safe.
  */
 class RolloutDecider
 {
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutstep.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutstep.h
@@ -36,6 +36,7 @@
     std::string stableVersion; ///< Version before the roll-out.
     std::string version; ///< Version to which the roll-out moves the traffic.
     std::chrono::milliseconds elapsed{0}; ///< Since the order, when the step was decided.
+    std::chrono::milliseconds timerEnd{0}; ///< Since the order, when the lease of the timer ends; 0 without a timer.
     std::string reason; ///< For operators.
 
     /** Whether this step is newer than @p other. A final step is in the store, so no other step replaces it. */
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -39,6 +39,17 @@
 /** How long after the deadline a service without targets of the stable version uses those of the new one. */
 constexpr Duration lateFallback = 1s;
 
+/**
+ * The age of an order that a node finds when it starts is not known until a step is in the store. More than this, and
+ * the new version would be completed too early for a part of its requests; less, and too late.
+ */
+constexpr Duration assumedAge = 1500ms;
+
+/** Limits of the time to live of the timer's lease. An order that takes longer has no timer. */
+constexpr std::chrono::seconds shortestTimer{2};
+constexpr std::chrono::seconds longestTimer{600};
+constexpr Duration timerReadPeriod = 300ms;
+
 /** Duration of an order that is known only from its steps. */
 constexpr std::chrono::milliseconds unknownDuration = 1h;
 
@@ -108,6 +119,7 @@
 
 void RolloutCoordinator::start()
 {
+    m_started = m_dependencies.timers.now();
     m_loadTimeout = m_dependencies.timers.once(m_options.loadTimeout, [this] {
         m_loadTimeout.reset();
         m_dependencies.listener.stepsRead();
@@ -132,6 +144,7 @@
         return;
     }
     m_loaded = true;
+    m_startRevision = stored->revision;
     for (const auto &entry : stored->entries) {
         if (const auto step = RolloutStep::decode(entry.value)) {
             adopt(serviceOf(step->service), *step, false, false);
@@ -171,6 +184,8 @@
     }
     service.order = order;
     service.orderKnown = m_dependencies.timers.now();
+    service.ordered = service.orderKnown;
+    service.timerReadAt.reset();
     service.decider.reset();
     service.outcomes = {};
     service.readAt = service.orderKnown + silence;
@@ -341,7 +356,7 @@
     const auto now = m_dependencies.timers.now();
     const bool mayWrite = !service.storeBusy && now >= service.storeRetry;
     if (!service.decider) {
-        if (mayWrite) {
+        if (mayWrite && m_loaded) {
             takeOver(name);
         }
         return;
@@ -351,9 +366,13 @@
     if (!service.decider) {
         return;
     }
+    if (service.timerReadAt && now >= *service.timerReadAt) {
+        readTimer(name, service);
+    }
     const auto next = service.decider->next({.outcomes = service.outcomes,
                                              .liveNodes = m_dependencies.network.liveNodes(),
-                                             .hasFreshTargets = service.inUse.serves(service.order->version)},
+                                             .hasFreshTargets = service.inUse.serves(service.order->version),
+                                             .elapsed = elapsedOf(service)},
                                             now);
     if (!next) {
         return;
@@ -418,6 +437,15 @@
         service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
         return;
     }
+    const auto now = m_dependencies.timers.now();
+    if (sameOrder) {
+        service.ordered = std::min(service.ordered, now - known->elapsed);
+        if (predatesStart(order) && elapsedOf(service) < known->timerEnd) {
+            service.timerReadAt = now;
+        }
+    } else if (predatesStart(order)) {
+        service.ordered = m_started - assumedAge;
+    }
     RolloutStep first{.service = name,
                       .order = order.revision,
                       .fence = std::max(known ? known->fence : 0, service.step ? service.step->fence : 0) + 1,
@@ -427,18 +455,78 @@
                       .stableVersion = std::move(stable),
                       .version = order.version,
                       .elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(elapsedOf(service)),
+                      .timerEnd = sameOrder ? known->timerEnd : 0ms,
                       .reason = sameOrder ? "another node decides now" : "the order was received"};
     if (service.isCurrent() && service.step->phase == RolloutPhase::Withdrawing) {
         first.phase = RolloutPhase::Withdrawing;
         first.reason = service.step->reason;
     }
-    write(name, first, storedRevision(*stored), true);
+    if (sameOrder) {
+        write(name, first, storedRevision(*stored), true);
+    } else {
+        startTimer(name, first, storedRevision(*stored));
+    }
 }
 
-void RolloutCoordinator::write(const std::string &name,
-                               const RolloutStep &step,
-                               std::int64_t expectedRevision,
-                               bool first)
+void RolloutCoordinator::startTimer(const std::string &name, const RolloutStep &first, std::int64_t expectedRevision)
+{
+    auto &service = serviceOf(name);
+    const RolloutPlan plan(m_options.limits, service.order->duration);
+    const auto timeToLive = std::chrono::floor<std::chrono::seconds>(plan.switchStart() - first.elapsed);
+    if (timeToLive < shortestTimer || timeToLive > longestTimer) {
+        write(name, first, expectedRevision, true);
+        return;
+    }
+    auto timed = first;
+    timed.timerEnd = first.elapsed + timeToLive;
+    service.storeBusy = true;
+    m_dependencies.store.grantLease(
+        timeToLive, [this, alive = m_alive, name, timed, expectedRevision](const Result<LeaseGrant> &lease) {
+            if (!*alive) {
+                return;
+            }
+            auto &granted = serviceOf(name);
+            granted.storeBusy = false;
+            if (!lease || !isDecider() || !granted.isOpen()) {
+                granted.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+                return;
+            }
+            write(name, timed, expectedRevision, true, lease->id);
+        });
+}
+
+void RolloutCoordinator::readTimer(const std::string &name, Service &service)
+{
+    service.timerReadAt = TimePoint::max();
+    m_dependencies.store.range({.key = timerKeyOf(name)},
+                               [this, alive = m_alive, name](const Result<RangeResult> &stored) {
+                                   if (*alive) {
+                                       timerRead(name, stored);
+                                   }
+                               });
+}
+
+void RolloutCoordinator::timerRead(const std::string &name, const Result<RangeResult> &stored)
+{
+    auto &service = serviceOf(name);
+    if (!service.timerReadAt) {
+        return;
+    }
+    const auto now = m_dependencies.timers.now();
+    const auto end = service.step ? service.step->timerEnd : 0ms;
+    const bool ended = stored && stored->entries.empty();
+    if (ended) {
+        service.ordered = std::min(service.ordered, now - end);
+    }
+    if (elapsedOf(service) < end) {
+        service.timerReadAt = now + timerReadPeriod;
+    } else {
+        service.timerReadAt.reset();
+    }
+}
+
+void RolloutCoordinator::write(
+    const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first, LeaseId timer)
 {
     auto &service = serviceOf(name);
     service.storeBusy = true;
@@ -446,6 +534,9 @@
     transaction.compares.push_back(
         {.key = keyOf(name), .field = Compare::Field::ModRevision, .revision = expectedRevision});
     transaction.success.push_back(Operation::put(keyOf(name), step.encode()));
+    if (timer != 0) {
+        transaction.success.push_back(Operation::put(timerKeyOf(name), std::to_string(step.order), timer));
+    }
     const auto status = m_dependencies.status.statusOf(step);
     const bool changed = first || !service.step || m_dependencies.status.statusOf(*service.step).value != status.value;
     if (changed && !status.key.empty()) {
@@ -655,20 +746,35 @@
     auto report = m_dependencies.ledger.report(name);
     report.service = name;
     report.order = service.order ? service.order->revision : 0;
-    report.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(elapsedOf(service));
+    report.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(observedTime(service));
     return report;
 }
 
 Duration RolloutCoordinator::elapsedOf(const Service &service) const
+{
+    return m_dependencies.timers.now() - service.ordered;
+}
+
+Duration RolloutCoordinator::observedTime(const Service &service) const
 {
     return m_dependencies.timers.now() - service.orderKnown;
 }
 
+bool RolloutCoordinator::predatesStart(const RolloutOrder &order) const
+{
+    return order.revision <= m_startRevision;
+}
+
 std::string RolloutCoordinator::keyOf(const std::string &name) const
 {
     return m_options.prefix + name;
 }
 
+std::string RolloutCoordinator::timerKeyOf(const std::string &name) const
+{
+    return m_options.timerPrefix + name;
+}
+
 std::optional<VersionRule> RolloutCoordinator::ruleOf(const std::string &name, const Service &service) const
 {
     if (!service.order && !service.inUse.hasTargets()) {
@@ -683,7 +789,8 @@
     }
     const auto now = m_dependencies.timers.now();
     const auto &order = *service.order;
-    const auto passed = elapsedOf(service);
+    // An estimate of the time before the start does not lift limits.
+    const auto passed = observedTime(service);
     const bool live =
         service.isCurrent() && service.heard != TimePoint::min() && now - service.heard <= m_options.stepLifetime;
     const bool withdrawn = service.isCurrent() && service.step->phase == RolloutPhase::Withdrawing;
--- a/libs/rollouts/src/rolloutdecider.cpp
+++ b/libs/rollouts/src/rolloutdecider.cpp
@@ -21,6 +21,7 @@
 constexpr Duration firstTimeComparison = 3s;
 constexpr Duration warmUp = 4s;
 constexpr double warmUpSlowFactor = 4;
+constexpr int warmUpDivisor = 4; ///< The warm-up takes at most this part of a roll-out.
 
 /** A node reports several times a second. */
 constexpr Duration reportLifetime = 2s;
@@ -92,7 +93,7 @@
 
 Duration RolloutDecider::elapsed(const RolloutView &view, TimePoint now) const
 {
-    return std::max<Duration>(now - m_started, view.outcomes.longestElapsed());
+    return std::max<Duration>({now - m_started, view.elapsed, view.outcomes.longestElapsed()});
 }
 
 std::optional<RolloutStep> RolloutDecider::canaryStep(const RolloutView &view, TimePoint now) const
@@ -158,6 +159,11 @@
     if (!view.hasFreshTargets) {
         return "no target of the new version";
     }
+    // Nodes that were all restarted have lost their results, and a slow version is not noticed at once.
+    const Duration observed = view.outcomes.longestElapsed();
+    if (observed < std::min<Duration>(warmUp, m_order.duration / warmUpDivisor)) {
+        return "the new version was not observed for long enough";
+    }
     const auto fresh = static_cast<double>(requestsOf(view.outcomes.outcomes(m_order.version)));
     const auto stable = static_cast<double>(requestsOf(view.outcomes.outcomes(m_current.stableVersion)));
     const auto expected = (fresh + stable) * m_limits.canaryShare * plannedPart;
--- a/libs/rollouts/src/rolloutstep.cpp
+++ b/libs/rollouts/src/rolloutstep.cpp
@@ -55,6 +55,7 @@
                           {"stable", stableVersion},
                           {"version", version},
                           {"elapsedMs", elapsed.count()},
+                          {"timerEndMs", timerEnd.count()},
                           {"reason", reason}}
         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -72,6 +73,7 @@
                          .stableVersion = json.at("stable").get<std::string>(),
                          .version = json.at("version").get<std::string>(),
                          .elapsed = std::chrono::milliseconds(json.at("elapsedMs").get<std::int64_t>()),
+                         .timerEnd = std::chrono::milliseconds(json.value("timerEndMs", std::int64_t{0})),
                          .reason = json.at("reason").get<std::string>()};
         const auto name = json.at("phase").get<std::string>();
         for (const auto phase : phases) {
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -143,6 +143,9 @@
 
     void order(const std::string &version, std::int64_t revision)
     {
+        while (shared.revision() < revision) {
+            change(Operation::put("op/rollout/menu", version));
+        }
         m_ordered = time.now();
         m_order = {.service = "menu", .version = version, .duration = 15s, .revision = revision};
         for (const auto &node : nodes) {
@@ -716,6 +719,64 @@
     STRCMP_EQUAL("completed v3", cluster.status().c_str());
 }
 
+// Guards against a good version that is completed after its deadline, because restarted nodes count the time of the
+// order from their start.
+TEST(RolloutCoordinator, completesInTimeWhenAllNodesAreKilled)
+{
+    for (const auto &[killed, down] :
+         {std::pair<Duration, Duration>(0s, 1s), {0s, 2500ms}, {500ms, 1s}, {6s, 1s}, {6s, 2500ms}, {9s, 1s}}) {
+        Cluster restarted;
+        restarted.order("v2", 10);
+        restarted.pass(killed);
+        restarted.killAll();
+        restarted.pass(down);
+        restarted.startNodes();
+        restarted.pass(1s);
+        restarted.hear({"v1", "v2"});
+        while (restarted.status() != "completed v2" && restarted.sinceOrder() < 20s) {
+            restarted.pass(step);
+        }
+        CHECK(restarted.sinceOrder() <= 15s);
+        CHECK(restarted.sinceOrder() >= 13s);
+    }
+}
+
+// Guards against nodes that do not understand a step which an earlier release has written.
+TEST(RolloutCoordinator, continuesARolloutOfAnEarlierRelease)
+{
+    cluster.order("v2", 10);
+    cluster.killAll();
+    cluster.store(RolloutStep::decode(R"({"service": "menu", "order": 10, "fence": 4, "step": 2, "phase": "canary",
+        "share": 20, "stable": "v1", "version": "v2", "elapsedMs": 500, "reason": "planned share"})")
+                      .value());
+    cluster.startNodes();
+    cluster.hear({"v1", "v2"});
+    cluster.pass(4s);
+    CHECK_EQUAL(5U, cluster.storedStep().fence);
+    cluster.pass(14s);
+    STRCMP_EQUAL("completed v2", cluster.status().c_str());
+}
+
+// Guards against a version that is completed without enough results because those before the kill are lost.
+TEST(RolloutCoordinator, keepsTheExposureWhenAllNodesAreKilledLateInTheRollout)
+{
+    for (const auto killed : {1s, 6s, 10s, 13s}) {
+        Cluster restarted;
+        restarted.order("v2", 10);
+        restarted.pass(killed);
+        restarted.killAll();
+        restarted.bad = true;
+        restarted.fresh = 0;
+        restarted.pass(2500ms);
+        restarted.startNodes();
+        restarted.hear({"v1", "v2"});
+        restarted.pass(20s);
+        STRCMP_EQUAL("rolled_back v2", restarted.status().c_str());
+        CHECK(restarted.fresh <= 0.1 * 15 * nodeCount * requestsPerStep * 50 + 50);
+        CHECK(restarted.fiftiethBad == TimePoint::max() || restarted.lastFresh <= restarted.fiftiethBad + 5s);
+    }
+}
+
 // Guards against requests of a restarted node to a newer version without an order: the node knows the order of the
 // version in use, but not yet that it is completed.
 TEST(RolloutCoordinator, aRestartedNodeServesWithTheCompletedVersionOnly)
--- a/libs/rollouts/tests/rolloutdecidertest.cpp
+++ b/libs/rollouts/tests/rolloutdecidertest.cpp
@@ -26,6 +26,7 @@
     Duration reportsUntil = 1h;
     Duration end = 15s;
     Duration start{0};
+    Duration countedSince{0}; ///< Start of the processes that report.
 
     void run()
     {
@@ -107,7 +108,8 @@
 
     void report(TimePoint now)
     {
-        for (const auto &[node, report] : m_reports) {
+        for (auto &[node, report] : m_reports) {
+            report.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - TimePoint(countedSince));
             m_outcomes.add(node, report, now);
         }
     }
@@ -255,3 +257,14 @@
     play.run();
     CHECK(play.phase == RolloutPhase::RolledBack);
 }
+
+// Guards against a completion right after a long outage, before slow responses of the new version can be noticed.
+TEST(RolloutDecider, observesASlowVersionAfterARestartAtTheDeadline)
+{
+    play.slowness = 8;
+    play.start = 15s;
+    play.countedSince = 15s;
+    play.end = 30s;
+    play.run();
+    CHECK(play.phase == RolloutPhase::RolledBack);
+}
