Simplify how a decider finds the stable version

The choice of the stable version has a function of its own. The end of the timer follows the lease that the store has granted, and a lease that was granted for an earlier order is not used for a later one.

--- a/daemons/hornbeamd/rolloutagent.cpp
+++ b/daemons/hornbeamd/rolloutagent.cpp
@@ -201,9 +201,9 @@
     }
 }
 
-void RolloutAgent::stepsRead()
+void RolloutAgent::rulesReady()
 {
-    m_log.info("steps of the roll-outs read", {{"services", std::to_string(m_coordinator->steps().size())}});
+    m_log.info("versions in use known", {{"steps", std::to_string(m_coordinator->steps().size())}});
     m_isLoaded = true;
     m_loaded();
 }
--- a/daemons/hornbeamd/rolloutagent.h
+++ b/daemons/hornbeamd/rolloutagent.h
@@ -85,7 +85,7 @@
     void rulesChanged() override;
     void stepChanged(const RolloutStep &step, bool decider) override;
     void decidesRollouts(bool decider) override;
-    void stepsRead() override;
+    void rulesReady() override;
 
     const RolloutAgentOptions m_options;
     RolloutAgentDependencies m_dependencies;
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -69,7 +69,7 @@
                                                             RolloutCoordinatorDependencies dependencies);
     ~RolloutCoordinator() override;
 
-    /** Reads the steps of all services from the store, until it has them; see RolloutListener::stepsRead(). */
+    /** Reads the steps of all services from the store, until it has them; see RolloutListener::rulesReady(). */
     void start();
 
     /** Frees the lease if this node decides. Call it when a stop begins. */
--- a/libs/rollouts/include/hornbeam/rollouts/rolloutnetwork.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutnetwork.h
@@ -65,7 +65,7 @@
      * Called once after the start, when the steps in the store are known, or when the store has not answered in time.
      * Before that, rules() can name a version that is not in use.
      */
-    virtual void stepsRead() = 0;
+    virtual void rulesReady() = 0;
 };
 
 } // namespace Hornbeam
--- a/libs/rollouts/include/hornbeam/rollouts/versioninuse.h
+++ b/libs/rollouts/include/hornbeam/rollouts/versioninuse.h
@@ -19,7 +19,8 @@
 class VersionInUse
 {
 public:
-    /** Targets announce themselves every 1.5 s, so after this time only targets whose host is down are not known. */
+    /** Targets announce themselves several times in this period. After it, only those of hosts that are down are
+     * unknown. */
     static constexpr Duration settlingTime = std::chrono::seconds(5);
 
     /**
@@ -43,7 +44,7 @@
     /** When update() is to be called again; std::nullopt if only other events change the version. */
     std::optional<TimePoint> nextUpdate() const;
 
-    /** Empty if no version may be used. None of its targets may be known at the moment. */
+    /** Empty if no version may be used. It can be a version of which no target is known at the moment. */
     const std::string &version() const
     {
         return m_version;
@@ -68,7 +69,7 @@
     bool isAbsent(const std::string &version) const;
 
     std::string m_recorded;
-    std::string m_chosen;
+    std::string m_chosen; ///< Used without a record.
     std::string m_ordered;
     std::string m_version;
     std::vector<RunningVersion> m_versions;
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -72,6 +72,17 @@
     return stored.entries.empty() ? 0 : stored.entries.front().modRevision;
 }
 
+/** The version that @p order replaces; empty if it is not known yet. @p stored: the step in the store, if there is one.
+ */
+std::string stableVersion(const RolloutOrder &order, const Result<RolloutStep> &stored, const VersionInUse &inUse)
+{
+    std::string version;
+    if (stored) {
+        version = stored->order == order.revision ? stored->stableVersion : stored->servingVersion();
+    }
+    return version.empty() && inUse.isConfirmed() ? inUse.version() : version;
+}
+
 } // namespace
 
 bool RolloutCoordinator::Service::isCurrent() const
@@ -122,7 +133,7 @@
     m_started = m_dependencies.timers.now();
     m_loadTimeout = m_dependencies.timers.once(m_options.loadTimeout, [this] {
         m_loadTimeout.reset();
-        m_dependencies.listener.stepsRead();
+        m_dependencies.listener.rulesReady();
     });
     load();
 }
@@ -153,7 +164,7 @@
     updateVersions();
     if (m_loadTimeout) {
         m_loadTimeout.reset();
-        m_dependencies.listener.stepsRead();
+        m_dependencies.listener.rulesReady();
     }
 }
 
@@ -356,6 +367,7 @@
     const auto now = m_dependencies.timers.now();
     const bool mayWrite = !service.storeBusy && now >= service.storeRetry;
     if (!service.decider) {
+        // Until the steps are read, it is not known whether the order is older than this process.
         if (mayWrite && m_loaded) {
             takeOver(name);
         }
@@ -428,10 +440,7 @@
         adopt(service, *known, true, false);
         return;
     }
-    auto stable = !known ? std::string() : sameOrder ? known->stableVersion : known->servingVersion();
-    if (stable.empty() && service.inUse.isConfirmed()) {
-        stable = service.inUse.version();
-    }
+    auto stable = stableVersion(order, known, service.inUse);
     if (stable.empty()) {
         // A step that does not name the version before the order would leave nothing to compare the new one with.
         service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
@@ -477,20 +486,20 @@
         write(name, first, expectedRevision, true);
         return;
     }
-    auto timed = first;
-    timed.timerEnd = first.elapsed + timeToLive;
     service.storeBusy = true;
     m_dependencies.store.grantLease(
-        timeToLive, [this, alive = m_alive, name, timed, expectedRevision](const Result<LeaseGrant> &lease) {
+        timeToLive, [this, alive = m_alive, name, first, expectedRevision](const Result<LeaseGrant> &lease) {
             if (!*alive) {
                 return;
             }
             auto &granted = serviceOf(name);
             granted.storeBusy = false;
-            if (!lease || !isDecider() || !granted.isOpen()) {
+            if (!lease || !isDecider() || !granted.isOpen() || granted.order->revision != first.order) {
                 granted.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
                 return;
             }
+            auto timed = first;
+            timed.timerEnd = first.elapsed + lease->timeToLive;
             write(name, timed, expectedRevision, true, lease->id);
         });
 }
--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -63,7 +63,7 @@
     void stepChanged(const RolloutStep &, bool) override {}
     void decidesRollouts(bool) override {}
 
-    void stepsRead() override
+    void rulesReady() override
     {
         ready = true;
     }
