--- a/libs/rollouts/tests/rolloutcoordinatortest.cpp
+++ b/libs/rollouts/tests/rolloutcoordinatortest.cpp
@@ -1,389 +1,24 @@
-#include <hornbeam/base/faketimerservice.h>
-#include <hornbeam/rollouts/rolloutcoordinator.h>
-#include <hornbeam/rollouts/versiongate.h>
-#include <hornbeam/store/inmemorystore.h>
-#include <hornbeam/store/manualexecutor.h>
-#include <hornbeam/store/pausabletimerservice.h>
+#include "rolloutcluster.h"
 
 #include <CppUTest/TestHarness.h>
-
-#include <deque>
-#include <map>
-#include <memory>
-#include <set>
-
 using namespace Hornbeam;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr auto step = 20ms;
-constexpr const char *stepKey = "hornbeamring/rollouts/menu";
-constexpr int nodeCount = 8;
-constexpr int requestsPerStep = 2; ///< Of each node; 800 a second in all.
-
-class Status : public RolloutStatusEncoder
-{
-public:
-    StatusEntry statusOf(const RolloutStep &step) const override
-    {
-        const char *state = step.phase == RolloutPhase::Completed ? "completed"
-            : step.phase == RolloutPhase::RolledBack              ? "rolled_back"
-                                                                  : "running";
-        return {.key = "status/" + step.service, .value = state + (" " + step.version)};
-    }
-};
-
-class Cluster;
-
-/** One node with its own executor, timers and store handle: it can be paused and disconnected on its own. */
-class TestNode : public RolloutNetwork, public RolloutListener
-{
-public:
-    TestNode(Cluster &cluster, TimerService &time, const InMemoryStore &shared, int number, int start);
-
-    void broadcast(std::string_view message) override;
-    void send(const std::string &node, std::string_view message) override;
-
-    std::size_t liveNodes() const override
-    {
-        return nodeCount;
-    }
-
-    bool isCandidate() const override
-    {
-        return number < 3;
-    }
-
-    void rulesChanged() override
-    {
-        gate.setRules(coordinator->rules());
-    }
-
-    void stepChanged(const RolloutStep &, bool) override {}
-    void decidesRollouts(bool) override {}
-
-    void rulesReady() override
-    {
-        ready = true;
-    }
-
-    void order(const RolloutOrder &order)
-    {
-        coordinator->setOrder(order);
-        rulesChanged();
-    }
-
-    /** The node learns of the targets of these versions; they started in the order of the versions' names. */
-    void hear(const std::set<std::string> &versions)
-    {
-        known = versions;
-        std::vector<RunningVersion> running;
-        for (const auto &it : versions) {
-            const auto instance = static_cast<std::uint64_t>(it.back() - '0');
-            for (const auto *service : {"menu", "orders"}) {
-                running.push_back({.service = service, .version = it, .firstInstance = instance, .serving = true});
-            }
-        }
-        coordinator->setVersions(std::move(running));
-        rulesChanged();
-    }
-
-    void kill()
-    {
-        killed = true;
-        timers.pause();
-    }
-
-    void pause()
-    {
-        paused = true;
-        timers.pause();
-    }
-
-    void resume()
-    {
-        paused = false;
-        timers.resume();
-    }
-
-    Cluster &cluster;
-    const int number;
-    const std::string id;
-    ManualExecutor executor;
-    PausableTimerService timers;
-    InMemoryStore store;
-    Status status;
-    OutcomeLedger ledger;
-    VersionGate gate;
-    std::unique_ptr<RolloutCoordinator> coordinator;
-    std::deque<std::pair<std::string, std::string>> inbox;
-    std::set<std::string> known; ///< Versions whose targets the node knows.
-    bool ready = false; ///< Serves requests.
-    bool paused = false;
-    bool killed = false;
-    bool cut = false; ///< From the other nodes; the store can be reached.
-};
-
-/**
- * Eight nodes, each with one target of the stable and one of the new version, and a constant rate of requests. They
- * have run for long enough to record the version in use.
- */
-class Cluster
-{
-public:
-    Cluster()
-    {
-        startNodes();
-        hear({"v1", "v2", "v3"});
-        pass(VersionInUse::settlingTime + 3s);
-        fresh = 0;
-        requests = 0;
-    }
-
-    void order(const std::string &version, std::int64_t revision)
-    {
-        while (shared.revision() < revision) {
-            change(Operation::put("op/rollout/menu", version));
-        }
-        m_ordered = time.now();
-        m_order = {.service = "menu", .version = version, .duration = 15s, .revision = revision};
-        for (const auto &node : nodes) {
-            node->order(m_order);
-        }
-    }
-
-    void hear(const std::set<std::string> &versions)
-    {
-        for (const auto &node : nodes) {
-            node->hear(versions);
-        }
-    }
-
-    void killAll()
-    {
-        for (auto &node : nodes) {
-            node->kill();
-            m_killed.push_back(std::move(node));
-        }
-        nodes.clear();
-    }
-
-    /** Starts new processes on all hosts. They read the order, and know no targets yet. */
-    void startNodes()
-    {
-        for (int i = 0; i < nodeCount; ++i) {
-            nodes.push_back(startNode(i));
-        }
-    }
-
-    /** Restarts one node, which learns of the same targets again. */
-    void restart(std::size_t number)
-    {
-        auto &node = nodes[number];
-        const auto known = node->known;
-        node->kill();
-        m_killed.push_back(std::move(node));
-        node = startNode(static_cast<int>(number));
-        node->hear(known);
-    }
-
-    void store(const RolloutStep &step)
-    {
-        change(Operation::put(stepKey, step.encode()));
-    }
-
-    void removeRecord()
-    {
-        change(Operation::remove(stepKey));
-    }
-
-    void pass(Duration duration)
-    {
-        for (Duration passed{0}; passed < duration; passed += step) {
-            time.advance(step);
-            for (const auto &node : nodes) {
-                if (node->paused || node->killed) {
-                    continue;
-                }
-                deliver(*node);
-                node->executor.run();
-                if (node->ready) {
-                    serve(*node);
-                }
-            }
-        }
-    }
-
-    TestNode *decider()
-    {
-        for (const auto &node : nodes) {
-            if (!node->paused && !node->killed && node->coordinator->isDecider()) {
-                return node.get();
-            }
-        }
-        return nullptr;
-    }
-
-    void setFaults(const InMemoryStoreFaults &faults)
-    {
-        m_faults = faults;
-        for (const auto &node : nodes) {
-            node->store.setFaults(faults);
-        }
-    }
-
-    std::string status()
-    {
-        std::string value;
-        shared.range({.key = "status/menu"}, [&](const Result<RangeResult> &result) {
-            value = result && !result->entries.empty() ? result->entries.front().value : "";
-        });
-        idle.run();
-        return value;
-    }
-
-    /** The step in the store; a default one without any. */
-    RolloutStep storedStep()
-    {
-        RolloutStep stored;
-        shared.range({.key = stepKey}, [&](const Result<RangeResult> &result) {
-            if (result && !result->entries.empty()) {
-                stored = RolloutStep::decode(result->entries.front().value).value_or(RolloutStep());
-            }
-        });
-        idle.run();
-        return stored;
-    }
-
-    Duration sinceOrder() const
-    {
-        return time.now() - m_ordered;
-    }
-
-    FakeTimerService time;
-    ManualExecutor idle;
-    InMemoryStore shared{idle, time};
-    std::vector<std::unique_ptr<TestNode>> nodes;
-    bool bad = false; ///< The new version fails every other request.
-    int requests = 0;
-    int fresh = 0; ///< Requests to a version other than the first.
-    std::map<std::string, int> served; ///< Requests by version.
-    int badResponses = 0;
-    TimePoint fiftiethBad = TimePoint::max();
-    TimePoint lastFresh = TimePoint::min();
-
-private:
-    std::unique_ptr<TestNode> startNode(int number)
-    {
-        auto node = std::make_unique<TestNode>(*this, time, shared, number, ++m_starts);
-        node->store.setFaults(m_faults);
-        node->coordinator->start();
-        if (m_order.revision > 0) {
-            node->order(m_order);
-        }
-        return node;
-    }
-
-    void change(Operation operation)
-    {
-        Transaction transaction;
-        transaction.success.push_back(std::move(operation));
-        shared.commit(std::move(transaction), [](const Result<TransactionResult> &) {});
-        idle.run();
-    }
-
-    void deliver(TestNode &node)
-    {
-        for (std::deque<std::pair<std::string, std::string>> messages = std::move(node.inbox); !messages.empty();
-             messages.pop_front()) {
-            node.coordinator->receive(messages.front().first, messages.front().second);
-        }
-        node.inbox.clear();
-    }
-
-    void serve(TestNode &node)
-    {
-        for (int i = 0; i < requestsPerStep; ++i) {
-            const auto track = node.gate.next("menu");
-            std::string version;
-            for (const auto &it : node.known) {
-                version = node.gate.trackOf("menu", it) == track ? it : version;
-            }
-            if (version.empty()) {
-                continue;
-            }
-            const bool isFresh = version != "v1";
-            const bool failed = isFresh && bad && ++m_counter % 2 == 0;
-            node.gate.sent("menu", track);
-            node.gate.responded("menu", track, failed);
-            node.ledger.record("menu", version, "browse", failed, 100ms);
-            ++requests;
-            ++served[version];
-            if (isFresh) {
-                ++fresh;
-                lastFresh = time.now();
-                if (failed && ++badResponses == 50) {
-                    fiftiethBad = time.now();
-                }
-            }
-        }
-    }
-
-    TimePoint m_ordered;
-    RolloutOrder m_order;
-    InMemoryStoreFaults m_faults;
-    std::vector<std::unique_ptr<TestNode>> m_killed; ///< The store may still call back to them.
-    int m_starts = 0;
-    int m_counter = 0;
-};
-
-TestNode::TestNode(Cluster &owner, TimerService &time, const InMemoryStore &shared, int n, int start)
-    : cluster(owner)
-    , number(n)
-    , id("node-" + std::to_string(n) + "-" + std::to_string(start))
-    , timers(time)
-    , store(executor, shared)
-    , gate(static_cast<std::uint64_t>(n) + 1)
-    , coordinator(std::move(*RolloutCoordinator::make(
-          {.node = id, .limits = {.canarySlack = 50}},
-          {.store = store, .timers = timers, .network = *this, .listener = *this, .ledger = ledger, .status = status})))
-{
-}
-
-void TestNode::broadcast(std::string_view message)
-{
-    for (const auto &node : cluster.nodes) {
-        send(node->id, message);
-    }
-}
-
-void TestNode::send(const std::string &node, std::string_view message)
-{
-    for (const auto &it : cluster.nodes) {
-        if (it->id == node && it.get() != this && !it->cut && !cut && !it->killed) {
-            it->inbox.emplace_back(id, std::string(message));
-        }
-    }
-}
-
-} // namespace
-
 TEST_GROUP(RolloutCoordinator)
 {
-    Cluster cluster;
+    RolloutCluster cluster;
 
     /** Checks what must hold for a bad version, whatever happens to the decider and the store. */
     void checkExposure()
     {
-        CHECK(cluster.fresh <= 0.1 * 15 * nodeCount * requestsPerStep * 50 + 50);
+        CHECK(cluster.fresh <= 0.1 * 15 * RolloutCluster::nodeCount * RolloutCluster::requestsPerStep * 50 + 50);
         CHECK(cluster.fiftiethBad == TimePoint::max() || cluster.lastFresh <= cluster.fiftiethBad + 5s);
     }
 
     void waitForDecider()
     {
         while (cluster.decider() == nullptr && cluster.sinceOrder() < 15s) {
-            cluster.pass(step);
+            cluster.pass(RolloutCluster::step);
         }
         CHECK(cluster.decider() != nullptr);
     }
@@ -418,7 +53,7 @@
 TEST(RolloutCoordinator, rollsBackABadVersionWhenAllNodesAreKilledAfterTheOrder)
 {
     for (const auto &heardFirst : {std::set<std::string>{}, std::set<std::string>{"v2"}}) {
-        Cluster restarted;
+        RolloutCluster restarted;
         restarted.bad = true;
         restarted.order("v2", 10);
         restarted.killAll();
@@ -725,7 +360,7 @@
 {
     for (const auto &[killed, down] :
          {std::pair<Duration, Duration>(0s, 1s), {0s, 2500ms}, {500ms, 1s}, {6s, 1s}, {6s, 2500ms}, {9s, 1s}}) {
-        Cluster restarted;
+        RolloutCluster restarted;
         restarted.order("v2", 10);
         restarted.pass(killed);
         restarted.killAll();
@@ -734,7 +369,7 @@
         restarted.pass(1s);
         restarted.hear({"v1", "v2"});
         while (restarted.status() != "completed v2" && restarted.sinceOrder() < 20s) {
-            restarted.pass(step);
+            restarted.pass(RolloutCluster::step);
         }
         CHECK(restarted.sinceOrder() <= 15s);
         CHECK(restarted.sinceOrder() >= 13s);
@@ -761,7 +396,7 @@
 TEST(RolloutCoordinator, keepsTheExposureWhenAllNodesAreKilledLateInTheRollout)
 {
     for (const auto killed : {1s, 6s, 10s, 13s}) {
-        Cluster restarted;
+        RolloutCluster restarted;
         restarted.order("v2", 10);
         restarted.pass(killed);
         restarted.killAll();
@@ -772,7 +407,7 @@
         restarted.hear({"v1", "v2"});
         restarted.pass(20s);
         STRCMP_EQUAL("rolled_back v2", restarted.status().c_str());
-        CHECK(restarted.fresh <= 0.1 * 15 * nodeCount * requestsPerStep * 50 + 50);
+        CHECK(restarted.fresh <= 0.1 * 15 * RolloutCluster::nodeCount * RolloutCluster::requestsPerStep * 50 + 50);
         CHECK(restarted.fiftiethBad == TimePoint::max() || restarted.lastFresh <= restarted.fiftiethBad + 5s);
     }
 }
