Renew a lease in time when the store is slow

Operators would see: with a store that takes 0.6 s for each call, the deciders of a roll-out lost their lease again and again, and a good version was still not completed 15 s after its deadline.

Cause: LeaseElection sent the first renewal a third of the time to live after it had acquired the slot, although the lease runs from the request of the grant. With a lease of 3 s, two calls of 0.6 s are lost before the slot is acquired, and the response to the renewal comes after the 2.5 s for which the holder may rely on the lease.

Change: a renewal is due a third of the time to live after the last grant or renewal was sent.

Test: LeaseElection.keepsItsSlotWhileTheStoreIsSlow, 1.2 s for each call and a lease of 5 s: 5 acquisitions in 30 s before, one now. No call more is made while the store answers at once.

--- a/libs/store/include/hornbeam/store/leaseelection.h
+++ b/libs/store/include/hornbeam/store/leaseelection.h
@@ -83,6 +83,7 @@
     void renewLease();
     void leaseRenewed(Result<LeaseGrant> result);
     void becomeHolder();
+    void scheduleRenewal();
     void armExpiry();
     void expire();
     void endRound();
--- a/libs/store/src/leaseelection.cpp
+++ b/libs/store/src/leaseelection.cpp
@@ -176,10 +176,17 @@
     m_backoff.reset();
     m_occupiedBackoff.reset();
     armExpiry();
-    m_nextStep = m_timers.once(Duration(m_options.timeToLive) / renewalsPerTimeToLive, [this] { renewLease(); });
+    scheduleRenewal();
     m_listener.acquired(m_slot);
 }
 
+void LeaseElection::scheduleRenewal()
+{
+    // Relative to the request, because a slow store has used a part of the time to live for its responses.
+    const auto due = m_leaseRequestTime + Duration(m_options.timeToLive) / renewalsPerTimeToLive;
+    m_nextStep = m_timers.once(std::max(Duration::zero(), due - m_timers.now()), [this] { renewLease(); });
+}
+
 void LeaseElection::renewLease()
 {
     m_leaseRequestTime = m_timers.now();
@@ -199,7 +206,7 @@
     m_backoff.reset();
     m_validUntil = validUntil(m_leaseRequestTime);
     armExpiry();
-    m_nextStep = m_timers.once(Duration(m_options.timeToLive) / renewalsPerTimeToLive, [this] { renewLease(); });
+    scheduleRenewal();
 }
 
 void LeaseElection::armExpiry()
--- a/libs/store/tests/leaseelectiontest.cpp
+++ b/libs/store/tests/leaseelectiontest.cpp
@@ -161,6 +161,16 @@
     CHECK_EQUAL(2, candidates.at(0)->acquisitions);
 }
 
+// Guards against a holder that loses its slot again and again because the first renewal comes too late.
+TEST(LeaseElection, keepsItsSlotWhileTheStoreIsSlow)
+{
+    add(1);
+    candidates.at(0)->store.setFaults({.answerDelay = 1200ms});
+    pass(30s);
+    CHECK_EQUAL(1, candidates.at(0)->acquisitions);
+    CHECK_EQUAL(0, candidates.at(0)->losses);
+}
+
 // Guards against a candidate that takes the slot to be held by another one after the response to its own write was
 // lost, and waits until its own lease has expired.
 TEST(LeaseElection, recognisesItsWriteAfterALostResponse)
