--- a/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
+++ b/libs/rollouts/include/hornbeam/rollouts/rolloutcoordinator.h
@@ -8,6 +8,7 @@
 #include <hornbeam/rollouts/rolloutnetwork.h>
 #include <hornbeam/rollouts/rolloutorder.h>
 #include <hornbeam/rollouts/rolloutplan.h>
+#include <hornbeam/rollouts/rolloutstore.h>
 #include <hornbeam/rollouts/runningversion.h>
 #include <hornbeam/rollouts/versioninuse.h>
 #include <hornbeam/rollouts/versionrule.h>
@@ -26,9 +27,7 @@
 {
     std::string node; ///< Id of this node.
     RolloutLimits limits{};
-    std::string prefix = "hornbeamring/rollouts/"; ///< Of the keys with the newest step of each service.
-    /** Of the keys that vanish a known time after an order, so that nodes that were all down learn how late it is. */
-    std::string timerPrefix = "hornbeamring/rollout-timers/";
+    RolloutStoreOptions store{};
     std::string electionPrefix = "hornbeamring/rollout-decider/";
     Duration tick = std::chrono::milliseconds(100); ///< Period of decisions while a roll-out runs.
     Duration beat = std::chrono::milliseconds(300); ///< Period in which the decider repeats the newest step.
@@ -67,8 +66,6 @@
 public:
     static Result<std::unique_ptr<RolloutCoordinator>> make(RolloutCoordinatorOptions options,
                                                             RolloutCoordinatorDependencies dependencies);
-    ~RolloutCoordinator() override;
-
     /** Reads the steps of all services from the store, until it has them; see RolloutListener::rulesReady(). */
     void start();
 
@@ -132,7 +129,7 @@
 
     Service &serviceOf(const std::string &name);
     void load();
-    void loaded(const Result<RangeResult> &stored);
+    void loaded(const Result<StoredSteps> &stored);
     void updateVersions();
     void recordVersion(const std::string &name, Service &service);
     void versionRecorded(const RolloutStep &record, const Result<TransactionResult> &result);
@@ -145,26 +142,24 @@
     void decide(const std::string &name, Service &service);
     void resignIfCutOff(const Service &service);
     void takeOver(const std::string &name);
-    void takeOver(const std::string &name, const Result<RangeResult> &stored);
-    void startTimer(const std::string &name, const RolloutStep &first, std::int64_t expectedRevision);
+    void takeOver(const std::string &name, const Result<StoredStep> &stored);
+    void startTimer(const RolloutStep &first, std::int64_t expectedRevision);
     void readTimer(const std::string &name, Service &service);
-    void timerRead(const std::string &name, const Result<RangeResult> &stored);
-    void write(
-        const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first, LeaseId timer = 0);
-    void written(const std::string &name, const RolloutStep &step);
-    void writeFailed(const std::string &name, const RolloutStep &step, bool first);
-    void readBack(const std::string &name, const RolloutStep &step, bool first, const Result<RangeResult> &stored);
+    void timerRead(const std::string &name, const Result<bool> &running);
+    void write(const RolloutStep &step, std::int64_t expectedRevision, bool first, LeaseId timer = 0);
+    void written(const RolloutStep &step);
+    void writeFailed(const RolloutStep &step, bool first);
+    void readBack(const RolloutStep &step, bool first, const Result<StoredStep> &stored);
     void readStep(const std::string &name);
     void beat(bool now);
     OutcomeReport reportOf(const std::string &name, const Service &service) const;
     Duration elapsedOf(const Service &service) const;
     Duration observedTime(const Service &service) const;
     bool predatesStart(const RolloutOrder &order) const;
-    std::string keyOf(const std::string &name) const;
-    std::string timerKeyOf(const std::string &name) const;
 
     const RolloutCoordinatorOptions m_options;
     RolloutCoordinatorDependencies m_dependencies;
+    RolloutStore m_store;
     std::unique_ptr<LeaseElection> m_election;
     std::map<std::string, Service> m_services;
     TimerHandle m_tick;
@@ -176,7 +171,6 @@
     TimePoint m_started{};
     std::int64_t m_startRevision = 0; ///< Of the store when the steps were read.
     TimePoint m_lastBeat = TimePoint::min();
-    std::shared_ptr<bool> m_alive;
     TimePoint m_lastReports; ///< When enough nodes reported to this decider, or its term began.
     TimePoint m_candidateFrom = TimePoint::min(); ///< After a resignation, other candidates come first until then.
     bool m_candidate = false;
--- a/libs/rollouts/src/rolloutcoordinator.cpp
+++ b/libs/rollouts/src/rolloutcoordinator.cpp
@@ -59,22 +59,10 @@
     return (step.fence << numberBits) | step.number;
 }
 
-Result<RolloutStep> storedStep(const RangeResult &stored)
-{
-    if (stored.entries.empty()) {
-        return makeError(ErrorCode::NotFound, "no step in the store");
-    }
-    return RolloutStep::decode(stored.entries.front().value);
-}
-
-std::int64_t storedRevision(const RangeResult &stored)
-{
-    return stored.entries.empty() ? 0 : stored.entries.front().modRevision;
-}
-
-/** The version that @p order replaces; empty if it is not known yet. @p stored: the step in the store, if there is one.
- */
-std::string stableVersion(const RolloutOrder &order, const Result<RolloutStep> &stored, const VersionInUse &inUse)
+/** The version that @p order replaces; empty if it is not known yet. @p stored: the step in the store. */
+std::string stableVersion(const RolloutOrder &order,
+                          const std::optional<RolloutStep> &stored,
+                          const VersionInUse &inUse)
 {
     std::string version;
     if (stored) {
@@ -118,16 +106,11 @@
 RolloutCoordinator::RolloutCoordinator(RolloutCoordinatorOptions options, RolloutCoordinatorDependencies dependencies)
     : m_options(std::move(options))
     , m_dependencies(dependencies)
+    , m_store(m_options.store, dependencies.store, dependencies.status)
     , m_loadBackoff(m_options.loadBackoff)
-    , m_alive(std::make_shared<bool>(true))
 {
 }
 
-RolloutCoordinator::~RolloutCoordinator()
-{
-    *m_alive = false;
-}
-
 void RolloutCoordinator::start()
 {
     m_started = m_dependencies.timers.now();
@@ -140,15 +123,10 @@
 
 void RolloutCoordinator::load()
 {
-    m_dependencies.store.range({.key = m_options.prefix, .prefix = true},
-                               [this, alive = m_alive](const Result<RangeResult> &stored) {
-                                   if (*alive) {
-                                       loaded(stored);
-                                   }
-                               });
+    m_store.readAll([this](const Result<StoredSteps> &stored) { loaded(stored); });
 }
 
-void RolloutCoordinator::loaded(const Result<RangeResult> &stored)
+void RolloutCoordinator::loaded(const Result<StoredSteps> &stored)
 {
     if (!stored) {
         m_loadTimer = m_dependencies.timers.once(m_loadBackoff.next(), [this] { load(); });
@@ -156,10 +134,8 @@
     }
     m_loaded = true;
     m_startRevision = stored->revision;
-    for (const auto &entry : stored->entries) {
-        if (const auto step = RolloutStep::decode(entry.value)) {
-            adopt(serviceOf(step->service), *step, false, false);
-        }
+    for (const auto &step : stored->steps) {
+        adopt(serviceOf(step.service), step, false, false);
     }
     updateVersions();
     if (m_loadTimeout) {
@@ -266,15 +242,8 @@
                              .stableVersion = version,
                              .version = version,
                              .reason = "in use before any order"};
-    Transaction transaction;
-    transaction.compares.push_back({.key = keyOf(name), .field = Compare::Field::ModRevision, .revision = 0});
-    transaction.success.push_back(Operation::put(keyOf(name), record.encode()));
-    m_dependencies.store.commit(std::move(transaction),
-                                [this, alive = m_alive, record](const Result<TransactionResult> &result) {
-                                    if (*alive) {
-                                        versionRecorded(record, result);
-                                    }
-                                });
+    m_store.write(
+        record, {}, [this, record](const Result<TransactionResult> &result) { versionRecorded(record, result); });
 }
 
 void RolloutCoordinator::versionRecorded(const RolloutStep &record, const Result<TransactionResult> &result)
@@ -394,7 +363,7 @@
         adopt(service, *next, true, true);
         beat(true);
     } else if (mayWrite) {
-        write(name, *next, service.modRevision, false);
+        write(*next, service.modRevision, false);
     }
 }
 
@@ -413,14 +382,10 @@
 void RolloutCoordinator::takeOver(const std::string &name)
 {
     serviceOf(name).storeBusy = true;
-    m_dependencies.store.range({.key = keyOf(name)}, [this, alive = m_alive, name](const Result<RangeResult> &stored) {
-        if (*alive) {
-            takeOver(name, stored);
-        }
-    });
+    m_store.read(name, false, [this, name](const Result<StoredStep> &stored) { takeOver(name, stored); });
 }
 
-void RolloutCoordinator::takeOver(const std::string &name, const Result<RangeResult> &stored)
+void RolloutCoordinator::takeOver(const std::string &name, const Result<StoredStep> &stored)
 {
     auto &service = serviceOf(name);
     service.storeBusy = false;
@@ -429,7 +394,7 @@
         return;
     }
     const auto &order = *service.order;
-    const auto known = storedStep(*stored);
+    const auto &known = stored->step;
     if (known && known->order > order.revision) {
         // The order that this step belongs to has not reached this node yet.
         service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
@@ -471,51 +436,42 @@
         first.reason = service.step->reason;
     }
     if (sameOrder) {
-        write(name, first, storedRevision(*stored), true);
+        write(first, stored->revision, true);
     } else {
-        startTimer(name, first, storedRevision(*stored));
+        startTimer(first, stored->revision);
     }
 }
 
-void RolloutCoordinator::startTimer(const std::string &name, const RolloutStep &first, std::int64_t expectedRevision)
+void RolloutCoordinator::startTimer(const RolloutStep &first, std::int64_t expectedRevision)
 {
-    auto &service = serviceOf(name);
+    auto &service = serviceOf(first.service);
     const RolloutPlan plan(m_options.limits, service.order->duration);
-    const auto timeToLive = std::chrono::floor<std::chrono::seconds>(plan.switchStart() - first.elapsed);
-    if (timeToLive < shortestTimer || timeToLive > longestTimer) {
-        write(name, first, expectedRevision, true);
+    const auto duration = std::chrono::floor<std::chrono::seconds>(plan.switchStart() - first.elapsed);
+    if (duration < shortestTimer || duration > longestTimer) {
+        write(first, expectedRevision, true);
         return;
     }
     service.storeBusy = true;
-    m_dependencies.store.grantLease(
-        timeToLive, [this, alive = m_alive, name, first, expectedRevision](const Result<LeaseGrant> &lease) {
-            if (!*alive) {
-                return;
-            }
-            auto &granted = serviceOf(name);
-            granted.storeBusy = false;
-            if (!lease || !isDecider() || !granted.isOpen() || granted.order->revision != first.order) {
-                granted.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
-                return;
-            }
-            auto timed = first;
-            timed.timerEnd = first.elapsed + lease->timeToLive;
-            write(name, timed, expectedRevision, true, lease->id);
-        });
+    m_store.grantTimer(duration, [this, first, expectedRevision](const Result<LeaseGrant> &lease) {
+        auto &granted = serviceOf(first.service);
+        granted.storeBusy = false;
+        if (!lease || !isDecider() || !granted.isOpen() || granted.order->revision != first.order) {
+            granted.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+            return;
+        }
+        auto timed = first;
+        timed.timerEnd = first.elapsed + lease->timeToLive;
+        write(timed, expectedRevision, true, lease->id);
+    });
 }
 
 void RolloutCoordinator::readTimer(const std::string &name, Service &service)
 {
     service.timerReadAt = TimePoint::max();
-    m_dependencies.store.range({.key = timerKeyOf(name)},
-                               [this, alive = m_alive, name](const Result<RangeResult> &stored) {
-                                   if (*alive) {
-                                       timerRead(name, stored);
-                                   }
-                               });
+    m_store.readTimer(name, [this, name](const Result<bool> &running) { timerRead(name, running); });
 }
 
-void RolloutCoordinator::timerRead(const std::string &name, const Result<RangeResult> &stored)
+void RolloutCoordinator::timerRead(const std::string &name, const Result<bool> &running)
 {
     auto &service = serviceOf(name);
     if (!service.timerReadAt) {
@@ -523,8 +479,7 @@
     }
     const auto now = m_dependencies.timers.now();
     const auto end = service.step ? service.step->timerEnd : 0ms;
-    const bool ended = stored && stored->entries.empty();
-    if (ended) {
+    if (running && !*running) {
         service.ordered = std::min(service.ordered, now - end);
     }
     if (elapsedOf(service) < end) {
@@ -534,44 +489,31 @@
     }
 }
 
-void RolloutCoordinator::write(
-    const std::string &name, const RolloutStep &step, std::int64_t expectedRevision, bool first, LeaseId timer)
+void RolloutCoordinator::write(const RolloutStep &step, std::int64_t expectedRevision, bool first, LeaseId timer)
 {
-    auto &service = serviceOf(name);
+    auto &service = serviceOf(step.service);
     service.storeBusy = true;
-    Transaction transaction;
-    transaction.compares.push_back(
-        {.key = keyOf(name), .field = Compare::Field::ModRevision, .revision = expectedRevision});
-    transaction.success.push_back(Operation::put(keyOf(name), step.encode()));
-    if (timer != 0) {
-        transaction.success.push_back(Operation::put(timerKeyOf(name), std::to_string(step.order), timer));
-    }
-    const auto status = m_dependencies.status.statusOf(step);
-    const bool changed = first || !service.step || m_dependencies.status.statusOf(*service.step).value != status.value;
-    if (changed && !status.key.empty()) {
-        transaction.success.push_back(Operation::put(status.key, status.value));
-    }
-    m_dependencies.store.commit(std::move(transaction),
-                                [this, alive = m_alive, name, step, first](const Result<TransactionResult> &result) {
-                                    if (!*alive) {
-                                        return;
-                                    }
-                                    auto &written = serviceOf(name);
-                                    written.storeBusy = false;
-                                    if (result && result->succeeded) {
-                                        written.modRevision = result->revision;
-                                        this->written(name, step);
-                                    } else if (!result && result.error().code() != ErrorCode::OutcomeUnknown) {
-                                        written.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
-                                    } else {
-                                        writeFailed(name, step, first);
-                                    }
-                                });
-}
-
-void RolloutCoordinator::written(const std::string &name, const RolloutStep &step)
-{
-    auto &service = serviceOf(name);
+    const auto &status = m_dependencies.status;
+    const bool changed = first || !service.step || status.statusOf(*service.step).value != status.statusOf(step).value;
+    m_store.write(step,
+                  {.expectedRevision = expectedRevision, .withStatus = changed, .timer = timer},
+                  [this, step, first](const Result<TransactionResult> &result) {
+                      auto &target = serviceOf(step.service);
+                      target.storeBusy = false;
+                      if (result && result->succeeded) {
+                          target.modRevision = result->revision;
+                          written(step);
+                      } else if (!result && result.error().code() != ErrorCode::OutcomeUnknown) {
+                          target.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
+                      } else {
+                          writeFailed(step, first);
+                      }
+                  });
+}
+
+void RolloutCoordinator::written(const RolloutStep &step)
+{
+    auto &service = serviceOf(step.service);
     const auto now = m_dependencies.timers.now();
     if (!service.order || service.order->revision != step.order) {
         return;
@@ -599,23 +541,16 @@
     beat(true);
 }
 
-void RolloutCoordinator::writeFailed(const std::string &name, const RolloutStep &step, bool first)
+void RolloutCoordinator::writeFailed(const RolloutStep &step, bool first)
 {
-    serviceOf(name).storeBusy = true;
-    m_dependencies.store.range({.key = keyOf(name)},
-                               [this, alive = m_alive, name, step, first](const Result<RangeResult> &stored) {
-                                   if (*alive) {
-                                       readBack(name, step, first, stored);
-                                   }
-                               });
+    serviceOf(step.service).storeBusy = true;
+    m_store.read(
+        step.service, false, [this, step, first](const Result<StoredStep> &stored) { readBack(step, first, stored); });
 }
 
-void RolloutCoordinator::readBack(const std::string &name,
-                                  const RolloutStep &step,
-                                  bool first,
-                                  const Result<RangeResult> &stored)
+void RolloutCoordinator::readBack(const RolloutStep &step, bool first, const Result<StoredStep> &stored)
 {
-    auto &service = serviceOf(name);
+    auto &service = serviceOf(step.service);
     service.storeBusy = false;
     service.storeRetry = m_dependencies.timers.now() + storeRetryDelay;
     if (!stored) {
@@ -623,16 +558,16 @@
         service.decider.reset();
         return;
     }
-    const auto known = storedStep(*stored);
-    if (known && *known == step) {
-        service.modRevision = storedRevision(*stored);
-        written(name, step);
+    const auto &known = stored->step;
+    if (known == step) {
+        service.modRevision = stored->revision;
+        written(step);
     } else if (known && known->isFinal() && service.order && known->order == service.order->revision) {
         service.decider.reset();
         adopt(service, *known, true, false);
     } else if (!first && known && known->order == step.order && known->fence == step.fence) {
         // An earlier write of this decider took effect late.
-        service.modRevision = storedRevision(*stored);
+        service.modRevision = stored->revision;
     } else {
         service.decider.reset();
     }
@@ -645,22 +580,15 @@
         return;
     }
     service.reading = true;
-    m_dependencies.store.range({.key = keyOf(name), .mayBeStale = true},
-                               [this, alive = m_alive, name](const Result<RangeResult> &stored) {
-                                   if (!*alive) {
-                                       return;
-                                   }
-                                   auto &read = serviceOf(name);
-                                   read.reading = false;
-                                   read.readAt = m_dependencies.timers.now() + m_options.tick + read.readBackoff.next();
-                                   if (!stored) {
-                                       return;
-                                   }
-                                   if (const auto step = storedStep(*stored)) {
-                                       adopt(read, *step, false, false);
-                                       updateRules();
-                                   }
-                               });
+    m_store.read(name, true, [this, name](const Result<StoredStep> &stored) {
+        auto &read = serviceOf(name);
+        read.reading = false;
+        read.readAt = m_dependencies.timers.now() + m_options.tick + read.readBackoff.next();
+        if (stored && stored->step) {
+            adopt(read, *stored->step, false, false);
+            updateRules();
+        }
+    });
 }
 
 void RolloutCoordinator::adopt(Service &service, const RolloutStep &step, bool live, bool decider)
@@ -774,16 +702,6 @@
     return order.revision <= m_startRevision;
 }
 
-std::string RolloutCoordinator::keyOf(const std::string &name) const
-{
-    return m_options.prefix + name;
-}
-
-std::string RolloutCoordinator::timerKeyOf(const std::string &name) const
-{
-    return m_options.timerPrefix + name;
-}
-
 std::optional<VersionRule> RolloutCoordinator::ruleOf(const std::string &name, const Service &service) const
 {
     if (!service.order && !service.inUse.hasTargets()) {
