Keep a stop going in the test of waits at another node

Cause: the check was decided by which thread of the test ran first. The request that waits was the only one of the stopping node, and a stop ends with its last request.

Change: the stopping node also has a request with an unfinished body, which is refused 0.2 s before the end of the stop. The response that the test checks still has to come before the end of the stop, which is now later than the response by about 0.2 s. No check or bound is loosened.

--- a/libs/proxy/tests/stoppingnodetest.cpp
+++ b/libs/proxy/tests/stoppingnodetest.cpp
@@ -567,6 +567,10 @@
     auto waiting = TestSocket::connectTo(front->server->localEndpoint());
     waiting.send(getRequest("/book", "c2"));
     CHECK(ProxyFixture::waitUntil([&] { return nodes[0]->server->requestsInFlight() == 2; }));
+    // A stop ends with its last request, so that without another one it would end at the moment of the response.
+    auto unfinished = TestSocket::connectTo(front->server->localEndpoint());
+    unfinished.send("POST /book HTTP/1.1\r\nHost: rota.example\r\nCall-Id: c3\r\nContent-Length: 2\r\n\r\nh");
+    CHECK(ProxyFixture::waitUntil([&] { return front->server->requestsInFlight() == 2; }));
     beginStop();
     nodes[0]->server->peerStops("front");
     const auto response = readUntilStopped(waiting);
